--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -45,7 +45,7 @@
     NOT_STARTED = "not_started"
 
 
-class Hello(Message, tag="hello"):
+class Hello(Message, tag="hello", frozen=True):
     """First message of each side: who speaks, and which version of this protocol."""
 
     protocol_version: int
@@ -60,7 +60,7 @@
     slots: Natural = 0
 
 
-class Heartbeat(Message, tag="heartbeat"):
+class Heartbeat(Message, tag="heartbeat", frozen=True):
     """Periodic sign of life with the sender's load and its newest configuration."""
 
     sequence: Natural
@@ -74,7 +74,7 @@
     news: bytes = b""
 
 
-class Dispatch(Message, tag="dispatch"):
+class Dispatch(Message, tag="dispatch", frozen=True):
     """Entry to agent: run this attempt.
 
     ``resume_from`` is the number of answer tokens that the caller already has. For
@@ -102,33 +102,33 @@
     alone: bool = False
 
 
-class Cancel(Message, tag="cancel"):
+class Cancel(Message, tag="cancel", frozen=True):
     """Entry to agent: stop this attempt; its frames are no longer wanted."""
 
     attempt_id: Identifier
 
 
-class Attach(Message, tag="attach"):
+class Attach(Message, tag="attach", frozen=True):
     """Entry to agent: send the attempt's frames from ``after_sequence`` on again."""
 
     attempt_id: Identifier
     after_sequence: int
 
 
-class Acknowledge(Message, tag="ack"):
+class Acknowledge(Message, tag="ack", frozen=True):
     """Entry to agent: frames up to ``sequence`` need not be kept any longer."""
 
     attempt_id: Identifier
     sequence: int
 
 
-class TicketRequest(Message, tag="ticket_request"):
+class TicketRequest(Message, tag="ticket_request", frozen=True):
     """Entry to agent: promise to take one keyed request for a while."""
 
     key: Identifier
 
 
-class Ticket(Message, tag="ticket"):
+class Ticket(Message, tag="ticket", frozen=True):
     """Agent to entry: the promise, with its life on the agent's own clock."""
 
     key: Identifier
@@ -137,14 +137,14 @@
     lifetime_ms: Natural
 
 
-class Tombstone(Message, tag="tombstone"):
+class Tombstone(Message, tag="tombstone", frozen=True):
     """Entry to agent: never start this key if it has not been started."""
 
     key: Identifier
     claim_offset: int
 
 
-class Tombstoned(Message, tag="tombstoned"):
+class Tombstoned(Message, tag="tombstoned", frozen=True):
     """Agent to entry: whether the key had been started by this incarnation."""
 
     key: Identifier
@@ -156,14 +156,14 @@
     body: bytes = b""
 
 
-class Accepted(Message, tag="accepted"):
+class Accepted(Message, tag="accepted", frozen=True):
     """Agent to entry: the attempt is queued or running."""
 
     attempt_id: Identifier
     incarnation: Natural
 
 
-class Refused(Message, tag="refused"):
+class Refused(Message, tag="refused", frozen=True):
     """Agent to entry: the attempt was not and will not be run."""
 
     attempt_id: Identifier
@@ -171,7 +171,7 @@
     retry_after_ms: Natural = 0
 
 
-class Chunk(Message, tag="chunk"):
+class Chunk(Message, tag="chunk", frozen=True):
     """Agent to entry: a piece of the answer, numbered from 0 within the attempt.
 
     The first chunk of a plain answer carries its HTTP status and content type.
@@ -185,7 +185,7 @@
     content_type: str = ""
 
 
-class End(Message, tag="end"):
+class End(Message, tag="end", frozen=True):
     """Agent to entry: the attempt is over, with the count and digest of its chunks.
 
     ``digest`` is the xxh3-64 of all chunk data in order.
@@ -199,19 +199,19 @@
     detail: str = ""
 
 
-class Leaving(Message, tag="leaving"):
+class Leaving(Message, tag="leaving", frozen=True):
     """Agent to entry: no new work from now on; running work will end."""
 
     incarnation: Natural
 
 
-class Ping(Message, tag="ping"):
+class Ping(Message, tag="ping", frozen=True):
     """Either way: answer with a pong; bytes prove that the connection lives."""
 
     sequence: Natural
 
 
-class Pong(Message, tag="pong"):
+class Pong(Message, tag="pong", frozen=True):
     """Answer to a ping."""
 
     sequence: Natural
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -30,9 +30,7 @@
         report = Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-color"]
         command += ["-f", "json", "-o", str(report), "-f", "plain", str(feature)]
-        environment = os.environ | {
-            "PYTHONPATH": os.pathsep.join([str(_ROOT), str(_ROOT / "tests")])
-        }
+        environment = os.environ | {"PYTHONPATH": str(_ROOT)}
         try:
             done = subprocess.run(
                 command,
