Add the log, engine and service stand-ins and the adapters that meet them

The engine's Protocol is what the agent is written against; the adapters never repeat a call by themselves, and say whether a failed one may have run: refused and timed-out connects are 'not sent', everything after the first byte is 'may have run'.

--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -0,0 +1,216 @@
+"""An engine or plain service over HTTP: the one module that knows its routes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
+from twisted.web.client import ResponseDone
+
+from corianderrelay.state.errors import (
+    EndpointFailedError,
+    FencedError,
+    Ran,
+    UnavailableError,
+)
+from corianderrelay.transport.http_client import (
+    HttpAnswer,
+    HttpClient,
+    HttpNotSentError,
+    abort_body,
+    content_type_of,
+)
+
+from ..coordination.engine import EngineLoad
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+
+    from corianderrelay.state.errors import RelayError
+    from corianderrelay.transport.http_client import ResponseHead
+
+    from ..coordination.engine import AnswerSink, EngineCall, EngineOrder
+
+_CONTROL_TIMEOUT_S = 5.0
+_RETRY_AFTER_S = 1.0
+_OK = 200
+_FENCED = 409
+_NO_EFFECT_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
+
+
+class _Load(msgspec.Struct):
+    running: int = 0
+    queued: int = 0
+    queued_tokens: int = 0
+    tokens_per_s: float = 0.0
+    age_s: float = 0.0
+
+
+class HttpEngine:
+    """Implements :class:`~..coordination.engine.Engine`.
+
+    :param base_url: such as ``http://127.0.0.1:8000``.
+    """
+
+    def __init__(self, reactor: ReactorBase, base_url: str) -> None:
+        self._client = HttpClient(reactor, base_url)
+
+    def start(self, call: EngineCall, sink: AnswerSink) -> HttpRunningCall:
+        """Start a call and pass its answer to ``sink`` as it arrives."""
+        running = HttpRunningCall(sink)
+        headers = dict(call.headers)
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        running.follow(self._client.request(call.method, call.path, headers, call.body))
+        return running
+
+    def load(self) -> Deferred[EngineLoad]:
+        """Return the load report."""
+        answer = self._client.fetch("GET", "/load", timeout_s=_CONTROL_TIMEOUT_S)
+        return answer.addCallbacks(_load_of, _load_failed)
+
+    def order(self, order: EngineOrder) -> Deferred[None]:
+        """Give an order."""
+        body = msgspec.json.encode({"action": order.action, "name": order.name})
+        answer = self._client.fetch(
+            "POST",
+            "/orders",
+            timeout_s=_CONTROL_TIMEOUT_S,
+            headers={
+                "Content-Type": "application/json",
+                "X-Fencing-Token": str(order.fencing_token),
+            },
+            body=body,
+        )
+        return answer.addCallbacks(_check_obeyed, _order_failed)
+
+    def close(self) -> Deferred[None]:
+        """Close the connections that are kept open."""
+        return self._client.close()
+
+
+class HttpRunningCall:
+    """Passes one answer on; implements :class:`~..coordination.engine.RunningCall`."""
+
+    __slots__ = ("_sink", "_response", "_body", "_over")
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self._sink = sink
+        self._response: Deferred[ResponseHead] | None = None
+        self._body: _BodyRelay | None = None
+        self._over = False
+
+    def follow(self, response: Deferred[ResponseHead]) -> None:
+        """Pass the answer on that ``response`` begins."""
+        self._response = response
+        response.addCallbacks(self._on_head, self._on_no_head)
+
+    def cancel(self) -> None:
+        """Close the connection; the sink hears nothing more."""
+        if self._over:
+            return
+        self._over = True
+        if self._body is not None:
+            abort_body(self._body)
+        elif self._response is not None:
+            self._response.cancel()
+
+    def on_data(self, data: bytes) -> None:
+        """Pass body bytes on."""
+        if not self._over:
+            self._sink.on_data(data)
+
+    def on_body_over(self, reason: Failure) -> None:
+        """Pass the end on, or that the body was cut."""
+        if self._over:
+            return
+        self._over = True
+        if reason.check(ResponseDone):
+            self._sink.on_end()
+        else:
+            self._sink.on_failure(_cut(reason.getErrorMessage()))
+
+    def _on_head(self, response: ResponseHead) -> None:
+        if self._over:
+            return
+        self._body = _BodyRelay(self)
+        self._sink.on_head(response.code, content_type_of(response))
+        response.deliverBody(self._body)
+
+    def _on_no_head(self, failure: Failure) -> None:
+        if self._over:
+            return
+        self._over = True
+        self._sink.on_failure(_start_failed(failure))
+
+
+class _BodyRelay(TwistedProtocol):
+    """Receives a body from twisted.web and hands it to the running call."""
+
+    def __init__(self, running: HttpRunningCall) -> None:
+        self._running = running
+
+    def dataReceived(self, data: bytes) -> None:
+        self._running.on_data(data)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._running.on_body_over(reason)
+
+
+def _start_failed(failure: Failure) -> RelayError:
+    if failure.check(HttpNotSentError):
+        return _unreachable(failure.getErrorMessage())
+    return _cut(failure.getErrorMessage())
+
+
+def _unreachable(reason: str) -> UnavailableError:
+    return UnavailableError(
+        f"the engine is unreachable: {reason}",
+        "check that it runs at `engine.url`, or send the request elsewhere",
+        ran=Ran.NO,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def _cut(reason: str) -> EndpointFailedError:
+    return EndpointFailedError(
+        f"the engine's answer was cut: {reason}",
+        "repeat the request only if it is idempotent",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _load_of(answer: HttpAnswer) -> EngineLoad:
+    try:
+        load = msgspec.json.decode(answer.body, type=_Load, strict=False)
+    except ValueError as error:
+        raise _unreachable(f"the load report is malformed: {error}") from error
+    return EngineLoad(
+        load.running, load.queued, load.queued_tokens, load.tokens_per_s, load.age_s
+    )
+
+
+def _load_failed(failure: Failure) -> EngineLoad:
+    raise _unreachable(failure.getErrorMessage())
+
+
+def _check_obeyed(answer: HttpAnswer) -> None:
+    if answer.status == _FENCED:
+        raise FencedError(
+            "the engine obeyed a higher fencing token before",
+            "stop giving orders: another coordinator has taken over",
+        )
+    if answer.status in _NO_EFFECT_STATUSES:
+        raise _unreachable(f"it refused the order with status {answer.status}")
+    if answer.status != _OK:
+        raise _cut(f"it answered the order with status {answer.status}")
+
+
+def _order_failed(failure: Failure) -> None:
+    raise _start_failed(failure)
+
+
+__all__ = ["HttpEngine", "HttpRunningCall"]
--- /dev/null
+++ b/tests/standins/log_store.py
@@ -0,0 +1,109 @@
+"""Pure core of the log stand-in: streams, offsets, retention, rate limit, outages."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+PAGE_ENTRIES = 1000
+_BURST_S = 0.1
+
+
+@dataclass(slots=True)
+class Refusal:
+    """An append or read that had no effect."""
+
+    status: int
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class Page:
+    """What a read returns; see the log client's own page."""
+
+    first: int
+    next: int
+    entries: list[tuple[int, bytes]]
+
+
+@dataclass(slots=True)
+class _Stream:
+    first: int = 0
+    kept: deque[tuple[float, bytes]] = field(default_factory=deque)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.kept)
+
+
+@dataclass(slots=True)
+class LogFaults:
+    """What is wrong with the service just now.
+
+    :param lose_next_answers: appends which take effect but are not answered.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_next_answers: int = 0
+    appends_per_s: float = 300.0
+    retention_s: float = 3600.0
+
+
+class LogStore:
+    """The log's streams by name, and its faults."""
+
+    def __init__(self, faults: LogFaults) -> None:
+        self.faults = faults
+        self._streams_by_name: dict[str, _Stream] = {}
+        self._allowance = 1.0
+        self._allowed_at: float | None = None
+
+    def append(self, name: str, payload: bytes, now: float) -> Result[int, Refusal]:
+        """Append a payload and return its offset, unless out or over the rate."""
+        if self.faults.outage:
+            return Err(Refusal(503, 1.0))
+        if not self._take_allowance(now):
+            return Err(Refusal(429, 1.0 / self.faults.appends_per_s))
+        stream = self._streams_by_name.setdefault(name, _Stream())
+        stream.kept.append((now, payload))
+        return Ok(stream.end - 1)
+
+    def answer_is_lost(self) -> bool:
+        """Whether the answer to the append just made is to be lost; counts down."""
+        lost = self.faults.lose_next_answers > 0
+        self.faults.lose_next_answers -= lost
+        return lost
+
+    def read(self, name: str, offset: int, now: float) -> Result[Page, Refusal]:
+        """Return the entries kept from ``offset`` on, a bounded number of them."""
+        if self.faults.outage:
+            return Err(Refusal(503, 1.0))
+        stream = self._streams_by_name.get(name, _Stream())
+        self._expire(stream, now)
+        start = min(max(offset, stream.first), stream.end)
+        skipped = start - stream.first
+        kept = itertools.islice(stream.kept, skipped, skipped + PAGE_ENTRIES)
+        entries = [(start + i, payload) for i, (_, payload) in enumerate(kept)]
+        return Ok(Page(stream.first, start + len(entries), entries))
+
+    def _expire(self, stream: _Stream, now: float) -> None:
+        while stream.kept and stream.kept[0][0] <= now - self.faults.retention_s:
+            stream.kept.popleft()
+            stream.first += 1
+
+    def _take_allowance(self, now: float) -> bool:
+        rate = self.faults.appends_per_s
+        elapsed = 0.0 if self._allowed_at is None else now - self._allowed_at
+        limit = max(1.0, rate * _BURST_S)
+        self._allowance = min(limit, self._allowance + elapsed * rate)
+        self._allowed_at = now
+        taken = self._allowance >= 1.0
+        self._allowance -= taken
+        return taken
+
+
+__all__ = ["LogFaults", "LogStore", "PAGE_ENTRIES", "Page", "Refusal"]
--- /dev/null
+++ b/tests/standins/service_face.py
@@ -0,0 +1,77 @@
+"""HTTP face of the plain-service stand-in."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from tests.standins.http_face import drop, header_of, json_of, method_of, send_json
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from tests.standins.service_core import ServiceCore
+
+_CRASH_STATUS = 70
+
+
+class ServiceFace:
+    """Serves a plain service; the effect comes first, then delay and answer."""
+
+    def __init__(self, core: ServiceCore, reactor: ReactorBase) -> None:
+        self._core = core
+        self._reactor = reactor
+
+    def handle(self, request: Request, parts: list[str]) -> None:
+        """Answer one request."""
+        match method_of(request), parts:
+            case "POST", ["orders" | "charge" | "loans" as action]:
+                self._change(request, action)
+            case "GET", ["orders", number]:
+                self._order(request, int(number))
+            case "GET", ["stock", item]:
+                stock = {"item": item, "stock": self._core.stock(item)}
+                self._later(request, 200, stock)
+            case "GET", ["executions"]:
+                executions = list(map(asdict, self._core.executions))
+                send_json(request, 200, {"executions": executions})
+            case "POST", ["control"]:
+                self._control(request)
+            case _:
+                send_json(request, 404, {"error": "no such route"})
+
+    def _change(self, request: Request, action: str) -> None:
+        key = header_of(request, "Idempotency-Key")
+        execution = self._core.change(action, key, json_of(request))
+        faults = self._core.faults
+        if faults.crash_next:
+            os._exit(_CRASH_STATUS)
+        if faults.lose_next_answers > 0:
+            faults.lose_next_answers -= 1
+            drop(request)
+            return
+        answer = {"id": execution.number, "action": action, "body": execution.body}
+        self._later(request, 201, answer)
+
+    def _order(self, request: Request, number: int) -> None:
+        order = self._core.order(number)
+        if order is None:
+            self._later(request, 404, {"error": "no such order"})
+        else:
+            self._later(request, 200, {"id": order.number, "body": order.body})
+
+    def _later(self, request: Request, status: int, answer: dict[str, Any]) -> None:
+        timer = self._reactor.callLater(
+            self._core.faults.delay_s, send_json, request, status, answer
+        )
+        request.notifyFinish().addErrback(lambda _: timer.cancel())
+
+    def _control(self, request: Request) -> None:
+        for name, value in json_of(request).items():
+            setattr(self._core.faults, name, value)
+        send_json(request, 200, asdict(self._core.faults))
+
+
+__all__ = ["ServiceFace"]
