--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,119 @@
+"""Starts the processes of a small system on loopback and stops them again."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+_ROOT = Path(__file__).resolve().parent.parent
+_START_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 30.0
+
+
+class StartError(Exception):
+    """A process ended, or said nothing, before it listened."""
+
+
+class Process:
+    """One running process and the lines that it has written.
+
+    :param log_path: file that receives its output.
+    """
+
+    def __init__(self, name: str, command: list[str], log_path: Path) -> None:
+        self.name = name
+        self.log_path = log_path
+        self._output = log_path.open("wb")
+        environment = os.environ | {"PYTHONPATH": str(_ROOT)}
+        self._popen = subprocess.Popen(
+            [sys.executable, *command],
+            cwd=_ROOT,
+            env=environment,
+            stdout=self._output,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code; ``None`` while it runs."""
+        return self._popen.poll()
+
+    def wait_for_line(self, key: str) -> dict[str, Any]:
+        """Return the first JSON line that has ``key``, waiting until it is written.
+
+        :raises StartError: the process ended, or the line did not come in time.
+        """
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            found = next((line for line in self._json_lines() if key in line), None)
+            if found is not None:
+                return found
+            if self.exit_code is not None:
+                break
+            time.sleep(0.02)
+        raise StartError(f"{self.name} did not start; see {self.log_path}")
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        if self.exit_code is None:
+            self._popen.send_signal(number)
+
+    def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code; kill what does not end."""
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self._popen.kill()
+            return self._popen.wait()
+        finally:
+            self._output.close()
+
+    def stop(self) -> int:
+        """Ask the process to end and return its exit code."""
+        self.signal(signal.SIGTERM)
+        return self.wait()
+
+    def kill(self) -> int:
+        """End the process at once, as a crash would."""
+        self.signal(signal.SIGKILL)
+        return self.wait()
+
+    def _json_lines(self) -> list[dict[str, Any]]:
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return [
+            json.loads(line)
+            for line in lines
+            if line.startswith("{") and line.endswith("}")
+        ]
+
+
+def fetch(
+    url: str, method: str = "GET", body: bytes | None = None, **headers: str
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one HTTP request; return status, headers by lower-case name, and body."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    request = urllib.request.Request(url, body, named, method=method)
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}), _AnyStatus())
+    with opener.open(request, timeout=60) as response:
+        headers_by_name = {name.lower(): value for name, value in response.getheaders()}
+        return response.status, headers_by_name, response.read()
+
+
+class _AnyStatus(urllib.request.HTTPErrorProcessor):
+    def http_response(self, request: Any, response: Any) -> Any:
+        return response
+
+
+__all__ = ["Process", "StartError", "fetch"]
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,111 @@
+"""``make demo``: starts a small system, sends requests through it, and stops it."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .processes import fetch
+from .system import KIT_SHOP_KEY, DemoSystem, temporary_folder
+
+_READY_TIMEOUT_S = 20.0
+_RUNNERS = 4
+_KEY = "demo-order-1"
+
+
+@click.command()
+@click.option("--once", is_flag=True, help="Stop after the requests.")
+def main(once: bool) -> None:
+    """Start a whole small system on loopback and use it."""
+    with temporary_folder() as folder:
+        system = DemoSystem(Path(folder))
+        try:
+            system.start()
+            _wait_until_ready(system)
+            _show(system)
+            if not once:
+                _wait_for_interrupt(system)
+        finally:
+            exit_codes = system.stop()
+        click.echo(f"stopped: {dict(exit_codes)}")
+    sys.exit(0 if not any(code for _, code in exit_codes) else 1)
+
+
+def _wait_until_ready(system: DemoSystem) -> None:
+    deadline = time.monotonic() + _READY_TIMEOUT_S
+    while not all(_runners(system, url) >= _RUNNERS for url in system.operators):
+        if time.monotonic() > deadline:
+            raise click.ClickException("the entries did not become ready in time")
+        time.sleep(0.1)
+
+
+def _runners(system: DemoSystem, operators_url: str) -> int:
+    status = _get_json(
+        f"{operators_url}/v1/status", Authorization=f"Bearer {system.operator_token}"
+    )
+    return len(status["runners"]) if status["ready"] else 0
+
+
+def _show(system: DemoSystem) -> None:
+    authorization = f"Bearer {KIT_SHOP_KEY}"
+    first, second = system.entries
+    entries = _get_json(f"{first}/v1/entries?zone=oslo-b")
+    click.echo(f"entries to use: {json.dumps(entries)}")
+    chat = {
+        "model": "kit-model",
+        "messages": [{"role": "user", "content": "Which frames fit a 10-frame hive?"}],
+        "stream": True,
+    }
+    status, headers, body = fetch(
+        f"{first}/v1/chat/completions",
+        "POST",
+        json.dumps(chat).encode(),
+        Authorization=authorization,
+    )
+    click.echo(f"chat completion: {status}, request {headers.get('x-request-id')}")
+    click.echo(body.decode())
+    request_id = headers.get("x-request-id", "")
+    ran = _get_json(f"{first}/v1/requests/{request_id}", Authorization=authorization)
+    click.echo(f"where it ran: {json.dumps(ran)}")
+    for entry in (first, second):
+        status, headers, body = fetch(
+            f"{entry}/services/orders/orders",
+            "POST",
+            json.dumps({"item": "frame kit", "count": 2}).encode(),
+            Authorization=authorization,
+            Idempotency_Key=_KEY,
+            Content_Type="application/json",
+        )
+        click.echo(f"order at {entry}: {status} {body.decode()}")
+    executions = _get_json(f"{system.service_url}/executions")
+    click.echo(f"orders that the service ran: {json.dumps(executions)}")
+    click.echo(
+        "try it by hand while 'make run' is up:\n"
+        f"  curl {first}/v1/entries\n"
+        f"  curl -H '{'Authorization: ' + authorization}' {first}/v1/models\n"
+        f"  curl -N -H 'Authorization: {authorization}' -d '{json.dumps(chat)}' "
+        f"{first}/v1/chat/completions"
+    )
+
+
+def _wait_for_interrupt(system: DemoSystem) -> None:
+    click.echo(f"operators: {system.operators}, token {system.operator_token}")
+    click.echo("running; stop with Ctrl-C")
+    try:
+        while True:
+            time.sleep(1)
+    except KeyboardInterrupt:
+        click.echo("stopping")
+
+
+def _get_json(url: str, **headers: str) -> Any:
+    return json.loads(fetch(url, "GET", None, **headers)[2])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/system.py
@@ -0,0 +1,162 @@
+"""A small system: stand-ins, two entries, three engine agents and a plain service."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import secrets
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from .processes import Process, fetch
+
+KIT_SHOP_KEY = "kit-shop-demo-key"
+STREET_LIBRARY_KEY = "street-library-demo-key"
+_ZONES = ("oslo-a", "oslo-b")
+_DOCUMENT = Path(__file__).with_name("document.json")
+
+
+class DemoSystem:
+    """All processes of the demo.
+
+    :param folder: where settings and logs are written.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: list[Process] = []
+        self.entries: list[str] = []
+        self.operators: list[str] = []
+        self.operator_token = secrets.token_hex(16)
+        self.log_url = ""
+        self.instances_url = ""
+        self.service_url = ""
+        self.engine_urls: list[str] = []
+
+    def start(self) -> None:
+        """Start everything and publish the configuration document."""
+        self.log_url = self._stand_in("log")
+        self.instances_url = self._stand_in("instances")
+        self.engine_urls = [self._stand_in("engine", number) for number in range(3)]
+        self.service_url = self._stand_in("service")
+        self._start_agents()
+        self._start_entries()
+        self.publish(json.loads(self._document_text()))
+
+    def stop(self) -> list[tuple[str, int]]:
+        """Stop everything, entries first; return names and exit codes."""
+        return [(process.name, process.stop()) for process in reversed(self.processes)]
+
+    def kill(self) -> None:
+        """End everything at once, as at a crash."""
+        for process in self.processes:
+            process.kill()
+
+    def publish(self, document: dict[str, Any], version: int = 1) -> None:
+        """Append the document to the ``config`` stream."""
+        record = {"version": version, "document": document}
+        fetch(f"{self.log_url}/streams/config", "POST", json.dumps(record).encode())
+
+    def _document_text(self) -> str:
+        text = _DOCUMENT.read_text()
+        text = text.replace("KIT_SHOP_KEY_DIGEST", _digest(KIT_SHOP_KEY))
+        return text.replace("STREET_LIBRARY_KEY_DIGEST", _digest(STREET_LIBRARY_KEY))
+
+    def _stand_in(self, kind: str, number: int = 0) -> str:
+        name = f"{kind}-{number}"
+        process = self._start(name, ["-m", "tests.standins.run", kind, "--port", "0"])
+        port = process.wait_for_line("listening")["listening"]
+        return f"http://127.0.0.1:{port}"
+
+    def _start_agents(self) -> None:
+        for number, url in enumerate(self.engine_urls):
+            in_group = number < 2
+            endpoint = {
+                "url": url,
+                "service": "assistant",
+                "model": "kit-model",
+                "group": "assistant-group" if in_group else "",
+                "rank": number if in_group else 0,
+                "slots": 8,
+            }
+            self._start_agent(f"agent-{number}", _ZONES[number % 2], endpoint)
+        self._start_agent(
+            "agent-orders",
+            _ZONES[0],
+            {"url": self.service_url, "service": "orders", "slots": 8},
+        )
+
+    def _start_agent(self, name: str, zone: str, endpoint: dict[str, Any]) -> None:
+        settings = {
+            "instance_id": name,
+            "zone": zone,
+            "endpoint": endpoint,
+            "platform": self._platform(),
+            "streams": {"host": "127.0.0.1", "port": 0},
+        }
+        command = ["-m", "corianderrelay_agent.run", "run", "--settings"]
+        process = self._start(name, [*command, self._write(name, settings)])
+        port = process.wait_for_line("streams_port")["streams_port"]
+        self._register(name, "agent", zone, port)
+
+    def _start_entries(self) -> None:
+        token_file = self.folder / "operators.token"
+        token_file.write_text(self.operator_token)
+        for number, zone in enumerate(_ZONES):
+            name = f"entry-{number}"
+            settings = {
+                "instance_id": name,
+                "zone": zone,
+                "callers": {"host": "127.0.0.1", "port": 0},
+                "operators": {
+                    "host": "127.0.0.1",
+                    "port": 0,
+                    "token_file": str(token_file),
+                },
+                "platform": self._platform(),
+                "timing": {"instance_list_s": 0.5, "entries_ttl_s": 3.0},
+            }
+            command = ["-m", "corianderrelay_entry.run", "serve", "--settings"]
+            process = self._start(name, [*command, self._write(name, settings)])
+            listening = process.wait_for_line("callers_port")
+            self.entries.append(f"http://127.0.0.1:{listening['callers_port']}")
+            self.operators.append(f"http://127.0.0.1:{listening['operators_port']}")
+            self._register(name, "entry", zone, listening["callers_port"])
+
+    def _platform(self) -> dict[str, str]:
+        return {"log_url": self.log_url, "instances_url": self.instances_url}
+
+    def _register(self, name: str, role: str, zone: str, port: int) -> None:
+        instance = {
+            "instance_id": name,
+            "role": role,
+            "zone": zone,
+            "host": "127.0.0.1",
+            "port": port,
+            "state": "live",
+        }
+        url = f"{self.instances_url}/instances/{name}"
+        fetch(url, "PUT", json.dumps(instance).encode())
+
+    def _write(self, name: str, settings: dict[str, Any]) -> str:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return str(path)
+
+    def _start(self, name: str, command: list[str]) -> Process:
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.processes.append(process)
+        return process
+
+
+def temporary_folder() -> tempfile.TemporaryDirectory[str]:
+    """Return a folder for settings and logs that is removed at the end."""
+    return tempfile.TemporaryDirectory(prefix="corianderrelay-")
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+__all__ = ["DemoSystem", "KIT_SHOP_KEY", "STREET_LIBRARY_KEY", "temporary_folder"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -0,0 +1,59 @@
+"""Command line of the agent."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+from result import Err
+
+from corianderrelay.transport.settings_file import read_settings
+
+from .state.settings import AgentSettings
+
+_EXIT_REFUSED = 1
+
+_settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="JSON file with this process's settings.",
+)
+
+
+@click.group()
+@click.version_option(package_name="corianderrelay-agent")
+def main() -> None:
+    """Load balancer for expert-parallel model groups: the agent process."""
+
+
+@main.command()
+@_settings_option
+def run(settings_file: Path) -> None:
+    """Run beside one engine rank or plain service until SIGTERM."""
+    settings = _load(settings_file)
+    from .serve import serve_agent
+
+    sys.exit(serve_agent(settings))
+
+
+@main.command("check-settings")
+@_settings_option
+def check_settings(settings_file: Path) -> None:
+    """Check the settings and name every fault."""
+    _load(settings_file)
+    click.echo("settings are valid")
+
+
+def _load(settings_file: Path) -> AgentSettings:
+    settings = read_settings(settings_file, AgentSettings)
+    if isinstance(settings, Err):
+        error = settings.err_value
+        click.echo(f"{error.kind}: {error}", err=True)
+        sys.exit(_EXIT_REFUSED)
+    return settings.ok_value
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
@@ -0,0 +1,238 @@
+"""Admits attempts, runs them on the engine, and sends their answers to entries."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from corianderrelay.state.errors import (
+    DeadlineExceededError,
+    OverloadedError,
+    RelayError,
+    UnavailableError,
+)
+
+from ..state.attempt import Attempt, AttemptPhase
+from ..state.server_sent_events import EventSplitter, count_tokens, without_done
+from .engine import EngineCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..state.attempt import AttemptOrder
+    from ..state.settings import EndpointSettings
+    from .engine import Engine, RunningCall
+    from .entry_port import EntryPort
+
+_LEAVING_RETRY_AFTER_S = 0.0
+_EVENT_STREAM = "text/event-stream"
+
+
+class Attempts:
+    """All attempts of this agent.
+
+    :param endpoint: slots and queue length of the endpoint.
+    :param seconds: returns the monotonic time.
+    """
+
+    def __init__(
+        self, engine: Engine, endpoint: EndpointSettings, seconds: Callable[[], float]
+    ) -> None:
+        self._engine = engine
+        self._endpoint = endpoint
+        self._seconds = seconds
+        self._queue: deque[Attempt] = deque()
+        self._calls_by_attempt: dict[str, RunningCall] = {}
+        self.attempts_by_id: dict[str, Attempt] = {}
+        self.entries_by_id: dict[str, EntryPort] = {}
+        self.leaving = False
+
+    @property
+    def running(self) -> int:
+        """Number of attempts on the engine."""
+        return len(self._calls_by_attempt)
+
+    @property
+    def queued(self) -> int:
+        """Number of attempts that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Estimated tokens of the attempts that wait."""
+        return sum(attempt.order.estimated_tokens for attempt in self._queue)
+
+    def submit(self, order: AttemptOrder, entry_id: str) -> None:
+        """Take the attempt or refuse it at once."""
+        entry = self.entries_by_id[entry_id]
+        refusal = self._refusal(order)
+        if refusal is not None:
+            entry.refused(order.attempt_id, refusal)
+            return
+        attempt = Attempt(order, entry_id)
+        self.attempts_by_id[order.attempt_id] = attempt
+        self._queue.append(attempt)
+        entry.accepted(attempt)
+        self._start_queued()
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt whose answer is no longer wanted."""
+        attempt = self.attempts_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return
+        attempt.phase = AttemptPhase.ENDED
+        call = self._calls_by_attempt.pop(attempt_id, None)
+        if call is not None:
+            call.cancel()
+        else:
+            self._queue = deque(item for item in self._queue if item is not attempt)
+        self._start_queued()
+
+    def acknowledge(self, attempt_id: str, sequence: int) -> None:
+        """Forget chunks that the entry has."""
+        attempt = self.attempts_by_id.get(attempt_id)
+        if attempt is not None:
+            attempt.acknowledge(sequence)
+
+    def entry_lost(self, entry_id: str) -> None:
+        """The entry's stream is gone for good: cancel what it had asked for."""
+        self.entries_by_id.pop(entry_id, None)
+        orphans = [
+            attempt_id
+            for attempt_id, attempt in self.attempts_by_id.items()
+            if attempt.entry_id == entry_id
+        ]
+        for attempt_id in orphans:
+            self.cancel(attempt_id)
+
+    def on_head(self, attempt: Attempt, status: int, content_type: str) -> None:
+        """The engine has begun to answer."""
+        attempt.status = status
+        attempt.content_type = content_type
+
+    def on_data(self, attempt: Attempt, data: bytes, tokens: int) -> None:
+        """The engine has answered some more."""
+        chunk = attempt.add_chunk(data, tokens)
+        entry = self.entries_by_id.get(attempt.entry_id)
+        if entry is not None:
+            entry.chunk(attempt, chunk)
+
+    def on_done(self, attempt: Attempt) -> None:
+        """The engine's answer is whole."""
+        if attempt.next_sequence == 0:
+            self.on_data(attempt, b"", 0)
+        entry = self._end(attempt)
+        if entry is not None:
+            entry.done(attempt)
+
+    def on_failure(self, attempt: Attempt, error: RelayError) -> None:
+        """The engine gave no whole answer."""
+        entry = self._end(attempt)
+        if entry is not None:
+            entry.failed(attempt, error)
+
+    def _refusal(self, order: AttemptOrder) -> RelayError | None:
+        if self.leaving:
+            return UnavailableError(
+                "the instance is leaving",
+                "send the request to another endpoint",
+                retry_after_s=_LEAVING_RETRY_AFTER_S,
+            )
+        if order.service != self._endpoint.service:
+            return UnavailableError(
+                f"this endpoint does not serve {order.service!r}",
+                "check the instance list and the agent's settings",
+            )
+        if len(self._queue) >= self._endpoint.queue + self._free_slots():
+            return OverloadedError(
+                "the endpoint's queue is full",
+                "send the request again later",
+                retry_after_s=1.0,
+            )
+        return None
+
+    def _free_slots(self) -> int:
+        return self._endpoint.slots - len(self._calls_by_attempt)
+
+    def _start_queued(self) -> None:
+        while self._queue and self._free_slots() > 0:
+            attempt = self._queue.popleft()
+            if attempt.order.deadline_s <= self._seconds():
+                self._expire(attempt)
+            else:
+                self._start(attempt)
+
+    def _expire(self, attempt: Attempt) -> None:
+        del self.attempts_by_id[attempt.order.attempt_id]
+        entry = self.entries_by_id.get(attempt.entry_id)
+        if entry is not None:
+            error = DeadlineExceededError(
+                "the deadline passed while the request waited", "send it again"
+            )
+            entry.refused(attempt.order.attempt_id, error)
+
+    def _start(self, attempt: Attempt) -> None:
+        order = attempt.order
+        attempt.phase = AttemptPhase.RUNNING
+        call = EngineCall(
+            order.method, order.path, order.content_type, _body(order), _headers(order)
+        )
+        sink = _EngineAnswer(self, attempt)
+        self._calls_by_attempt[order.attempt_id] = self._engine.start(call, sink)
+
+    def _end(self, attempt: Attempt) -> EntryPort | None:
+        attempt.phase = AttemptPhase.ENDED
+        self._calls_by_attempt.pop(attempt.order.attempt_id, None)
+        self.attempts_by_id.pop(attempt.order.attempt_id, None)
+        self._start_queued()
+        return self.entries_by_id.get(attempt.entry_id)
+
+
+class _EngineAnswer:
+    """Passes the engine's answer on, a stream of events cut at event boundaries."""
+
+    __slots__ = ("_attempts", "_attempt", "_splitter")
+
+    def __init__(self, attempts: Attempts, attempt: Attempt) -> None:
+        self._attempts = attempts
+        self._attempt = attempt
+        self._splitter: EventSplitter | None = None
+
+    def on_head(self, status: int, content_type: str) -> None:
+        if content_type.startswith(_EVENT_STREAM):
+            self._splitter = EventSplitter()
+        self._attempts.on_head(self._attempt, status, content_type)
+
+    def on_data(self, data: bytes) -> None:
+        if self._splitter is None:
+            self._attempts.on_data(self._attempt, data, 0)
+            return
+        events = without_done(self._splitter.feed(data))
+        if events:
+            self._attempts.on_data(self._attempt, events, count_tokens(events))
+
+    def on_end(self) -> None:
+        self._attempts.on_done(self._attempt)
+
+    def on_failure(self, error: RelayError) -> None:
+        self._attempts.on_failure(self._attempt, error)
+
+
+def _headers(order: AttemptOrder) -> dict[str, str]:
+    headers = {"X-Request-Id": order.request_id, "X-Priority": str(order.priority)}
+    if order.key:
+        headers["Idempotency-Key"] = order.key
+    return headers
+
+
+def _body(order: AttemptOrder) -> bytes:
+    if not order.resume_from:
+        return order.body
+    fields = msgspec.json.decode(order.body, type=dict[str, msgspec.Raw])
+    fields["resume_from"] = msgspec.Raw(str(order.resume_from).encode())
+    return msgspec.json.encode(fields)
+
+
+__all__ = ["Attempts"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -0,0 +1,210 @@
+"""Speaks with one entry: typed messages on one side, the attempts on the other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from corianderrelay.protocol.messages import (
+    PROTOCOL_VERSION,
+    Accepted,
+    Acknowledge,
+    Attach,
+    AttemptOutcome,
+    Cancel,
+    Chunk,
+    Dispatch,
+    End,
+    Heartbeat,
+    Hello,
+    Ping,
+    Pong,
+    RefusalReason,
+    Refused,
+)
+from corianderrelay.state.errors import (
+    DeadlineExceededError,
+    FrameError,
+    OverloadedError,
+    Ran,
+)
+
+from ..state.attempt import AttemptOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Protocol
+
+    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.state.errors import RelayError
+
+    from ..coordination.attempts import Attempts
+    from ..state.attempt import AnswerChunk, Attempt
+
+    class MessageStream(Protocol):
+        """What a session needs of a stream."""
+
+        def send(self, message: AnyMessage) -> None:
+            """Send a message."""
+
+        def close(self, reason: str) -> None:
+            """Drop the connection."""
+
+
+class EntrySession:
+    """The conversation with one entry over one stream.
+
+    :param incarnation: number of this agent's process.
+    :param seconds: returns the monotonic time.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        stream: MessageStream,
+        incarnation: int,
+        seconds: Callable[[], float],
+    ) -> None:
+        self._attempts = attempts
+        self._stream = stream
+        self._incarnation = incarnation
+        self._seconds = seconds
+        self.entry_id = ""
+        self._handlers_by_type: dict[type, Callable[[Any], None]] = {
+            Hello: self._on_hello,
+            Heartbeat: self._on_heartbeat,
+            Dispatch: self._on_dispatch,
+            Cancel: self._on_cancel,
+            Acknowledge: self._on_acknowledge,
+            Attach: self._on_attach,
+            Ping: self._on_ping,
+            Pong: self._on_pong,
+        }
+
+    def receive(self, message: AnyMessage) -> None:
+        """Handle one message of the entry.
+
+        :raises FrameError: an entry may not send this message, or not yet.
+        """
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None or (not self.entry_id and type(message) is not Hello):
+            raise FrameError(
+                f"an entry sent {type(message).__name__} out of place",
+                "check that both sides run the same protocol version",
+            )
+        handler(message)
+
+    def closed(self) -> None:
+        """The stream is gone."""
+        if self._attempts.entries_by_id.get(self.entry_id) is self:
+            self._attempts.entry_lost(self.entry_id)
+
+    def accepted(self, attempt: Attempt) -> None:
+        """Tell the entry that the attempt is taken; see ``EntryPort``."""
+        self._stream.send(Accepted(attempt.order.attempt_id, self._incarnation))
+
+    def refused(self, attempt_id: str, error: RelayError) -> None:
+        """Tell the entry that the attempt is not taken; see ``EntryPort``."""
+        retry_after_ms = int((error.retry_after_s or 0.0) * 1000)
+        self._stream.send(Refused(attempt_id, _reason(error), retry_after_ms))
+
+    def chunk(self, attempt: Attempt, chunk: AnswerChunk) -> None:
+        """Send a piece of an answer; see ``EntryPort``."""
+        self._stream.send(
+            Chunk(
+                attempt.order.attempt_id,
+                chunk.sequence,
+                chunk.data,
+                chunk.tokens,
+                chunk.status,
+                chunk.content_type,
+            )
+        )
+
+    def done(self, attempt: Attempt) -> None:
+        """Tell the entry that the answer is whole; see ``EntryPort``."""
+        self._stream.send(_end(attempt, AttemptOutcome.DONE, ""))
+
+    def failed(self, attempt: Attempt, error: RelayError) -> None:
+        """Tell the entry that there is no whole answer; see ``EntryPort``."""
+        outcome = (
+            AttemptOutcome.NOT_STARTED
+            if error.ran is Ran.NO
+            else AttemptOutcome.ENGINE_DIED
+        )
+        self._stream.send(_end(attempt, outcome, error.message))
+
+    def _on_hello(self, message: Hello) -> None:
+        if message.protocol_version != PROTOCOL_VERSION:
+            raise FrameError(
+                f"the entry speaks protocol version {message.protocol_version}",
+                f"run a release that speaks version {PROTOCOL_VERSION} on both sides",
+            )
+        self.entry_id = message.instance_id
+        self._attempts.entries_by_id[self.entry_id] = self
+
+    def _on_heartbeat(self, message: Heartbeat) -> None:
+        """Nothing to do: its bytes have shown that the connection lives."""
+
+    def _on_dispatch(self, message: Dispatch) -> None:
+        order = AttemptOrder(
+            attempt_id=message.attempt_id,
+            request_id=message.request_id,
+            workspace=message.workspace,
+            service=message.service,
+            method=message.method,
+            path=message.path,
+            content_type=message.content_type,
+            body=message.body,
+            deadline_s=self._seconds() + message.deadline_ms / 1000,
+            priority=message.priority,
+            estimated_tokens=message.estimated_tokens,
+            resume_from=message.resume_from,
+            key=message.key,
+            claim_offset=message.claim_offset,
+            ticket_incarnation=message.ticket_incarnation,
+            ticket_remaining_s=message.ticket_remaining_ms / 1000,
+            alone=message.alone,
+            trace=message.trace,
+        )
+        self._attempts.submit(order, self.entry_id)
+
+    def _on_cancel(self, message: Cancel) -> None:
+        self._attempts.cancel(message.attempt_id)
+
+    def _on_acknowledge(self, message: Acknowledge) -> None:
+        self._attempts.acknowledge(message.attempt_id, message.sequence)
+
+    def _on_attach(self, message: Attach) -> None:
+        attempt = self._attempts.attempts_by_id.get(message.attempt_id)
+        if attempt is None:
+            reason = RefusalReason.STALE_INCARNATION
+            self._stream.send(Refused(message.attempt_id, reason))
+            return
+        for chunk in attempt.chunks_after(message.after_sequence):
+            self.chunk(attempt, chunk)
+
+    def _on_ping(self, message: Ping) -> None:
+        self._stream.send(Pong(message.sequence))
+
+    def _on_pong(self, message: Pong) -> None:
+        """Nothing to do: its bytes have shown that the connection lives."""
+
+
+def _reason(error: RelayError) -> RefusalReason:
+    if isinstance(error, (OverloadedError, DeadlineExceededError)):
+        return RefusalReason.OVERLOADED
+    return RefusalReason.LEAVING
+
+
+def _end(attempt: Attempt, outcome: AttemptOutcome, detail: str) -> End:
+    return End(
+        attempt.order.attempt_id,
+        outcome,
+        attempt.next_sequence,
+        attempt.tokens,
+        attempt.digest,
+        detail,
+    )
+
+
+__all__ = ["EntrySession"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -0,0 +1,116 @@
+"""Runs an agent: listening port, signals and shutdown."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from random import SystemRandom
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
+from corianderrelay.transport.json_log import start_log
+
+from .coordination.attempts import Attempts
+from .transport.engine_http import HttpEngine
+from .transport.entry_listener import EntryListener
+
+if TYPE_CHECKING:
+    from .state.settings import AgentSettings
+
+_EXIT_OK = 0
+_EXIT_CUT = 1
+_DRAIN_POLL_S = 0.1
+_INCARNATION_BITS = 62
+
+
+def serve_agent(settings: AgentSettings) -> int:
+    """Serve until the process is told to stop; return its exit code.
+
+    :returns: 0 when nothing was cut off, 1 otherwise.
+    """
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    start_log(sys.stdout.buffer, settings.instance_id, "agent")
+    service = _AgentService(settings, reactor)
+    reactor.callWhenRunning(service.start)
+    reactor.run(installSignalHandlers=False)
+    return service.exit_code
+
+
+class _AgentService:
+    def __init__(self, settings: AgentSettings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        engine = HttpEngine(reactor, settings.endpoint.url)
+        self._attempts = Attempts(engine, settings.endpoint, reactor.seconds)
+        self._incarnation = SystemRandom().getrandbits(_INCARNATION_BITS)
+        self._listener = EntryListener(
+            self._attempts, self._hello(), settings.timing, reactor
+        )
+        self._drain_started_s: float | None = None
+        self.exit_code = _EXIT_OK
+
+    def start(self) -> None:
+        """Listen for entries."""
+        streams = self._settings.streams
+        listening = self._reactor.listenTCP(
+            streams.port, self._listener, interface=streams.host
+        )
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        eliot.log_message(
+            message_type="agent:listening", streams_port=listening.getHost().port
+        )
+
+    def _hello(self) -> Hello:
+        endpoint = self._settings.endpoint
+        return Hello(
+            PROTOCOL_VERSION,
+            self._settings.instance_id,
+            self._incarnation,
+            self._settings.zone,
+            "agent",
+            service=endpoint.service,
+            model=endpoint.model,
+            group=endpoint.group,
+            rank=endpoint.rank,
+            slots=endpoint.slots,
+        )
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._drain_or_stop, signal.Signals(number).name)
+
+    def _drain_or_stop(self, name: str) -> None:
+        if self._drain_started_s is not None:
+            self._stop(f"a second signal ({name})")
+            return
+        self._drain_started_s = self._reactor.seconds()
+        self._attempts.leaving = True
+        self._listener.broadcast(lambda: Leaving(self._incarnation))
+        eliot.log_message(message_type="agent:leaving", reason=name)
+        self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
+
+    def _stop_when_drained(self) -> None:
+        assert self._drain_started_s is not None
+        waited_s = self._reactor.seconds() - self._drain_started_s
+        if not self._attempts.attempts_by_id:
+            self._stop("drained")
+        elif waited_s >= self._settings.timing.drain_deadline_s:
+            self._stop("the drain deadline")
+        else:
+            self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
+
+    def _stop(self, reason: str) -> None:
+        cut = len(self._attempts.attempts_by_id)
+        self.exit_code = _EXIT_CUT if cut else _EXIT_OK
+        eliot.log_message(
+            message_type="agent:stopped", reason=reason, cut_off_attempts=cut
+        )
+        # Frames of the last answers leave before the process ends.
+        self._reactor.callLater(_DRAIN_POLL_S, self._reactor.stop)
+
+
+__all__ = ["serve_agent"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
@@ -0,0 +1,119 @@
+"""One attempt on the engine, and the chunks of its answer that are still kept."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+import xxhash
+
+
+class AttemptPhase(Enum):
+    """How far an attempt has come."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptOrder:
+    """What an entry asked for; see the ``Dispatch`` message.
+
+    :param deadline_s: point in this process's monotonic time.
+    """
+
+    attempt_id: str
+    request_id: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    deadline_s: float
+    priority: int = 0
+    estimated_tokens: int = 0
+    resume_from: int = 0
+    key: str = ""
+    claim_offset: int = -1
+    ticket_incarnation: int = 0
+    ticket_remaining_s: float = 0.0
+    alone: bool = False
+    trace: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerChunk:
+    """A numbered piece of an answer."""
+
+    sequence: int
+    data: bytes
+    tokens: int
+    status: int
+    content_type: str
+
+
+class Attempt:
+    """An attempt and the chunks that its entry has not acknowledged.
+
+    :param order: what was asked.
+    :param entry_id: instance that asked.
+    """
+
+    __slots__ = (
+        "order",
+        "entry_id",
+        "phase",
+        "status",
+        "content_type",
+        "next_sequence",
+        "tokens",
+        "unacknowledged",
+        "_digest",
+    )
+
+    def __init__(self, order: AttemptOrder, entry_id: str) -> None:
+        self.order = order
+        self.entry_id = entry_id
+        self.phase = AttemptPhase.QUEUED
+        self.status = 0
+        self.content_type = ""
+        self.next_sequence = 0
+        self.tokens = 0
+        self.unacknowledged: deque[AnswerChunk] = deque()
+        self._digest = xxhash.xxh3_64()
+
+    @property
+    def digest(self) -> int:
+        """The xxh3-64 of all chunk data so far."""
+        return self._digest.intdigest()
+
+    def add_chunk(self, data: bytes, tokens: int) -> AnswerChunk:
+        """Number the next piece of the answer and keep it until acknowledged."""
+        first = self.next_sequence == 0
+        chunk = AnswerChunk(
+            self.next_sequence,
+            data,
+            tokens,
+            self.status if first else 0,
+            self.content_type if first else "",
+        )
+        self.next_sequence += 1
+        self.tokens += tokens
+        self._digest.update(data)
+        self.unacknowledged.append(chunk)
+        return chunk
+
+    def acknowledge(self, sequence: int) -> None:
+        """Forget the chunks up to ``sequence``."""
+        while self.unacknowledged and self.unacknowledged[0].sequence <= sequence:
+            self.unacknowledged.popleft()
+
+    def chunks_after(self, sequence: int) -> list[AnswerChunk]:
+        """Return the kept chunks that follow ``sequence``, in order."""
+        return [chunk for chunk in self.unacknowledged if chunk.sequence > sequence]
+
+
+__all__ = ["AnswerChunk", "Attempt", "AttemptOrder", "AttemptPhase"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/server_sent_events.py
@@ -0,0 +1,47 @@
+"""Cuts a stream of server-sent events at event boundaries and counts its tokens."""
+
+from __future__ import annotations
+
+_EVENT_END = b"\n\n"
+_TOKEN_MARK = b'"content":'
+_DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class EventSplitter:
+    """Holds back the bytes of an unfinished event.
+
+    A chunk of whole events can be resumed at a token, a chunk of half an event not.
+    """
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that ``data`` completes."""
+        data = self._rest + data
+        end = data.rfind(_EVENT_END)
+        if end < 0:
+            self._rest = data
+            return b""
+        end += len(_EVENT_END)
+        self._rest = data[end:]
+        return data[:end]
+
+    def rest(self) -> bytes:
+        """Return the bytes after the last whole event."""
+        return self._rest
+
+
+def count_tokens(events: bytes) -> int:
+    """Return the number of events that carry a token."""
+    return events.count(_TOKEN_MARK)
+
+
+def without_done(events: bytes) -> bytes:
+    """Return the events less the final one: the entry sends that when all is whole."""
+    return events.removesuffix(_DONE_EVENT)
+
+
+__all__ = ["EventSplitter", "count_tokens", "without_done"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/settings.py
@@ -0,0 +1,67 @@
+"""Settings of the agent process, read once at start and checked whole."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+from corianderrelay.state.common_settings import (
+    Host,
+    PlatformSettings,
+    Port,
+    Seconds,
+    TlsSettings,
+    Url,
+)
+
+Count = Annotated[int, Meta(ge=1)]
+Identifier = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
+Name = Annotated[str, Meta(pattern="^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
+
+
+class EndpointSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The engine rank or plain service beside this agent.
+
+    ``slots`` is how many attempts it runs at once, ``queue`` how many more may wait.
+    """
+
+    url: Url
+    service: Name
+    model: str = ""
+    group: str = ""
+    rank: Annotated[int, Meta(ge=0)] = 0
+    slots: Count = 32
+    queue: Annotated[int, Meta(ge=0)] = 128
+
+
+class StreamSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where entries connect."""
+
+    host: Host = "127.0.0.1"
+    port: Port = 8090
+    tls: TlsSettings | None = None
+
+
+class TimingSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Periods and time limits, in seconds."""
+
+    heartbeat_s: Seconds = 1.0
+    silent_after_s: Seconds = 3.5
+    reattach_s: Seconds = 10.0
+    ticket_s: Seconds = 5.0
+    drain_deadline_s: Seconds = 600.0
+
+
+class AgentSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """All settings of one agent process."""
+
+    instance_id: Identifier
+    zone: Identifier
+    endpoint: EndpointSettings
+    platform: PlatformSettings
+    streams: StreamSettings = field(default_factory=StreamSettings)
+    timing: TimingSettings = field(default_factory=TimingSettings)
+
+
+__all__ = ["AgentSettings", "EndpointSettings", "StreamSettings", "TimingSettings"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -0,0 +1,111 @@
+"""Accepts the streams of entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet import protocol
+
+from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.messages import Heartbeat
+from corianderrelay.state.errors import FrameError
+from corianderrelay.transport.framed_stream import FramedStream
+
+from ..protocol.entry_session import EntrySession
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IAddress
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.messages import AnyMessage, Hello
+
+    from ..coordination.attempts import Attempts
+    from ..state.settings import TimingSettings
+
+
+class EntryListener(protocol.Factory):
+    """Makes a session for each entry that connects.
+
+    :param hello: what this agent says first on each stream.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        hello: Hello,
+        timing: TimingSettings,
+        clock: Clock,
+    ) -> None:
+        self._attempts = attempts
+        self._hello = hello
+        self._timing = timing
+        self._clock = clock
+        self._sessions_by_stream: dict[FramedStream, EntrySession] = {}
+        self._sequence = 0
+        self._beat = Periodic(clock, self._heartbeat)
+
+    def buildProtocol(self, addr: IAddress | None) -> FramedStream:
+        """Return the stream of a new connection; called by Twisted."""
+        return FramedStream(self, self._clock)
+
+    def startFactory(self) -> None:
+        """Begin to send heartbeats; called by Twisted."""
+        self._beat.start(self._timing.heartbeat_s)
+
+    def stopFactory(self) -> None:
+        """Stop the heartbeats; called by Twisted."""
+        self._beat.stop()
+
+    def stream_opened(self, stream: FramedStream) -> None:
+        """Greet the entry."""
+        session = EntrySession(
+            self._attempts, stream, self._hello.incarnation, self._clock.seconds
+        )
+        self._sessions_by_stream[stream] = session
+        stream.send(self._hello)
+        stream.send(self._load_report())
+
+    def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
+        """Hand the message to the stream's session."""
+        try:
+            self._sessions_by_stream[stream].receive(message)
+        except FrameError as error:
+            stream.close(str(error))
+
+    def stream_closed(self, stream: FramedStream, reason: str) -> None:
+        """End the stream's session."""
+        self._sessions_by_stream.pop(stream).closed()
+
+    def broadcast(self, make: Callable[[], AnyMessage]) -> None:
+        """Send a message to every entry."""
+        message = make()
+        for stream in self._sessions_by_stream:
+            stream.send(message)
+
+    def _heartbeat(self) -> None:
+        silent_since = self._clock.seconds() - self._timing.silent_after_s
+        silent = [
+            stream
+            for stream in self._sessions_by_stream
+            if stream.last_received_s < silent_since
+        ]
+        for stream in silent:
+            stream.close("the entry has been silent for too long")
+        self._sequence += 1
+        self.broadcast(self._load_report)
+
+    def _load_report(self) -> Heartbeat:
+        return Heartbeat(
+            self._sequence,
+            running=self._attempts.running,
+            queued=self._attempts.queued,
+            queued_tokens=self._attempts.queued_tokens,
+            leaving=self._attempts.leaving,
+        )
+
+
+__all__ = ["EntryListener"]
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -80,7 +80,7 @@
     ``resume_from`` is the number of answer tokens that the caller already has. For
     requests that must not be repeated, ``key`` is set, ``claim_offset`` is the
     claim's offset in its log stream, and ``ticket_incarnation`` is the incarnation of
-    the agent that the claim names.
+    the agent that the claim names. ``trace`` continues the log action of the request.
     """
 
     attempt_id: Identifier
@@ -100,6 +100,7 @@
     ticket_incarnation: Natural = 0
     ticket_remaining_ms: Natural = 0
     alone: bool = False
+    trace: bytes = b""
 
 
 class Cancel(Message, tag="cancel", frozen=True):
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/common_settings.py
@@ -0,0 +1,30 @@
+"""Settings that entry and agent have in common."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+Host = Annotated[str, Meta(min_length=1, max_length=255)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Seconds = Annotated[float, Meta(gt=0.0, le=86_400.0)]
+Url = Annotated[str, Meta(pattern="^https?://[^/ ]+")]
+
+
+class TlsSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Files of a certificate, its private key, and the authority that peers need."""
+
+    certificate_file: Annotated[str, Meta(min_length=1)]
+    private_key_file: Annotated[str, Meta(min_length=1)]
+    authority_file: str | None = None
+
+
+class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where the platform's log service and list of instances are."""
+
+    log_url: Url
+    instances_url: Url
+
+
+__all__ = ["Host", "PlatformSettings", "Port", "Seconds", "TlsSettings", "Url"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/json_log.py
@@ -0,0 +1,22 @@
+"""Structured logs: one JSON object a line on a stream, written by eliot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eliot
+
+if TYPE_CHECKING:
+    from typing import IO
+
+
+def start_log(stream: IO[bytes], instance_id: str, role: str) -> None:
+    """Write all log messages of this process to ``stream``.
+
+    :param stream: binary stream, such as ``sys.stdout.buffer``.
+    """
+    eliot.add_global_fields(instance_id=instance_id, role=role)
+    eliot.to_file(stream)
+
+
+__all__ = ["start_log"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/settings_file.py
@@ -0,0 +1,52 @@
+"""Reads settings and secrets from files and reports all faults at once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from ..protocol.checked_json import decode_checked
+from ..state.errors import SettingsError
+from ..state.faults import Fault
+
+T = TypeVar("T")
+
+
+def settings_error(source: str, faults: list[Fault]) -> SettingsError:
+    """Return one error that lists all faults, a line each."""
+    lines = "".join(f"\n  {fault}" for fault in faults)
+    return SettingsError(
+        f"{source} has {len(faults)} fault(s):{lines}",
+        "mend these and run check-settings again",
+    )
+
+
+def read_settings(path: Path, kind: type[T]) -> Result[T, SettingsError]:
+    """Read the JSON file at ``path`` as ``kind``."""
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        fault = Fault("$", f"can't be read ({error.strerror})", "check the path")
+        return Err(settings_error(str(path), [fault]))
+    checked = decode_checked(raw, kind)
+    if isinstance(checked, Err):
+        return Err(settings_error(str(path), checked.err_value))
+    return Ok(checked.ok_value)
+
+
+def read_secret(path: Path) -> Result[str, SettingsError]:
+    """Read a secret from a file; surrounding white space does not count."""
+    try:
+        secret = path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        fault = Fault("$", f"can't be read ({error})", "check the path and rights")
+        return Err(settings_error(str(path), [fault]))
+    if not secret:
+        fault = Fault("$", "is empty", "write the secret into it")
+        return Err(settings_error(str(path), [fault]))
+    return Ok(secret)
+
+
+__all__ = ["read_secret", "read_settings", "settings_error"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
@@ -0,0 +1,33 @@
+"""What the relay needs of a connected agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from corianderrelay.state.call import Call
+
+    from ..state.runner import Runner
+
+
+class AgentPort(Protocol):
+    """One agent with an open stream."""
+
+    @property
+    def runner(self) -> Runner:
+        """What is known of the agent's runner."""
+
+    def dispatch(self, attempt_id: str, call: Call, resume_from: int) -> None:
+        """Ask the agent to run the call as this attempt.
+
+        :param resume_from: number of answer tokens that the caller already has.
+        """
+
+    def cancel(self, attempt_id: str) -> None:
+        """Tell the agent that the attempt's answer is no longer wanted."""
+
+    def acknowledge(self, attempt_id: str, sequence: int) -> None:
+        """Tell the agent that chunks up to ``sequence`` need not be kept."""
+
+
+__all__ = ["AgentPort"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/config_in_force.py
@@ -0,0 +1,40 @@
+"""The configuration that this entry holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from corianderrelay.state.document import Document
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class ConfigInForce:
+    """The document in force and what is looked up in it at each request."""
+
+    __slots__ = ("version", "document", "_workspaces_by_digest")
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.document = Document()
+        self._workspaces_by_digest: Mapping[str, str] = {}
+
+    def replace(self, version: int, document: Document) -> None:
+        """Take a newer document; an older one changes nothing."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.document = document
+        self._workspaces_by_digest = {
+            digest: name
+            for name, workspace in document.workspaces_by_name.items()
+            for digest in workspace.key_digests
+        }
+
+    def workspace_of(self, digest: str) -> str | None:
+        """Return the workspace whose key has this digest."""
+        return self._workspaces_by_digest.get(digest)
+
+
+__all__ = ["ConfigInForce"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/observed_answer.py
@@ -0,0 +1,66 @@
+"""Logs and measures an answer on its way to the caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eliot import Action
+
+    from corianderrelay.state.errors import RelayError
+
+    from .answer_sink import AnswerSink
+    from .request_metrics import RequestMetrics
+
+
+class ObservedAnswer:
+    """Passes an answer on to ``sink`` and notes its start and its end.
+
+    :param action: the request's log action; finished with the answer.
+    :param seconds: returns the monotonic time.
+    """
+
+    __slots__ = ("_sink", "_action", "_metrics", "_service", "_seconds", "_started_s")
+
+    def __init__(
+        self,
+        sink: AnswerSink,
+        action: Action,
+        metrics: RequestMetrics,
+        service: str,
+        seconds: Callable[[], float],
+    ) -> None:
+        self._sink = sink
+        self._action = action
+        self._metrics = metrics
+        self._service = service
+        self._seconds = seconds
+        self._started_s = seconds()
+
+    def start(self, status: int, content_type: str) -> None:
+        """The answer begins; see ``AnswerSink``."""
+        labels = {"service": self._service}
+        self._metrics.first_byte_s.observe(labels, self._seconds() - self._started_s)
+        self._action.add_success_fields(status=status)
+        self._sink.start(status, content_type)
+
+    def write(self, data: bytes) -> None:
+        """Pass a piece on; see ``AnswerSink``."""
+        self._sink.write(data)
+
+    def finish(self) -> None:
+        """The answer is whole; see ``AnswerSink``."""
+        self._metrics.answers.inc({"service": self._service})
+        self._action.finish()
+        self._sink.finish()
+
+    def fail(self, error: RelayError) -> None:
+        """There is no whole answer; see ``AnswerSink``."""
+        self._metrics.failures.inc({"service": self._service, "kind": error.kind})
+        self._action.finish(error)
+        self._sink.fail(error)
+
+
+__all__ = ["ObservedAnswer"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
@@ -0,0 +1,37 @@
+"""Counts and times requests."""
+
+from __future__ import annotations
+
+from aioprometheus.collectors import Collector, Counter, Gauge, Histogram
+
+_FIRST_BYTE_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.1, 2.5, 5.0, 10.0]
+
+
+class RequestMetrics:
+    """Collectors that each request passes through."""
+
+    __slots__ = ("answers", "failures", "first_byte_s", "open_requests", "agents")
+
+    def __init__(self) -> None:
+        self.answers = Counter("entry_answers_total", "Whole answers by service.")
+        self.failures = Counter("entry_failures_total", "Errors by service and kind.")
+        self.first_byte_s = Histogram(
+            "entry_first_byte_seconds",
+            "Time from the request to the first byte of its answer.",
+            buckets=_FIRST_BYTE_BUCKETS_S,
+        )
+        self.open_requests = Gauge("entry_open_requests", "Requests without an end.")
+        self.agents = Gauge("entry_connected_agents", "Agents with an open stream.")
+
+    def collectors(self) -> list[Collector]:
+        """Return all collectors, to be registered."""
+        return [
+            self.answers,
+            self.failures,
+            self.first_byte_s,
+            self.open_requests,
+            self.agents,
+        ]
+
+
+__all__ = ["RequestMetrics"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -0,0 +1,151 @@
+"""One entry: its parts, and how they are joined."""
+
+from __future__ import annotations
+
+import dataclasses
+from random import Random, SystemRandom
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from corianderrelay.coordination.config_reader import ConfigReader
+from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
+from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
+from corianderrelay.transport.metrics import Metrics
+
+from .coordination.config_in_force import ConfigInForce
+from .coordination.observed_answer import ObservedAnswer
+from .coordination.relay import Relay
+from .coordination.request_metrics import RequestMetrics
+from .state.entry_directory import EntryAddress
+from .state.request_register import RequestRegister
+from .transport.agent_connector import AgentConnector
+
+if TYPE_CHECKING:
+    from corianderrelay.coordination.instance_list import Instance, InstanceList
+    from corianderrelay.coordination.log_client import LogClient
+    from corianderrelay.state.call import Call
+
+    from .coordination.answer_sink import AnswerSink
+    from .state.open_request import OpenRequest
+    from .state.settings import EntrySettings
+
+_ID_BITS = 96
+_INCARNATION_BITS = 62
+
+
+class Entry:
+    """An entry process without its listening ports.
+
+    :param clock: the reactor.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        log: LogClient,
+        instances: InstanceList,
+        clock: Any,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random: Random = SystemRandom()
+        self.incarnation = self.random.getrandbits(_INCARNATION_BITS)
+        self.config = ConfigInForce()
+        self.register = RequestRegister(settings.limits.remembered_requests)
+        self.relay = Relay(self.new_id)
+        self.request_metrics = RequestMetrics()
+        self.metrics = Metrics(self.request_metrics.collectors())
+        self.draining = False
+        self.address = settings.callers.address
+        self._config_reader = ConfigReader(log, clock, self.config.replace)
+        self._instances = instances
+        self._entries: list[EntryAddress] = []
+        hello = Hello(
+            PROTOCOL_VERSION,
+            settings.instance_id,
+            self.incarnation,
+            settings.zone,
+            "entry",
+        )
+        self.connector = AgentConnector(self.relay, hello, settings.timing, clock)
+        self._list_poll = Periodic(clock, self._poll_instances)
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is in force, so that callers can be known."""
+        return self.config.version > 0
+
+    def start(self) -> None:
+        """Connect to the platform and to the agents."""
+        self.connector.start()
+        self._config_reader.start()
+        self._list_poll.start(self.settings.timing.instance_list_s, now=True)
+
+    def new_id(self) -> str:
+        """Return a new unique identifier."""
+        return f"{self.random.getrandbits(_ID_BITS):024x}"
+
+    def known_entries(self) -> list[EntryAddress]:
+        """Return the live entries, this one included while it takes new callers."""
+        own = EntryAddress(self.settings.instance_id, self.address, self.settings.zone)
+        others = [
+            entry for entry in self._entries if entry.instance_id != own.instance_id
+        ]
+        return others if self.draining else [*others, own]
+
+    def submit(self, call: Call, sink: AnswerSink) -> OpenRequest:
+        """Run a call and send its answer to ``sink``."""
+        action = eliot.start_task(
+            action_type="entry:request",
+            request_id=call.request_id,
+            workspace=call.workspace,
+            service=call.service,
+        )
+        traced = dataclasses.replace(call, trace=action.serialize_task_id())
+        observed = ObservedAnswer(
+            sink, action, self.request_metrics, call.service, self.clock.seconds
+        )
+        request = self.relay.submit(traced, observed, self.clock.seconds())
+        self.register.add(request)
+        return request
+
+    def drain(self, reason: str) -> None:
+        """Take no new callers; serve those that still come until their list expires."""
+        self.draining = True
+        eliot.log_message(message_type="entry:drain", reason=reason)
+
+    def _poll_instances(self) -> Any:
+        listed = self._instances.read()
+        listed.addCallbacks(self._follow_instances, _log_list_failure)
+        return listed
+
+    def _follow_instances(self, instances_by_id: dict[str, Instance]) -> None:
+        instances = instances_by_id.values()
+        self._entries = [
+            EntryAddress(
+                instance.instance_id,
+                f"{instance.host}:{instance.port}",
+                instance.zone,
+            )
+            for instance in instances
+            if instance.role is InstanceRole.ENTRY
+            and instance.state is InstanceState.LIVE
+        ]
+        self.connector.follow(
+            {
+                instance.instance_id: (instance.host, instance.port)
+                for instance in instances
+                if instance.role is InstanceRole.AGENT
+            }
+        )
+
+
+def _log_list_failure(failure: Any) -> None:
+    eliot.log_message(
+        message_type="entry:instance_list_failed", reason=failure.getErrorMessage()
+    )
+
+
+__all__ = ["Entry"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -0,0 +1,193 @@
+"""Speaks with one agent: typed messages on one side, the relay on the other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from corianderrelay.protocol.messages import (
+    PROTOCOL_VERSION,
+    Accepted,
+    Acknowledge,
+    AttemptOutcome,
+    Cancel,
+    Chunk,
+    Dispatch,
+    End,
+    Heartbeat,
+    Hello,
+    Leaving,
+    Ping,
+    Pong,
+    Refused,
+)
+from corianderrelay.state.errors import FrameError
+
+from ..state.runner import Runner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Protocol
+
+    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.state.call import Call
+
+    from ..coordination.relay import Relay
+
+    class MessageStream(Protocol):
+        """What a session needs of a stream."""
+
+        def send(self, message: AnyMessage) -> None:
+            """Send a message."""
+
+        def close(self, reason: str) -> None:
+            """Drop the connection."""
+
+
+class AgentSession:
+    """The conversation with one agent over one stream.
+
+    :param seconds: returns the monotonic time.
+    """
+
+    def __init__(
+        self, relay: Relay, stream: MessageStream, seconds: Callable[[], float]
+    ) -> None:
+        self._relay = relay
+        self._stream = stream
+        self._seconds = seconds
+        self._runner: Runner | None = None
+        self._handlers_by_type: dict[type, Callable[[Any], None]] = {
+            Hello: self._on_hello,
+            Heartbeat: self._on_heartbeat,
+            Leaving: self._on_leaving,
+            Accepted: self._on_accepted,
+            Refused: self._on_refused,
+            Chunk: self._on_chunk,
+            End: self._on_end,
+            Ping: self._on_ping,
+            Pong: self._on_pong,
+        }
+
+    @property
+    def runner(self) -> Runner:
+        """The runner behind this agent; known once it has said hello."""
+        assert self._runner is not None
+        return self._runner
+
+    @property
+    def agent_id(self) -> str:
+        """The agent's instance id; empty until it has said hello."""
+        return self._runner.instance_id if self._runner else ""
+
+    def receive(self, message: AnyMessage) -> None:
+        """Handle one message of the agent.
+
+        :raises FrameError: an agent may not send this message, or not yet.
+        """
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None or (self._runner is None and type(message) is not Hello):
+            raise FrameError(
+                f"an agent sent {type(message).__name__} out of place",
+                "check that both sides run the same protocol version",
+            )
+        handler(message)
+
+    def closed(self) -> None:
+        """The stream is gone."""
+        if self._relay.agents_by_id.get(self.agent_id) is self:
+            self._relay.on_agent_lost(self.agent_id)
+
+    def dispatch(self, attempt_id: str, call: Call, resume_from: int) -> None:
+        """Send the call to the agent; see ``AgentPort``."""
+        remaining_s = max(0.0, call.deadline_s - self._seconds())
+        message = Dispatch(
+            attempt_id=attempt_id,
+            request_id=call.request_id,
+            workspace=call.workspace,
+            service=call.service,
+            method=call.method,
+            path=call.path,
+            content_type=call.content_type,
+            body=call.body,
+            deadline_ms=int(remaining_s * 1000),
+            priority=call.priority,
+            estimated_tokens=call.estimated_tokens,
+            resume_from=resume_from,
+            key=call.idempotency_key,
+            trace=call.trace,
+        )
+        self._stream.send(message)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Cancel an attempt; see ``AgentPort``."""
+        self._stream.send(Cancel(attempt_id))
+
+    def acknowledge(self, attempt_id: str, sequence: int) -> None:
+        """Acknowledge chunks; see ``AgentPort``."""
+        self._stream.send(Acknowledge(attempt_id, sequence))
+
+    def _on_hello(self, message: Hello) -> None:
+        if message.protocol_version != PROTOCOL_VERSION:
+            raise FrameError(
+                f"the agent speaks protocol version {message.protocol_version}",
+                f"run a release that speaks version {PROTOCOL_VERSION} on both sides",
+            )
+        self._runner = Runner(
+            instance_id=message.instance_id,
+            incarnation=message.incarnation,
+            zone=message.zone,
+            service=message.service,
+            model=message.model,
+            group=message.group,
+            rank=message.rank,
+            slots=message.slots,
+            reported_s=self._seconds(),
+        )
+        self._relay.agents_by_id[message.instance_id] = self
+
+    def _on_heartbeat(self, message: Heartbeat) -> None:
+        runner = self.runner
+        runner.running = message.running
+        runner.queued = message.queued
+        runner.queued_tokens = message.queued_tokens
+        runner.tokens_per_s = message.tokens_per_s
+        runner.leaving = runner.leaving or message.leaving
+        runner.engine_up = message.engine_up
+        runner.reported_s = self._seconds()
+        runner.dispatched = 0
+
+    def _on_leaving(self, message: Leaving) -> None:
+        self.runner.leaving = True
+
+    def _on_accepted(self, message: Accepted) -> None:
+        """Nothing to do: the first chunk or the end tells the rest."""
+
+    def _on_refused(self, message: Refused) -> None:
+        self._relay.on_refused(message.attempt_id, message.retry_after_ms / 1000)
+
+    def _on_chunk(self, message: Chunk) -> None:
+        self._relay.on_chunk(
+            message.attempt_id,
+            message.sequence,
+            message.data,
+            message.tokens,
+            message.status,
+            message.content_type,
+        )
+
+    def _on_end(self, message: End) -> None:
+        if message.outcome is AttemptOutcome.DONE:
+            self._relay.on_end(message.attempt_id, message.chunks, message.digest)
+        else:
+            self._relay.on_failed(
+                message.attempt_id, message.detail or message.outcome.value
+            )
+
+    def _on_ping(self, message: Ping) -> None:
+        self._stream.send(Pong(message.sequence))
+
+    def _on_pong(self, message: Pong) -> None:
+        """Nothing to do: its bytes have shown that the connection lives."""
+
+
+__all__ = ["AgentSession"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/caller_api.py
@@ -0,0 +1,182 @@
+"""Turns callers' HTTP requests into calls, or into errors that say what to mend."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+from result import Err, Ok, Result
+
+from corianderrelay.protocol.checked_json import decode_checked
+from corianderrelay.state.call import Call
+from corianderrelay.state.document import ServiceKind
+from corianderrelay.state.errors import InvalidRequestError, NotFoundError, RelayError
+
+if TYPE_CHECKING:
+    from corianderrelay.state.document import Document, Service
+
+CHAT_PATH = "/v1/chat/completions"
+_PREFIX_BYTES = 1024
+_DEFAULT_MAX_TOKENS = 256
+_BYTES_PER_TOKEN = 4
+_MAX_KEY_LENGTH = 200
+
+
+class ChatMessage(Struct, frozen=True):
+    """One message of a conversation; further fields pass through unread."""
+
+    role: Annotated[str, Meta(min_length=1, max_length=32)]
+    content: str | list[Any] | None = None
+
+
+class ChatRequest(Struct, frozen=True):
+    """The fields of a chat completion that decide its way; the rest passes through."""
+
+    model: Annotated[str, Meta(min_length=1, max_length=200)]
+    messages: Annotated[list[ChatMessage], Meta(min_length=1, max_length=10_000)]
+    stream: bool = False
+    max_tokens: Annotated[int, Meta(ge=1, le=1_000_000)] = _DEFAULT_MAX_TOKENS
+
+
+@dataclass(slots=True, frozen=True)
+class CallerRequest:
+    """What of an HTTP request the calls are made from.
+
+    :param headers_by_name: header values by lower-case name.
+    :param now: monotonic time of its arrival, in seconds.
+    """
+
+    request_id: str
+    workspace: str
+    method: str
+    path: str
+    body: bytes
+    now: float
+    headers_by_name: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def content_type(self) -> str:
+        """The media type of the body."""
+        return self.headers_by_name.get("content-type", "")
+
+
+def chat_call(request: CallerRequest, document: Document) -> Result[Call, RelayError]:
+    """Return the call of a chat completion."""
+    checked = decode_checked(request.body, ChatRequest)
+    if isinstance(checked, Err):
+        faults = "; ".join(str(fault) for fault in checked.err_value)
+        return Err(
+            InvalidRequestError(
+                f"the body is not a chat completion request: {faults}",
+                "mend the fields named and send it again",
+            )
+        )
+    chat = checked.ok_value
+    found = _model_service(chat.model, request.workspace, document)
+    if isinstance(found, Err):
+        return found
+    name, service = found.ok_value
+    prompt_bytes = len(request.body)
+    return Ok(
+        Call(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            service=name,
+            method="POST",
+            path=CHAT_PATH,
+            content_type="application/json",
+            body=request.body,
+            deadline_s=request.now + service.timeout_s,
+            streamed=chat.stream,
+            estimated_tokens=prompt_bytes // _BYTES_PER_TOKEN + chat.max_tokens,
+            model=chat.model,
+            prompt_prefix=msgspec.json.encode(chat.messages)[:_PREFIX_BYTES],
+        )
+    )
+
+
+def service_call(
+    request: CallerRequest, service_name: str, path: str, document: Document
+) -> Result[Call, RelayError]:
+    """Return the call of a plain service.
+
+    :param path: the path and query that the service sees.
+    """
+    service = document.services_by_name.get(service_name)
+    if (
+        service is None
+        or service.kind is not ServiceKind.PLAIN
+        or not may_use(request.workspace, service_name, document)
+    ):
+        return Err(_no_such_service(service_name))
+    repeatable = request.method in service.idempotent_methods
+    key = request.headers_by_name.get("idempotency-key", "")
+    if not repeatable and not 0 < len(key) <= _MAX_KEY_LENGTH:
+        return Err(
+            InvalidRequestError(
+                f"{request.method} of service {service_name!r} may not be repeated "
+                "and has no usable Idempotency-Key",
+                f"send a unique Idempotency-Key of 1 to {_MAX_KEY_LENGTH} characters "
+                "with each order, and the same one when you repeat it",
+            )
+        )
+    return Ok(
+        Call(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            service=service_name,
+            method=request.method,
+            path=path,
+            content_type=request.content_type,
+            body=request.body,
+            deadline_s=request.now + service.timeout_s,
+            repeatable=repeatable,
+            idempotency_key="" if repeatable else key,
+        )
+    )
+
+
+def may_use(workspace: str, service_name: str, document: Document) -> bool:
+    """Return whether the document lets a workspace use a service."""
+    entry = document.workspaces_by_name.get(workspace)
+    return entry is not None and service_name in entry.services
+
+
+def _model_service(
+    model: str, workspace: str, document: Document
+) -> Result[tuple[str, Service], RelayError]:
+    matches = [
+        (name, service)
+        for name, service in document.services_by_name.items()
+        if service.kind is ServiceKind.MODEL
+        and model in (service.model, name)
+        and may_use(workspace, name, document)
+    ]
+    if not matches:
+        return Err(
+            NotFoundError(
+                f"there is no model {model!r} for this workspace",
+                "ask GET /v1/models for those there are",
+            )
+        )
+    return Ok(matches[0])
+
+
+def _no_such_service(name: str) -> NotFoundError:
+    return NotFoundError(
+        f"there is no service {name!r} for this workspace",
+        "check the name, or ask the operator to add it to the workspace",
+    )
+
+
+__all__ = [
+    "CHAT_PATH",
+    "CallerRequest",
+    "ChatMessage",
+    "ChatRequest",
+    "chat_call",
+    "may_use",
+    "service_call",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/replies.py
@@ -0,0 +1,83 @@
+"""Bodies of the answers that the entry itself gives."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from ..state.entry_directory import EntryAddress
+
+
+class ModelEntry(Struct, frozen=True):
+    """A model that a workspace may use."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "corianderrelay"
+
+
+class ModelsReply(Struct, frozen=True):
+    """Answer of ``GET /v1/models``."""
+
+    data: list[ModelEntry]
+    object: str = "list"
+
+
+class EntriesReply(Struct, frozen=True):
+    """Answer of ``GET /v1/entries``: where to connect, and for how long to keep it."""
+
+    entries: list[EntryAddress]
+    ttl_s: float
+
+
+class WorkStateReply(Struct, frozen=True):
+    """Answer of the health routes."""
+
+    state: str
+
+
+class RequestStatusReply(Struct, frozen=True):
+    """Answer of ``GET /v1/requests/{id}``."""
+
+    request_id: str
+    state: str
+    service: str
+    runner: str
+    tokens: int
+
+
+class RunnerStatus(Struct, frozen=True):
+    """A runner as this entry sees it."""
+
+    instance_id: str
+    zone: str
+    service: str
+    group: str
+    rank: int
+    running: int
+    queued: int
+    leaving: bool
+    engine_up: bool
+    report_age_s: float
+
+
+class EntryStatusReply(Struct, frozen=True):
+    """Answer of the operators' ``GET /v1/status``."""
+
+    instance_id: str
+    zone: str
+    ready: bool
+    draining: bool
+    config_version: int
+    open_requests: int
+    runners: list[RunnerStatus]
+
+
+__all__ = [
+    "EntriesReply",
+    "EntryStatusReply",
+    "ModelEntry",
+    "ModelsReply",
+    "RequestStatusReply",
+    "RunnerStatus",
+    "WorkStateReply",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/run.py
@@ -0,0 +1,10 @@
+"""Entry point of the ``corianderrelay`` binary."""
+
+from __future__ import annotations
+
+from .cli import main
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
@@ -0,0 +1,119 @@
+"""Runs an entry: listening ports, signals and shutdown."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from corianderrelay.transport.instance_list_http import HttpInstanceList
+from corianderrelay.transport.json_log import start_log
+from corianderrelay.transport.log_http import HttpLogClient
+
+from .entry import Entry
+from .transport.callers_site import CallersSite
+from .transport.limited_request import LimitedSite
+from .transport.operators_site import OperatorsSite
+
+if TYPE_CHECKING:
+    from twisted.web.resource import Resource
+
+    from .state.settings import EntrySettings
+
+_EXIT_OK = 0
+_EXIT_CUT = 1
+_DRAIN_POLL_S = 0.1
+
+
+def serve_entry(settings: EntrySettings, operators_token: str) -> int:
+    """Serve until the process is told to stop; return its exit code.
+
+    :returns: 0 when nothing was cut off, 1 otherwise.
+    """
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    start_log(sys.stdout.buffer, settings.instance_id, "entry")
+    service = _EntryService(settings, operators_token, reactor)
+    reactor.callWhenRunning(service.start)
+    reactor.run(installSignalHandlers=False)
+    return service.exit_code
+
+
+class _EntryService:
+    def __init__(self, settings: EntrySettings, token: str, reactor: Any) -> None:
+        self._settings = settings
+        self._token = token
+        self._reactor = reactor
+        log = HttpLogClient(reactor, settings.platform.log_url)
+        instances = HttpInstanceList(reactor, settings.platform.instances_url)
+        self._entry = Entry(settings, log, instances, reactor)
+        self._drain_started_s: float | None = None
+        self.exit_code = _EXIT_OK
+
+    def start(self) -> None:
+        """Listen and connect."""
+        callers = self._settings.callers
+        operators = self._settings.operators
+        caller_port = self._listen(CallersSite(self._entry), callers.host, callers.port)
+        operator_port = self._listen(
+            OperatorsSite(self._entry, self._token), operators.host, operators.port
+        )
+        self._entry.address = callers.address or f"{callers.host}:{caller_port}"
+        self._entry.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        eliot.log_message(
+            message_type="entry:listening",
+            callers_port=caller_port,
+            operators_port=operator_port,
+        )
+
+    def _listen(self, resource: Resource, host: str, port: int) -> int:
+        limits = self._settings.limits
+        site = LimitedSite(
+            resource,
+            self._reactor,
+            max_body_bytes=limits.body_bytes,
+            max_header_bytes=limits.header_bytes,
+            receive_body_s=limits.receive_body_s,
+            idle_s=limits.caller_idle_s,
+        )
+        listening = self._reactor.listenTCP(port, site, interface=host)
+        return int(listening.getHost().port)
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._drain_or_stop, signal.Signals(number).name)
+
+    def _drain_or_stop(self, name: str) -> None:
+        if self._drain_started_s is not None:
+            self._stop(f"a second signal ({name})")
+            return
+        self._drain_started_s = self._reactor.seconds()
+        self._entry.drain(name)
+        self._stop_when_drained()
+
+    def _stop_when_drained(self) -> None:
+        assert self._drain_started_s is not None
+        waited_s = self._reactor.seconds() - self._drain_started_s
+        ttl_over = waited_s >= self._settings.timing.entries_ttl_s
+        if ttl_over and self._entry.relay.open_requests == 0:
+            self._stop("drained")
+        elif waited_s >= self._settings.timing.drain_deadline_s:
+            self._stop("the drain deadline")
+        else:
+            self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
+
+    def _stop(self, reason: str) -> None:
+        cut = self._entry.relay.open_requests
+        self.exit_code = _EXIT_CUT if cut else _EXIT_OK
+        eliot.log_message(
+            message_type="entry:stopped", reason=reason, cut_off_requests=cut
+        )
+        self._entry.connector.stop()
+        self._reactor.stop()
+
+
+__all__ = ["serve_entry"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/open_request.py
@@ -0,0 +1,73 @@
+"""A request that has no final answer yet."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from corianderrelay.state.call import Call
+
+
+class RequestPhase(Enum):
+    """How far a request has come."""
+
+    WAITING = "waiting"
+    STREAMING = "streaming"
+    DONE = "done"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+
+
+class OpenRequest:
+    """A call, its current attempt, and what of its answer has arrived.
+
+    :param started_s: monotonic time at which the request was received.
+    """
+
+    __slots__ = (
+        "call",
+        "started_s",
+        "phase",
+        "attempt_id",
+        "runner_id",
+        "refused_by",
+        "retry_after_s",
+        "next_sequence",
+        "tokens",
+        "_digest",
+    )
+
+    def __init__(self, call: Call, started_s: float) -> None:
+        self.call = call
+        self.started_s = started_s
+        self.phase = RequestPhase.WAITING
+        self.attempt_id = ""
+        self.runner_id = ""
+        self.refused_by: set[str] = set()
+        self.retry_after_s = 0.0
+        self.next_sequence = 0
+        self.tokens = 0
+        self._digest = xxhash.xxh3_64()
+
+    def begin_attempt(self, attempt_id: str, runner_id: str) -> None:
+        """Start to collect the chunks of a new attempt."""
+        self.attempt_id = attempt_id
+        self.runner_id = runner_id
+        self.next_sequence = 0
+        self._digest = xxhash.xxh3_64()
+
+    def add_chunk(self, data: bytes, tokens: int) -> None:
+        """Count the next chunk of the current attempt."""
+        self.next_sequence += 1
+        self.tokens += tokens
+        self._digest.update(data)
+
+    def is_whole(self, chunks: int, digest: int) -> bool:
+        """Return whether all chunks of the attempt have arrived unchanged."""
+        return chunks == self.next_sequence and digest == self._digest.intdigest()
+
+
+__all__ = ["OpenRequest", "RequestPhase"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
@@ -0,0 +1,83 @@
+"""Settings of the entry process, read once at start and checked whole."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+from corianderrelay.state.common_settings import (
+    Host,
+    PlatformSettings,
+    Port,
+    Seconds,
+    TlsSettings,
+)
+
+Count = Annotated[int, Meta(ge=1)]
+Identifier = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
+
+
+class CallerSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where callers connect.
+
+    ``address`` is what ``GET /v1/entries`` tells callers; by default the host and
+    port listened on.
+    """
+
+    host: Host = "127.0.0.1"
+    port: Port = 8080
+    address: str = ""
+    tls: TlsSettings | None = None
+
+
+class OperatorSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where operators connect, and the file that holds their token."""
+
+    host: Host = "127.0.0.1"
+    port: Port = 8081
+    token_file: Annotated[str, Meta(min_length=1)]
+
+
+class LimitSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Bounds that keep one caller from using up the process."""
+
+    header_bytes: Count = 16 * 1024
+    body_bytes: Count = 4 * 1024 * 1024
+    waiting_requests: Count = 12_000
+    caller_idle_s: Seconds = 60.0
+    receive_body_s: Seconds = 30.0
+    remembered_requests: Count = 20_000
+
+
+class TimingSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Periods and time limits, in seconds."""
+
+    heartbeat_s: Seconds = 1.0
+    silent_after_s: Seconds = 3.5
+    entries_ttl_s: Seconds = 15.0
+    instance_list_s: Seconds = 2.0
+    keep_alive_s: Seconds = 10.0
+    drain_deadline_s: Seconds = 600.0
+
+
+class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """All settings of one entry process."""
+
+    instance_id: Identifier
+    zone: Identifier
+    operators: OperatorSettings
+    platform: PlatformSettings
+    callers: CallerSettings = field(default_factory=CallerSettings)
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    timing: TimingSettings = field(default_factory=TimingSettings)
+    own_streams_tls: TlsSettings | None = None
+
+
+__all__ = [
+    "CallerSettings",
+    "EntrySettings",
+    "LimitSettings",
+    "OperatorSettings",
+    "TimingSettings",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
@@ -0,0 +1,242 @@
+"""Routes that callers use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import msgspec
+from result import Err, Result
+from twisted.web.resource import IResource, Resource
+from twisted.web.server import NOT_DONE_YET
+from zope.interface import implementer
+
+from corianderrelay.state.credentials import key_digest
+from corianderrelay.state.document import ServiceKind
+from corianderrelay.state.errors import (
+    MethodNotAllowedError,
+    NotFoundError,
+    OverloadedError,
+    RelayError,
+    UnauthorizedError,
+    UnavailableError,
+)
+
+from ..protocol.caller_api import (
+    CHAT_PATH,
+    CallerRequest,
+    chat_call,
+    may_use,
+    service_call,
+)
+from ..protocol.replies import (
+    EntriesReply,
+    ModelEntry,
+    ModelsReply,
+    RequestStatusReply,
+    WorkStateReply,
+)
+from ..state.entry_directory import ordered_entries
+from .http_answer import StreamedAnswer, WholeAnswer, write_error, write_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.web.server import Request
+
+    from corianderrelay.state.call import Call
+
+    from ..entry import Entry
+    from ..state.open_request import OpenRequest
+
+_OVERLOADED_RETRY_AFTER_S = 2.0
+_NOT_READY_RETRY_AFTER_S = 2.0
+
+
+@implementer(IResource)
+class CallersSite(Resource):
+    """All routes of callers; each is one method."""
+
+    isLeaf = True
+
+    def __init__(self, entry: Entry) -> None:
+        super().__init__()
+        self._entry = entry
+        self._routes_by_path: dict[str, tuple[str, Callable[[Any], None]]] = {
+            CHAT_PATH: ("POST", self._chat),
+            "/v1/models": ("GET", self._models),
+            "/v1/entries": ("GET", self._entries),
+            "/healthz": ("GET", self._healthz),
+            "/readyz": ("GET", self._readyz),
+            "/metrics": ("GET", self._metrics),
+        }
+
+    def render(self, request: Request) -> int:
+        """Answer one request; called by Twisted."""
+        try:
+            self._route(request)
+        except RelayError as error:
+            write_error(request, error, "")
+        return NOT_DONE_YET
+
+    def _route(self, request: Request) -> None:
+        path = request.path.decode("latin-1")
+        method = request.method.decode("latin-1")
+        if path.startswith("/services/"):
+            self._service(request)
+        elif path.startswith("/v1/requests/"):
+            _check_method(method, "GET")
+            self._request_status(request)
+        elif path in self._routes_by_path:
+            allowed, handler = self._routes_by_path[path]
+            _check_method(method, allowed)
+            handler(request)
+        else:
+            raise NotFoundError(
+                f"there is no route {path!r}", "see the callers' page for the routes"
+            )
+
+    def _chat(self, request: Request) -> None:
+        caller = self._caller_request(request)
+        self._submit(request, chat_call(caller, self._entry.config.document))
+
+    def _service(self, request: Request) -> None:
+        caller = self._caller_request(request)
+        rest = request.uri.decode("latin-1").removeprefix("/services/")
+        name, slash, path = rest.partition("/")
+        document = self._entry.config.document
+        self._submit(
+            request, service_call(caller, unquote(name), slash + path, document)
+        )
+
+    def _submit(self, request: Request, result: Result[Call, RelayError]) -> None:
+        if isinstance(result, Err):
+            raise result.err_value
+        entry = self._entry
+        call = result.ok_value
+        if entry.relay.open_requests >= entry.settings.limits.waiting_requests:
+            raise OverloadedError(
+                "this entry has as many open requests as it may have",
+                f"send it again after {_OVERLOADED_RETRY_AFTER_S:.0f} s, or to "
+                "another entry",
+                retry_after_s=_OVERLOADED_RETRY_AFTER_S,
+            )
+        request.setHeader(b"x-request-id", call.request_id.encode())
+        sink = self._sink(request, call)
+        gone = request.notifyFinish()
+        opened = entry.submit(call, sink)
+        gone.addErrback(self._on_caller_gone, sink, opened)
+
+    def _on_caller_gone(
+        self, failure: object, sink: StreamedAnswer | WholeAnswer, opened: OpenRequest
+    ) -> None:
+        if isinstance(sink, StreamedAnswer):
+            sink.stop()
+        self._entry.relay.abandon(opened)
+
+    def _sink(self, request: Request, call: Call) -> StreamedAnswer | WholeAnswer:
+        if call.streamed:
+            keep_alive_s = self._entry.settings.timing.keep_alive_s
+            return StreamedAnswer(
+                request, call.request_id, self._entry.clock, keep_alive_s
+            )
+        return WholeAnswer(request, call.request_id)
+
+    def _models(self, request: Request) -> None:
+        workspace = self._workspace(request)
+        document = self._entry.config.document
+        models = [
+            ModelEntry(id=service.model or name)
+            for name, service in sorted(document.services_by_name.items())
+            if service.kind is ServiceKind.MODEL and may_use(workspace, name, document)
+        ]
+        write_json(request, msgspec.json.encode(ModelsReply(models)))
+
+    def _entries(self, request: Request) -> None:
+        zones = request.args.get(b"zone", [b""])
+        entries = ordered_entries(
+            self._entry.known_entries(),
+            zones[0].decode("latin-1"),
+            self._entry.random,
+        )
+        ttl_s = self._entry.settings.timing.entries_ttl_s
+        write_json(request, msgspec.json.encode(EntriesReply(entries, ttl_s)))
+
+    def _healthz(self, request: Request) -> None:
+        write_json(request, msgspec.json.encode(WorkStateReply("alive")))
+
+    def _readyz(self, request: Request) -> None:
+        self._check_ready()
+        write_json(request, msgspec.json.encode(WorkStateReply("ready")))
+
+    def _metrics(self, request: Request) -> None:
+        content, headers_by_name = self._entry.metrics.render()
+        for name, value in headers_by_name.items():
+            request.setHeader(name.encode(), value.encode())
+        request.write(content)
+        request.finish()
+
+    def _request_status(self, request: Request) -> None:
+        workspace = self._workspace(request)
+        request_id = request.path.decode("latin-1").rpartition("/")[2]
+        found = self._entry.register.find(request_id, workspace)
+        if found is None:
+            raise NotFoundError(
+                f"there is no request {request_id!r} at this entry",
+                "ask the entry that took it, within the time that it remembers",
+            )
+        status = RequestStatusReply(
+            request_id=request_id,
+            state=found.phase.value,
+            service=found.call.service,
+            runner=found.runner_id,
+            tokens=found.tokens,
+        )
+        write_json(request, msgspec.json.encode(status))
+
+    def _caller_request(self, request: Request) -> CallerRequest:
+        self._check_ready()
+        workspace = self._workspace(request)
+        headers_by_name = {
+            name.decode("latin-1").lower(): values[0].decode("latin-1")
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        return CallerRequest(
+            request_id=self._entry.new_id(),
+            workspace=workspace,
+            method=request.method.decode("latin-1"),
+            path=request.path.decode("latin-1"),
+            body=request.content.read() if request.content else b"",
+            now=self._entry.clock.seconds(),
+            headers_by_name=headers_by_name,
+        )
+
+    def _workspace(self, request: Request) -> str:
+        header = request.getHeader(b"authorization") or b""
+        scheme, _, key = header.decode("latin-1").partition(" ")
+        if scheme.lower() == "bearer" and key.strip():
+            workspace = self._entry.config.workspace_of(key_digest(key.strip()))
+            if workspace is not None:
+                return workspace
+        raise UnauthorizedError(
+            "the key is missing or unknown",
+            "send 'Authorization: Bearer KEY' with a key of the workspace",
+        )
+
+    def _check_ready(self) -> None:
+        if not self._entry.ready:
+            raise UnavailableError(
+                "this entry has no configuration yet",
+                "ask another entry, or send it again in a moment",
+                retry_after_s=_NOT_READY_RETRY_AFTER_S,
+            )
+
+
+def _check_method(method: str, allowed: str) -> None:
+    if method != allowed:
+        raise MethodNotAllowedError(
+            f"{method} is not allowed here", f"use {allowed} for this route"
+        )
+
+
+__all__ = ["CallersSite"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/http_answer.py
@@ -0,0 +1,149 @@
+"""Writes one answer, or one error, to a caller's HTTP request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..protocol.error_body import error_body, retry_after_header
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+    from corianderrelay.coordination.clock import Clock, DelayedCall
+    from corianderrelay.state.errors import RelayError
+
+_KEEP_ALIVE = b": keep-alive\n\n"
+_DONE_EVENT = b"data: [DONE]\n\n"
+_EVENT_STREAM = "text/event-stream"
+
+
+def write_error(request: Request, error: RelayError, request_id: str) -> None:
+    """Answer with an error and finish."""
+    request.setResponseCode(error.http_status)
+    retry_after = retry_after_header(error)
+    if retry_after is not None:
+        request.setHeader(b"retry-after", retry_after)
+    write_json(request, error_body(error, request_id))
+
+
+def write_json(request: Request, body: bytes) -> None:
+    """Answer with a JSON body and finish."""
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
+
+
+class WholeAnswer:
+    """Collects an answer and sends it once it is whole."""
+
+    __slots__ = ("_request", "_request_id", "_parts", "_status", "_content_type")
+
+    def __init__(self, request: Request, request_id: str) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._parts: list[bytes] = []
+        self._status = 200
+        self._content_type = ""
+
+    def start(self, status: int, content_type: str) -> None:
+        """Note status and content type; see ``AnswerSink``."""
+        self._parts.clear()
+        self._status = status
+        self._content_type = content_type
+
+    def write(self, data: bytes) -> None:
+        """Keep a piece; see ``AnswerSink``."""
+        self._parts.append(data)
+
+    def finish(self) -> None:
+        """Send the whole answer; see ``AnswerSink``."""
+        body = b"".join(self._parts)
+        self._request.setResponseCode(self._status)
+        self._request.setHeader(b"content-type", self._content_type.encode())
+        self._request.setHeader(b"content-length", str(len(body)).encode())
+        self._request.write(body)
+        self._request.finish()
+
+    def fail(self, error: RelayError) -> None:
+        """Send the error instead; see ``AnswerSink``."""
+        write_error(self._request, error, self._request_id)
+
+
+class StreamedAnswer:
+    """Sends an answer on as it comes, with comments while nothing comes.
+
+    :param keep_alive_s: time without data after which a comment is sent.
+    """
+
+    __slots__ = (
+        "_request",
+        "_request_id",
+        "_clock",
+        "_keep_alive_s",
+        "_timer",
+        "_on",
+        "_events",
+    )
+
+    def __init__(
+        self,
+        request: Request,
+        request_id: str,
+        clock: Clock,
+        keep_alive_s: float,
+    ) -> None:
+        self._request = request
+        self._request_id = request_id
+        self._clock = clock
+        self._keep_alive_s = keep_alive_s
+        self._timer: DelayedCall | None = None
+        self._on = False
+        self._events = False
+
+    def start(self, status: int, content_type: str) -> None:
+        """Send status and headers; see ``AnswerSink``."""
+        if self._on:
+            return
+        self._on = True
+        self._events = content_type.startswith(_EVENT_STREAM)
+        self._request.setResponseCode(status)
+        self._request.setHeader(b"content-type", content_type.encode())
+        self._request.setHeader(b"cache-control", b"no-store")
+        if self._events:
+            self._timer = self._clock.callLater(self._keep_alive_s, self._send_comment)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece; see ``AnswerSink``."""
+        self._request.write(data)
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(self._keep_alive_s)
+
+    def finish(self) -> None:
+        """Send the final event and finish; see ``AnswerSink``."""
+        self.stop()
+        if self._events:
+            self._request.write(_DONE_EVENT)
+        self._request.finish()
+
+    def fail(self, error: RelayError) -> None:
+        """Send the error, as an event if the answer has begun; see ``AnswerSink``."""
+        self.stop()
+        if not self._on:
+            write_error(self._request, error, self._request_id)
+            return
+        event = b"event: error\ndata: " + error_body(error, self._request_id) + b"\n\n"
+        self._request.write(event)
+        self._request.finish()
+
+    def stop(self) -> None:
+        """Send no more comments."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _send_comment(self) -> None:
+        self._request.write(_KEEP_ALIVE)
+        self._timer = self._clock.callLater(self._keep_alive_s, self._send_comment)
+
+
+__all__ = ["StreamedAnswer", "WholeAnswer", "write_error", "write_json"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/limited_request.py
@@ -0,0 +1,149 @@
+"""HTTP requests with bounds, kept in memory: the instances have no disks."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import TYPE_CHECKING, Any
+
+from twisted.web import http
+from twisted.web.server import Request, Site
+
+from corianderrelay.state.errors import InvalidRequestError, TooLargeError
+
+from ..protocol.error_body import error_body
+
+if TYPE_CHECKING:
+    from twisted.web.resource import Resource
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.state.errors import RelayError
+
+_ERROR_HEAD = (
+    b"HTTP/1.1 %s\r\nContent-Type: application/json\r\nConnection: close\r\n"
+    b"Content-Length: %d\r\n\r\n"
+)
+
+
+def _error_response(status: bytes, error: RelayError) -> bytes:
+    body = error_body(error, "")
+    return _ERROR_HEAD % (status, len(body)) + body
+
+
+class LimitedRequest(Request):
+    """A request whose body is bounded and must arrive in time."""
+
+    body_deadline: Any = None
+    refused = False
+
+    def gotLength(self, length: int | None) -> None:
+        """Prepare for a body of ``length`` bytes; called by Twisted."""
+        site = self._site
+        self.body_deadline = site.clock.callLater(
+            site.receive_body_s, self._abort_slow_body
+        )
+        if length is not None and length > site.max_body_bytes:
+            self._refuse_too_large()
+        self.content = BytesIO()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Take a piece of the body; called by Twisted."""
+        assert self.content is not None
+        if self.content.tell() + len(data) > self._site.max_body_bytes:
+            self._refuse_too_large()
+        if not self.refused:
+            self.content.write(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """Run the request now that its body is whole; called by Twisted."""
+        self._cancel_body_deadline()
+        if not self.refused:
+            super().requestReceived(command, path, version)
+
+    def connectionLost(self, reason: Any) -> None:
+        """Release what waits for the body; called by Twisted."""
+        self._cancel_body_deadline()
+        super().connectionLost(reason)
+
+    @property
+    def _site(self) -> LimitedSite:
+        channel: Any = self.channel
+        site: LimitedSite = channel.site
+        return site
+
+    def _cancel_body_deadline(self) -> None:
+        if self.body_deadline is not None and self.body_deadline.active():
+            self.body_deadline.cancel()
+
+    def _abort_slow_body(self) -> None:
+        self.channel.forceAbortClient()
+
+    def _refuse_too_large(self) -> None:
+        if self.refused:
+            return
+        self.refused = True
+        error = TooLargeError(
+            f"the body is over {self._site.max_body_bytes} bytes",
+            "send a smaller body",
+        )
+        connection: Any = self.channel.transport
+        connection.write(_error_response(b"413 Content Too Large", error))
+        self.channel.loseConnection()
+
+
+class LimitedChannel(http.HTTPChannel):
+    """A connection of a caller, with bounds on the size of its headers."""
+
+    def connectionMade(self) -> None:
+        """Set this connection's bounds; called by Twisted."""
+        self.totalHeadersSize = self.factory.max_header_bytes
+        super().connectionMade()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        # Twisted answers a malformed request without a body; callers get the reason.
+        error = InvalidRequestError(
+            "the request line or a header is malformed or over the limit",
+            "send HTTP/1.1 with headers within the limit",
+        )
+        connection: Any = self.transport
+        connection.write(_error_response(b"400 Bad Request", error))
+        self.loseConnection()
+
+
+class LimitedSite(Site):
+    """A site whose requests are bounded.
+
+    :param resource: root of the routes.
+    :param clock: the reactor.
+
+    :param max_body_bytes: largest body accepted.
+    :param max_header_bytes: largest sum of all header lines accepted.
+    :param receive_body_s: how long a body may take to arrive.
+    :param idle_s: how long a connection may be idle.
+    """
+
+    def __init__(
+        self,
+        resource: Resource,
+        clock: Clock,
+        *,
+        max_body_bytes: int,
+        max_header_bytes: int,
+        receive_body_s: float,
+        idle_s: float,
+    ) -> None:
+        root: Any = resource
+        super().__init__(root, requestFactory=LimitedRequest, timeout=idle_s)
+        self.clock = clock
+        self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
+        self.receive_body_s = receive_body_s
+        self.displayTracebacks = False
+        self.noisy = False
+
+    protocol: Any = LimitedChannel
+
+    def log(self, request: http.Request) -> None:
+        """Write no access log: each request has its own action in the log."""
+
+
+__all__ = ["LimitedRequest", "LimitedSite"]
--- /dev/null
+++ b/tests/features/steps/whole_path_steps.py
@@ -0,0 +1,116 @@
+"""Steps that send requests through a whole system of processes."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+
+from demo.processes import fetch
+from demo.system import KIT_SHOP_KEY, STREET_LIBRARY_KEY, DemoSystem, temporary_folder
+from tests.standins.engine_model import model_answer
+
+_READY_TIMEOUT_S = 30.0
+
+
+def wait_until(condition: Any, what: str) -> None:
+    """Wait until ``condition()`` holds; fail when it never does."""
+    deadline = time.monotonic() + _READY_TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline, f"never happened: {what}"
+        time.sleep(0.05)
+
+
+def chat_body(prompt: str, *, stream: bool) -> bytes:
+    """Return the body of a chat completion request."""
+    messages = [{"role": "user", "content": prompt}]
+    chat = {"model": "kit-model", "messages": messages, "stream": stream}
+    return json.dumps(chat).encode()
+
+
+def send_chat(entry: str, body: bytes, key: str) -> tuple[int, dict[str, str], bytes]:
+    """Send a chat completion to an entry."""
+    url = f"{entry}/v1/chat/completions"
+    return fetch(url, "POST", body, Authorization=f"Bearer {key}")
+
+
+def text_of(answer: bytes, *, streamed: bool) -> str:
+    """Return the text of an answer; a stream must end with its final event."""
+    if not streamed:
+        return str(json.loads(answer)["choices"][0]["message"]["content"])
+    events = [line[6:] for line in answer.decode().splitlines() if line[:6] == "data: "]
+    assert events[-1] == "[DONE]", events[-1]
+    deltas = [json.loads(event)["choices"][0]["delta"] for event in events[:-1]]
+    return "".join(delta.get("content", "") for delta in deltas)
+
+
+def _is_ready(system: DemoSystem) -> bool:
+    authorization = f"Bearer {system.operator_token}"
+    replies = [
+        json.loads(fetch(f"{url}/v1/status", Authorization=authorization)[2])
+        for url in system.operators
+    ]
+    return all(reply["ready"] and len(reply["runners"]) == 4 for reply in replies)
+
+
+@given("a running demo system")
+def step_running_system(context: Any) -> None:
+    folder = context.cleanup.enter_context(temporary_folder())
+    context.system = DemoSystem(Path(folder))
+    context.cleanup.callback(context.system.kill)
+    context.system.start()
+    wait_until(lambda: _is_ready(context.system), "the entries are ready")
+
+
+@when("a caller sends one chat completion, streamed and whole, to each entry")
+def step_send_chats(context: Any) -> None:
+    context.answers = [
+        (
+            prompt,
+            stream,
+            send_chat(entry, chat_body(prompt, stream=stream), KIT_SHOP_KEY),
+        )
+        for entry in context.system.entries
+        for prompt in ("Which frames fit?", "How is wax foundation fixed?")
+        for stream in (True, False)
+    ]
+
+
+@then("each answer is the model's own answer to that prompt")
+def step_own_answers(context: Any) -> None:
+    for prompt, stream, (status, _, body) in context.answers:
+        expected = "".join(model_answer(json.loads(chat_body(prompt, stream=stream))))
+        assert status == 200, body
+        assert text_of(body, streamed=stream) == expected
+
+
+@when("callers without the right key ask")
+def step_wrong_keys(context: Any) -> None:
+    entry = context.system.entries[0]
+    body = chat_body("Hello", stream=False)
+    _, headers, _ = send_chat(entry, body, KIT_SHOP_KEY)
+    foreign = f"{entry}/v1/requests/{headers['x-request-id']}"
+    operators = context.system.operators[0]
+    context.refusals = {
+        "wrong key": send_chat(entry, body, "guessed"),
+        "foreign request": fetch(foreign, Authorization=f"Bearer {STREET_LIBRARY_KEY}"),
+        "wrong token": fetch(f"{operators}/v1/status", Authorization="Bearer guessed"),
+    }
+    context.next_status = send_chat(entry, body, STREET_LIBRARY_KEY)[0]
+
+
+@then("each gets its typed error and the next request is served")
+def step_refused(context: Any) -> None:
+    kinds = {
+        name: json.loads(body)["error"]["kind"]
+        for name, (_, _, body) in context.refusals.items()
+    }
+    assert kinds == {
+        "wrong key": "unauthorized",
+        "foreign request": "not_found",
+        "wrong token": "unauthorized",
+    }, kinds
+    assert context.next_status == 200
