Decode frames with a typed decoder behind a length prefix

A profile of the codec alone: msgpack.Unpacker and msgspec.convert took 20.3 us a chunk, because the union of message types is analysed anew at each call; a prepared msgspec decoder of the same msgpack bytes takes 0.24 us. It needs whole frames, so each has a 4-byte length (twisted's Int32StringReceiver), which also refuses an oversized frame before it is received. Ruled out: fewer, larger chunks (engines emit once a step, nothing to join).

--- /dev/null
+++ b/bench/byte_relay.py
@@ -0,0 +1,39 @@
+"""Baseline: a bare Twisted relay that copies bytes and understands nothing.
+
+``python -m bench.byte_relay --to PORT`` prints ``{"listening": port}``.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import click
+from twisted.internet import reactor as installed_reactor
+from twisted.protocols.portforward import ProxyFactory
+
+
+@click.command()
+@click.option("--to", "ports", type=int, multiple=True, required=True)
+def main(ports: tuple[int, ...]) -> None:
+    """Relay connections on a port of the system's choice to the ports in turn."""
+    reactor: Any = installed_reactor
+    listening = reactor.listenTCP(0, _InTurn(ports), interface="127.0.0.1")
+    print(json.dumps({"listening": listening.getHost().port}), flush=True)
+    reactor.run()
+
+
+class _InTurn(ProxyFactory):
+    def __init__(self, ports: tuple[int, ...]) -> None:
+        super().__init__("127.0.0.1", ports[0])
+        self._ports = ports
+        self._next = 0
+
+    def buildProtocol(self, addr: Any) -> Any:
+        self.port = self._ports[self._next]
+        self._next = (self._next + 1) % len(self._ports)
+        return super().buildProtocol(addr)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,194 @@
+"""Cost of the relay, as ratios to a bare two-hop byte relay of the same streams.
+
+Both ways carry the same streams from the same engines in one run, one after the
+other. CPU is each process's own time; the machine's other work does not count.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
+
+import click
+import psutil
+
+from demo.processes import Process
+from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_READY_TIMEOUT_S = 60.0
+_CLIENT_TIMEOUT_S = 240.0
+_MICROSECONDS = 1e6
+
+
+@dataclass(slots=True)
+class WayResult:
+    """What one way cost.
+
+    :param near_cpu_us: CPU a token of the hop near the caller, in microseconds.
+    :param far_cpu_us: CPU a token of all hops near the engines together.
+    """
+
+    tokens: int
+    whole: int
+    streams: int
+    near_cpu_us: float
+    far_cpu_us: float
+    first_byte_p50_s: float
+    first_byte_p99_s: float
+
+
+class BenchSystem(DemoSystem):
+    """A demo system of one entry and several engines with many slots."""
+
+    def __init__(self, folder: Path, engines: int, slots: int, step_s: float) -> None:
+        super().__init__(folder)
+        self.engine_count = engines
+        self.entry_count = 1
+        self.engine_options = ["--slots", str(slots), "--step-s", str(step_s)]
+        self.agent_slots = slots
+
+    def wait_until_ready(self) -> None:
+        """Wait until the entry knows all runners."""
+        deadline = time.monotonic() + _READY_TIMEOUT_S
+        while not self.ready(self.engine_count + 1):
+            if time.monotonic() > deadline:
+                raise click.ClickException("the system did not become ready")
+            time.sleep(0.1)
+
+
+def run_way(
+    folder: Path,
+    name: str,
+    url: str,
+    load: Sequence[str],
+    near: Sequence[Process],
+    far: Sequence[Process],
+) -> WayResult:
+    """Send the load to ``url`` and return what the hops spent on it."""
+    before = _cpu_s(near), _cpu_s(far)
+    client = _client(folder, name, url, load)
+    result = client.wait_for_line("tokens", _CLIENT_TIMEOUT_S)
+    client.wait()
+    spent = _cpu_s(near) - before[0], _cpu_s(far) - before[1]
+    tokens = max(1, result["tokens"])
+    return WayResult(
+        tokens=result["tokens"],
+        whole=result["whole"],
+        streams=result["streams"],
+        near_cpu_us=spent[0] / tokens * _MICROSECONDS,
+        far_cpu_us=spent[1] / tokens * _MICROSECONDS,
+        first_byte_p50_s=percentile(result["first_bytes_s"], 0.50),
+        first_byte_p99_s=percentile(result["first_bytes_s"], 0.99),
+    )
+
+
+def _client(folder: Path, name: str, url: str, load: Sequence[str]) -> Process:
+    command = ["-m", "bench.stream_client", "--url", url, "--key", KIT_SHOP_KEY, *load]
+    return Process(f"client-{name}", command, folder / f"client-{name}.log")
+
+
+def _cpu_s(processes: Sequence[Process]) -> float:
+    times = [psutil.Process(process.pid).cpu_times() for process in processes]
+    return sum(spent.user + spent.system for spent in times)
+
+
+def resident_mb(process: Process) -> float:
+    """Return the resident memory of a process in MB."""
+    return float(psutil.Process(process.pid).memory_info().rss) / 1e6
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return a percentile of sorted values."""
+    if not ordered:
+        return math.nan
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def start_byte_relays(folder: Path, system: DemoSystem) -> tuple[str, list[Process]]:
+    """Start a bare relay before each engine and one before them all."""
+    far = [
+        _start_byte_relay(folder, f"far-{number}", [_port(url)])
+        for number, url in enumerate(system.engine_urls)
+    ]
+    ports = [process.wait_for_line("listening")["listening"] for process in far]
+    near = _start_byte_relay(folder, "near", ports)
+    port = near.wait_for_line("listening")["listening"]
+    return f"http://127.0.0.1:{port}", [near, *far]
+
+
+def _start_byte_relay(folder: Path, name: str, ports: list[int]) -> Process:
+    targets = [part for port in ports for part in ("--to", str(port))]
+    command = ["-m", "bench.byte_relay", *targets]
+    return Process(f"bytes-{name}", command, folder / f"bytes-{name}.log")
+
+
+def _port(url: str) -> int:
+    return int(urlsplit(url).port or 0)
+
+
+@click.command()
+@click.option("--streams", default=400)
+@click.option("--tokens", default=100)
+@click.option("--engines", default=4)
+@click.option("--step-s", default=0.059, help="Time between the tokens of a stream.")
+@click.option("--per-second", default=100.0, help="Streams opened a second.")
+def main(
+    streams: int, tokens: int, engines: int, step_s: float, per_second: float
+) -> None:
+    """Measure both ways in one run and print one JSON line."""
+    load = ["--streams", str(streams), "--tokens", str(tokens)]
+    load += ["--per-second", str(per_second)]
+    with temporary_folder() as name:
+        folder = Path(name)
+        system = BenchSystem(folder, engines, streams, step_s)
+        relays: list[Process] = []
+        try:
+            system.start()
+            system.wait_until_ready()
+            url, relays = start_byte_relays(folder, system)
+            bare = run_way(folder, "bare", url, load, relays[:1], relays[1:])
+            ours = run_way(
+                folder,
+                "ours",
+                system.entries[0],
+                load,
+                system.processes_named("entry"),
+                system.processes_named("agent"),
+            )
+        finally:
+            for process in relays:
+                process.kill()
+            system.kill()
+    click.echo(json.dumps(_report(bare, ours)))
+
+
+def _report(bare: WayResult, ours: WayResult) -> dict[str, Any]:
+    def rounded(result: WayResult) -> dict[str, Any]:
+        names = WayResult.__slots__
+        return {name: round(getattr(result, name), 4) for name in names}
+
+    return {
+        "bench": "relay",
+        "bare": rounded(bare),
+        "ours": rounded(ours),
+        "entry_cpu_ratio": round(ours.near_cpu_us / bare.near_cpu_us, 3),
+        "agent_cpu_ratio": round(ours.far_cpu_us / bare.far_cpu_us, 3),
+        "added_first_byte_p50_ms": round(
+            (ours.first_byte_p50_s - bare.first_byte_p50_s) * 1000, 2
+        ),
+        "added_first_byte_p99_ms": round(
+            (ours.first_byte_p99_s - bare.first_byte_p99_s) * 1000, 2
+        ),
+    }
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -50,12 +50,14 @@
         """The exit code; ``None`` while it runs."""
         return self._popen.poll()
 
-    def wait_for_line(self, key: str) -> dict[str, Any]:
+    def wait_for_line(
+        self, key: str, timeout_s: float = _START_TIMEOUT_S
+    ) -> dict[str, Any]:
         """Return the first JSON line that has ``key``, waiting until it is written.
 
         :raises StartError: the process ended, or the line did not come in time.
         """
-        deadline = time.monotonic() + _START_TIMEOUT_S
+        deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             found = next((line for line in self._json_lines() if key in line), None)
             if found is not None:
--- a/demo/system.py
+++ b/demo/system.py
@@ -7,10 +7,13 @@
 import secrets
 import tempfile
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from .processes import Process, fetch
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 KIT_SHOP_KEY = "kit-shop-demo-key"
 STREET_LIBRARY_KEY = "street-library-demo-key"
 _ZONES = ("oslo-a", "oslo-b")
@@ -25,6 +28,10 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self.engine_count = 3
+        self.entry_count = 2
+        self.engine_options: list[str] = []
+        self.agent_slots = 8
         self.processes: list[Process] = []
         self.entries: list[str] = []
         self.operators: list[str] = []
@@ -39,7 +46,10 @@
         """Start everything and publish the configuration document."""
         self.log_url = self._stand_in("log")
         self.instances_url = self._stand_in("instances")
-        self.engine_urls = [self._stand_in("engine", number) for number in range(3)]
+        self.engine_urls = [
+            self._stand_in("engine", number, self.engine_options)
+            for number in range(self.engine_count)
+        ]
         self.service_url = self._stand_in("service")
         self._start_agents()
         self._start_entries()
@@ -58,6 +68,12 @@
         url = f"{operators_url}/v1/status"
         return json.loads(fetch(url, Authorization=authorization)[2])
 
+    def processes_named(self, prefix: str) -> list[Process]:
+        """Return the processes whose name begins with ``prefix``."""
+        return [
+            process for process in self.processes if process.name.startswith(prefix)
+        ]
+
     def stop(self) -> list[tuple[str, int]]:
         """Stop everything, entries first; return names and exit codes."""
         return [(process.name, process.stop()) for process in reversed(self.processes)]
@@ -77,9 +93,10 @@
         text = text.replace("KIT_SHOP_KEY_DIGEST", _digest(KIT_SHOP_KEY))
         return text.replace("STREET_LIBRARY_KEY_DIGEST", _digest(STREET_LIBRARY_KEY))
 
-    def _stand_in(self, kind: str, number: int = 0) -> str:
+    def _stand_in(self, kind: str, number: int = 0, options: Sequence[str] = ()) -> str:
         name = f"{kind}-{number}"
-        process = self._start(name, ["-m", "tests.standins.run", kind, "--port", "0"])
+        command = ["-m", "tests.standins.run", kind, "--port", "0", *options]
+        process = self._start(name, command)
         port = process.wait_for_line("listening")["listening"]
         return f"http://127.0.0.1:{port}"
 
@@ -92,7 +109,7 @@
                 "model": "kit-model",
                 "group": "assistant-group" if in_group else "",
                 "rank": number if in_group else 0,
-                "slots": 8,
+                "slots": self.agent_slots,
             }
             self._start_agent(f"agent-{number}", _ZONES[number % 2], endpoint)
         self._start_agent(
@@ -118,7 +135,7 @@
     def _start_entries(self) -> None:
         token_file = self.folder / "operators.token"
         token_file.write_text(self.operator_token)
-        for number, zone in enumerate(_ZONES):
+        for number, zone in enumerate(_ZONES[: self.entry_count]):
             name = f"entry-{number}"
             settings = {
                 "instance_id": name,
--- a/packages/corianderrelay-core/src/corianderrelay/transport/framed_stream.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/framed_stream.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Protocol, cast
 
-from twisted.internet import protocol
+from twisted.protocols.basic import Int32StringReceiver
 
-from ..protocol.codec import FrameDecoder, encode_message
-from ..protocol.messages import Closing
+from ..protocol.codec import decode_message, encode_message
+from ..protocol.messages import MAX_FRAME_BYTES, Closing
 from ..state.errors import FrameError
 
 if TYPE_CHECKING:
@@ -41,7 +41,7 @@
     def abortConnection(self) -> None: ...
 
 
-class FramedStream(protocol.Protocol):
+class FramedStream(Int32StringReceiver):
     """One connection that carries messages.
 
     Messages sent within one turn of the loop leave in one write, which is what keeps
@@ -51,10 +51,11 @@
     :param clock: the reactor, or a virtual clock.
     """
 
+    MAX_LENGTH = MAX_FRAME_BYTES
+
     def __init__(self, listener: StreamListener, clock: Clock) -> None:
         self._listener = listener
         self._clock = clock
-        self._decoder = FrameDecoder()
         self._pending: list[bytes] = []
         self._close_reason = ""
         self.last_received_s = clock.seconds()
@@ -73,7 +74,7 @@
         """Queue a message; it leaves at the end of this turn of the loop."""
         if not self._pending:
             self._clock.callLater(0, self._flush)
-        self._pending.append(encode_message(message))
+        self._pending.append(_with_length(encode_message(message)))
 
     def _flush(self) -> None:
         frames = b"".join(self._pending)
@@ -86,12 +87,23 @@
         """Decode what has arrived; called by Twisted."""
         self.last_received_s = self._clock.seconds()
         self.received_bytes += len(data)
+        super().dataReceived(data)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Decode one frame; called by Twisted."""
         try:
-            for message in self._decoder.feed(data):
-                self._deliver(message)
+            self._deliver(decode_message(string))
         except FrameError as error:
             self.refuse(error)
 
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Refuse a frame before it is received; called by Twisted."""
+        error = FrameError(
+            f"a frame of {length} bytes is over the limit of {self.MAX_LENGTH}",
+            "split the answer into smaller chunks",
+        )
+        self.refuse(error)
+
     def _deliver(self, message: AnyMessage) -> None:
         if isinstance(message, Closing):
             self._close_reason = f"the peer closed it: {message.kind}: {message.detail}"
@@ -108,7 +120,8 @@
         self._close_reason = self._close_reason or f"{error.kind}: {error}"
         if self.connected:
             transport = cast("_Transport", self.transport)
-            transport.write(encode_message(Closing(error.kind, str(error))))
+            closing = encode_message(Closing(error.kind, str(error)))
+            transport.write(_with_length(closing))
             transport.loseConnection()
 
     def close(self, reason: str) -> None:
@@ -118,4 +131,8 @@
             cast("_Transport", self.transport).abortConnection()
 
 
+def _with_length(frame: bytes) -> bytes:
+    return len(frame).to_bytes(4, "big") + frame
+
+
 __all__ = ["FramedStream", "StreamListener"]
--- a/tests/features/core/protocol/codec.feature
+++ b/tests/features/core/protocol/codec.feature
@@ -1,13 +1,14 @@
 Feature: Frames between our processes
 
-  Scenario: A message survives encoding, however the bytes are split
-    Given a dispatch message
-    When its frame is fed to a decoder one byte at a time
-    Then the decoder yields the same message once
+  Scenario: A message survives the stream, however its bytes are split
+    Given a stream that listens
+    When a dispatch message is fed to it one byte at a time
+    Then the stream delivers the same message once
 
-  Scenario Outline: A malformed frame is refused with a typed error
-    When the frame <frame> is fed to a decoder
-    Then it fails with a bad_frame error
+  Scenario Outline: A malformed frame closes its stream with a typed error
+    Given a stream that listens
+    When the frame <frame> is fed to it
+    Then it delivers nothing and closes with a bad_frame error
 
     Examples:
       | frame            |
@@ -19,7 +20,7 @@
       | 92a470696e67a178 |
       | 91a470696e67     |
 
-  Scenario: A frame over the limit is refused before it is whole
-    Given a decoder that takes frames of up to 1024 bytes
-    When it is fed a string of 2000 bytes that declares four gigabytes
-    Then it fails with a bad_frame error
+  Scenario: A frame over the limit is refused before it is received
+    Given a stream that listens
+    When a length of four gigabytes is fed to it
+    Then it delivers nothing and closes with a bad_frame error
--- a/tests/features/processes/bad_input.feature
+++ b/tests/features/processes/bad_input.feature
@@ -64,6 +64,8 @@
       | negative number        | 92a470696e67ff                      |
       | too many fields        | dc004100                            |
       | nested too deep        | 919191919191919191919191919191919190 |
+      | huge declared length   | length ffffffff                     |
+      | empty frame            | length 00000000                     |
       | broken UTF-8           | 92a470696e67a1ff                    |
       | message before hello   | 92a470696e6701                      |
       | message of the agent   | 92a76c656176696e6701                |
--- a/tests/features/steps/bad_input_steps.py
+++ b/tests/features/steps/bad_input_steps.py
@@ -10,11 +10,11 @@
 
 from behave import then, when
 
-from corianderrelay.protocol.codec import FrameDecoder, encode_message
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Closing, Hello
 
 from demo.processes import fetch
 from demo.system import KIT_SHOP_KEY
+from tests.frames import framed, messages_of, with_length
 
 _TIMEOUT_S = 20.0
 
@@ -24,6 +24,12 @@
     return filled.encode().decode("unicode_escape").encode("latin-1")
 
 
+def _frames(text: str) -> bytes:
+    if text.startswith("length "):
+        return bytes.fromhex(text.removeprefix("length "))
+    return with_length(bytes.fromhex(text))
+
+
 def _connect(host: str, port: int) -> socket.socket:
     connection = socket.create_connection((host, port), timeout=_TIMEOUT_S)
     connection.settimeout(_TIMEOUT_S)
@@ -85,8 +91,8 @@
 @when("the agent is sent the frames {frames}")
 def step_malformed_frames(context: Any, frames: str) -> None:
     with _connect("127.0.0.1", context.system.agent_ports["agent-0"]) as connection:
-        connection.sendall(bytes.fromhex(frames))
-        context.messages = list(FrameDecoder().feed(_read_to_end(connection)))
+        connection.sendall(_frames(frames))
+        context.messages = messages_of(_read_to_end(connection))
 
 
 @then("it closes that stream with the error kind bad_frame")
@@ -100,7 +106,7 @@
 def step_agent_still_serves(context: Any) -> None:
     hello = Hello(PROTOCOL_VERSION, "probe", 1, "oslo-a", "entry")
     with _connect("127.0.0.1", context.system.agent_ports["agent-0"]) as connection:
-        connection.sendall(encode_message(hello))
-        first = next(iter(FrameDecoder().feed(connection.recv(65536))))
+        connection.sendall(framed(hello))
+        first = messages_of(connection.recv(65536))[0]
     assert isinstance(first, Hello), first
     assert context.system.ready(4), "an entry has lost an agent"
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -1,73 +1,78 @@
-"""Steps for the codec of the streams between our processes."""
+"""Steps for the frames of the streams between our processes."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from behave import given, then, when
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
-from corianderrelay.protocol.codec import FrameDecoder, encode_message
-from corianderrelay.protocol.messages import Dispatch
-from corianderrelay.state.errors import FrameError
+from corianderrelay.protocol.messages import Closing, Dispatch
+from corianderrelay.transport.framed_stream import FramedStream
 
+from tests.frames import framed, messages_of, with_length
 
-@given("a dispatch message")
-def step_dispatch(context: Any) -> None:
-    context.message = Dispatch(
-        attempt_id="a1",
-        request_id="r1",
-        workspace="kits",
-        service="assistant",
-        method="POST",
-        path="/v1/chat/completions",
-        content_type="application/json",
-        body=b"{}",
-        deadline_ms=1000,
-    )
+_MESSAGE = Dispatch(
+    attempt_id="a1",
+    request_id="r1",
+    workspace="kits",
+    service="assistant",
+    method="POST",
+    path="/v1/chat/completions",
+    content_type="application/json",
+    body=b"{}",
+    deadline_ms=1000,
+)
 
 
-@when("its frame is fed to a decoder one byte at a time")
-def step_feed_bytewise(context: Any) -> None:
-    decoder = FrameDecoder()
-    frame = encode_message(context.message)
-    context.decoded = [
-        message
-        for index in range(len(frame))
-        for message in decoder.feed(frame[index : index + 1])
-    ]
+class _Listener:
+    def __init__(self) -> None:
+        self.delivered: list[Any] = []
 
+    def stream_opened(self, stream: FramedStream) -> None:
+        """Not looked at."""
 
-@then("the decoder yields the same message once")
-def step_same_message(context: Any) -> None:
-    assert context.decoded == [context.message], context.decoded
+    def message_received(self, stream: FramedStream, message: Any) -> None:
+        self.delivered.append(message)
 
+    def stream_closed(self, stream: FramedStream, reason: str) -> None:
+        """Not looked at."""
 
-def _error_of(decoder: FrameDecoder, data: bytes) -> FrameError | None:
-    try:
-        list(decoder.feed(data))
-    except FrameError as error:
-        return error
-    return None
 
+@given("a stream that listens")
+def step_stream(context: Any) -> None:
+    context.listener = _Listener()
+    context.transport = StringTransport()
+    context.stream = FramedStream(context.listener, Clock())
+    context.stream.makeConnection(context.transport)
 
-@when("the frame {frame} is fed to a decoder")
-def step_feed_malformed(context: Any, frame: str) -> None:
-    context.error = _error_of(FrameDecoder(), bytes.fromhex(frame))
+
+@when("a dispatch message is fed to it one byte at a time")
+def step_feed_bytewise(context: Any) -> None:
+    for byte in framed(_MESSAGE):
+        context.stream.dataReceived(bytes([byte]))
 
 
-@given("a decoder that takes frames of up to {limit:d} bytes")
-def step_limited_decoder(context: Any, limit: int) -> None:
-    context.decoder = FrameDecoder(limit)
+@then("the stream delivers the same message once")
+def step_same_message(context: Any) -> None:
+    assert context.listener.delivered == [_MESSAGE], context.listener.delivered
+
+
+@when("the frame {frame} is fed to it")
+def step_feed_malformed(context: Any, frame: str) -> None:
+    context.stream.dataReceived(with_length(bytes.fromhex(frame)))
 
 
-@when("it is fed a string of {sent:d} bytes that declares four gigabytes")
-def step_feed_huge_string(context: Any, sent: int) -> None:
-    data = b"\xdb\xff\xff\xff\xff" + bytes(sent)
-    context.error = _error_of(context.decoder, data)
+@when("a length of four gigabytes is fed to it")
+def step_feed_length(context: Any) -> None:
+    context.stream.dataReceived(bytes.fromhex("ffffffff"))
 
 
-@then("it fails with a bad_frame error")
+@then("it delivers nothing and closes with a bad_frame error")
 def step_bad_frame(context: Any) -> None:
-    assert context.error is not None, "the frame was accepted"
-    assert context.error.kind == "bad_frame"
-    assert context.error.remedy
+    assert context.listener.delivered == [], context.listener.delivered
+    assert context.transport.disconnecting, "the stream stays open"
+    (closing,) = messages_of(context.transport.value())
+    assert isinstance(closing, Closing) and closing.kind == "bad_frame", closing
+    assert closing.detail, closing
--- /dev/null
+++ b/tests/frames.py
@@ -0,0 +1,37 @@
+"""Frames of our own streams for tests that speak to a process over a plain socket."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from corianderrelay.protocol.codec import decode_message, encode_message
+
+if TYPE_CHECKING:
+    from corianderrelay.protocol.messages import AnyMessage
+
+_PREFIX_BYTES = 4
+
+
+def with_length(frame: bytes) -> bytes:
+    """Return a frame with its length prefix."""
+    return len(frame).to_bytes(_PREFIX_BYTES, "big") + frame
+
+
+def framed(message: AnyMessage) -> bytes:
+    """Return a message as it is sent."""
+    return with_length(encode_message(message))
+
+
+def messages_of(data: bytes) -> list[AnyMessage]:
+    """Return the whole messages in what a peer has sent."""
+    messages = []
+    while len(data) >= _PREFIX_BYTES:
+        end = _PREFIX_BYTES + int.from_bytes(data[:_PREFIX_BYTES], "big")
+        if len(data) < end:
+            break
+        messages.append(decode_message(data[_PREFIX_BYTES:end]))
+        data = data[end:]
+    return messages
+
+
+__all__ = ["framed", "messages_of", "with_length"]
