Serve callers and own streams over TLS, with certificates reloaded on SIGHUP

Cause: keys of workspaces and orders crossed the network in clear text. Ruled out: a self-made wrapper (twisted and pyOpenSSL have it); restarting to renew a certificate, which would cut streams. Seen failing first: with the authority not required of peers, 'only peers with a certificate' fails; with the context kept at reload, 'a renewed certificate' fails.

--- a/demo/system.py
+++ b/demo/system.py
@@ -32,6 +32,9 @@
         self.entry_count = 2
         self.engine_options: list[str] = []
         self.agent_slots = 8
+        self.agent_tls: dict[str, str] | None = None
+        self.entry_stream_tls: dict[str, str] | None = None
+        self.caller_tls: dict[str, str] | None = None
         self.processes: list[Process] = []
         self.entries: list[str] = []
         self.operators: list[str] = []
@@ -124,7 +127,7 @@
             "zone": zone,
             "endpoint": endpoint,
             "platform": self._platform(),
-            "streams": {"host": "127.0.0.1", "port": 0},
+            "streams": {"host": "127.0.0.1", "port": 0, "tls": self.agent_tls},
         }
         command = ["-m", "corianderrelay_agent.run", "run", "--settings"]
         process = self._start(name, [*command, self._write(name, settings)])
@@ -140,7 +143,8 @@
             settings = {
                 "instance_id": name,
                 "zone": zone,
-                "callers": {"host": "127.0.0.1", "port": 0},
+                "callers": {"host": "127.0.0.1", "port": 0, "tls": self.caller_tls},
+                "own_streams_tls": self.entry_stream_tls,
                 "operators": {
                     "host": "127.0.0.1",
                     "port": 0,
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -4,14 +4,19 @@
 
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
 
 import click
 from result import Err
 
 from corianderrelay.transport.settings_file import read_settings
+from corianderrelay.transport.tls import TlsFiles
 
 from .state.settings import AgentSettings
 
+if TYPE_CHECKING:
+    from corianderrelay.state.errors import RelayError
+
 _EXIT_REFUSED = 1
 
 _settings_option = click.option(
@@ -33,10 +38,10 @@
 @_settings_option
 def run(settings_file: Path) -> None:
     """Run beside one engine rank or plain service until SIGTERM."""
-    settings = _load(settings_file)
+    settings, tls = _load(settings_file)
     from .serve import serve_agent
 
-    sys.exit(serve_agent(settings))
+    sys.exit(serve_agent(settings, tls))
 
 
 @main.command("check-settings")
@@ -47,13 +52,23 @@
     click.echo("settings are valid")
 
 
-def _load(settings_file: Path) -> AgentSettings:
+def _load(settings_file: Path) -> tuple[AgentSettings, TlsFiles | None]:
     settings = read_settings(settings_file, AgentSettings)
     if isinstance(settings, Err):
-        error = settings.err_value
-        click.echo(f"{error.kind}: {error}", err=True)
-        sys.exit(_EXIT_REFUSED)
-    return settings.ok_value
+        _refuse(settings.err_value)
+    tls_settings = settings.ok_value.streams.tls
+    if tls_settings is None:
+        return settings.ok_value, None
+    tls = TlsFiles(tls_settings)
+    loaded = tls.load()
+    if isinstance(loaded, Err):
+        _refuse(loaded.err_value)
+    return settings.ok_value, tls
+
+
+def _refuse(error: RelayError) -> NoReturn:
+    click.echo(f"{error.kind}: {error}", err=True)
+    sys.exit(_EXIT_REFUSED)
 
 
 __all__ = ["main"]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import eliot
+from result import Err, Ok
 
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
 from corianderrelay.transport.json_log import start_log
@@ -17,6 +18,8 @@
 from .transport.entry_listener import EntryListener
 
 if TYPE_CHECKING:
+    from corianderrelay.transport.tls import TlsFiles
+
     from .state.settings import AgentSettings
 
 _EXIT_OK = 0
@@ -25,24 +28,28 @@
 _INCARNATION_BITS = 62
 
 
-def serve_agent(settings: AgentSettings) -> int:
+def serve_agent(settings: AgentSettings, tls: TlsFiles | None) -> int:
     """Serve until the process is told to stop; return its exit code.
 
+    :param tls: certificates of the streams, already read; ``None`` for plain ones.
     :returns: 0 when nothing was cut off, 1 otherwise.
     """
     from twisted.internet import reactor as installed_reactor
 
     reactor: Any = installed_reactor
     start_log(sys.stdout.buffer, settings.instance_id, "agent")
-    service = _AgentService(settings, reactor)
+    service = _AgentService(settings, tls, reactor)
     reactor.callWhenRunning(service.start)
     reactor.run(installSignalHandlers=False)
     return service.exit_code
 
 
 class _AgentService:
-    def __init__(self, settings: AgentSettings, reactor: Any) -> None:
+    def __init__(
+        self, settings: AgentSettings, tls: TlsFiles | None, reactor: Any
+    ) -> None:
         self._settings = settings
+        self._tls = tls
         self._reactor = reactor
         engine = HttpEngine(reactor, settings.endpoint.url)
         self._attempts = Attempts(engine, settings.endpoint, reactor.seconds)
@@ -56,15 +63,27 @@
     def start(self) -> None:
         """Listen for entries."""
         streams = self._settings.streams
-        listening = self._reactor.listenTCP(
-            streams.port, self._listener, interface=streams.host
-        )
+        listening = self._listen(streams.host, streams.port)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
         eliot.log_message(
             message_type="agent:listening", streams_port=listening.getHost().port
         )
 
+    def _listen(self, host: str, port: int) -> Any:
+        if self._tls is None:
+            return self._reactor.listenTCP(port, self._listener, interface=host)
+        return self._reactor.listenSSL(port, self._listener, self._tls, interface=host)
+
+    def _on_hangup(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._reload_tls)
+
+    def _reload_tls(self) -> None:
+        loaded = Ok(None) if self._tls is None else self._tls.load()
+        fault = str(loaded.err_value) if isinstance(loaded, Err) else ""
+        eliot.log_message(message_type="agent:tls_reloaded", fault=fault)
+
     def _hello(self) -> Hello:
         endpoint = self._settings.endpoint
         return Hello(
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -12,6 +12,7 @@
 from corianderrelay.transport.settings_file import read_secret, read_settings
 
 from .state.settings import EntrySettings
+from .transport.entry_tls import EntryTls
 
 if TYPE_CHECKING:
     from corianderrelay.state.errors import RelayError
@@ -37,10 +38,10 @@
 @_settings_option
 def serve(settings_file: Path) -> None:
     """Serve callers and operators until SIGTERM."""
-    settings, token = _load(settings_file)
+    settings, token, tls = _load(settings_file)
     from .serve import serve_entry
 
-    sys.exit(serve_entry(settings, token))
+    sys.exit(serve_entry(settings, token, tls))
 
 
 @main.command("check-settings")
@@ -51,14 +52,18 @@
     click.echo("settings are valid")
 
 
-def _load(settings_file: Path) -> tuple[EntrySettings, str]:
+def _load(settings_file: Path) -> tuple[EntrySettings, str, EntryTls]:
     settings = read_settings(settings_file, EntrySettings)
     if isinstance(settings, Err):
         _refuse(settings.err_value)
     token = read_secret(Path(settings.ok_value.operators.token_file))
     if isinstance(token, Err):
         _refuse(token.err_value)
-    return settings.ok_value, token.ok_value
+    tls = EntryTls(settings.ok_value)
+    loaded = tls.load()
+    if isinstance(loaded, Err):
+        _refuse(loaded.err_value)
+    return settings.ok_value, token.ok_value, tls
 
 
 def _refuse(error: RelayError) -> NoReturn:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -26,6 +26,7 @@
     from corianderrelay.coordination.instance_list import Instance, InstanceList
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.state.call import Call
+    from corianderrelay.transport.tls import TlsFiles
 
     from .coordination.answer_sink import AnswerSink
     from .state.open_request import OpenRequest
@@ -39,6 +40,7 @@
     """An entry process without its listening ports.
 
     :param clock: the reactor.
+    :param tls: certificates of the streams to agents; ``None`` for plain streams.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         log: LogClient,
         instances: InstanceList,
         clock: Any,
+        tls: TlsFiles | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -69,7 +72,7 @@
             settings.zone,
             "entry",
         )
-        self.connector = AgentConnector(self.relay, hello, settings.timing, clock)
+        self.connector = AgentConnector(self.relay, hello, settings.timing, clock, tls)
         self._list_poll = Periodic(clock, self._poll_instances)
 
     @property
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
@@ -20,36 +20,43 @@
 if TYPE_CHECKING:
     from twisted.web.resource import Resource
 
+    from corianderrelay.transport.tls import TlsFiles
+
     from .state.settings import EntrySettings
+    from .transport.entry_tls import EntryTls
 
 _EXIT_OK = 0
 _EXIT_CUT = 1
 _DRAIN_POLL_S = 0.1
 
 
-def serve_entry(settings: EntrySettings, operators_token: str) -> int:
+def serve_entry(settings: EntrySettings, operators_token: str, tls: EntryTls) -> int:
     """Serve until the process is told to stop; return its exit code.
 
+    :param tls: certificates that are already read.
     :returns: 0 when nothing was cut off, 1 otherwise.
     """
     from twisted.internet import reactor as installed_reactor
 
     reactor: Any = installed_reactor
     start_log(sys.stdout.buffer, settings.instance_id, "entry")
-    service = _EntryService(settings, operators_token, reactor)
+    service = _EntryService(settings, operators_token, tls, reactor)
     reactor.callWhenRunning(service.start)
     reactor.run(installSignalHandlers=False)
     return service.exit_code
 
 
 class _EntryService:
-    def __init__(self, settings: EntrySettings, token: str, reactor: Any) -> None:
+    def __init__(
+        self, settings: EntrySettings, token: str, tls: EntryTls, reactor: Any
+    ) -> None:
         self._settings = settings
         self._token = token
+        self._tls = tls
         self._reactor = reactor
         log = HttpLogClient(reactor, settings.platform.log_url)
         instances = HttpInstanceList(reactor, settings.platform.instances_url)
-        self._entry = Entry(settings, log, instances, reactor)
+        self._entry = Entry(settings, log, instances, reactor, tls.own_streams)
         self._drain_started_s: float | None = None
         self.exit_code = _EXIT_OK
 
@@ -57,21 +64,29 @@
         """Listen and connect."""
         callers = self._settings.callers
         operators = self._settings.operators
-        caller_port = self._listen(CallersSite(self._entry), callers.host, callers.port)
+        caller_port = self._listen(
+            CallersSite(self._entry), callers.host, callers.port, self._tls.callers
+        )
         operator_port = self._listen(
-            OperatorsSite(self._entry, self._token), operators.host, operators.port
+            OperatorsSite(self._entry, self._token),
+            operators.host,
+            operators.port,
+            self._tls.operators,
         )
         self._entry.address = callers.address or f"{callers.host}:{caller_port}"
         self._entry.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
         eliot.log_message(
             message_type="entry:listening",
             callers_port=caller_port,
             operators_port=operator_port,
         )
 
-    def _listen(self, resource: Resource, host: str, port: int) -> int:
+    def _listen(
+        self, resource: Resource, host: str, port: int, tls: TlsFiles | None
+    ) -> int:
         limits = self._settings.limits
         site = LimitedSite(
             resource,
@@ -81,12 +96,18 @@
             receive_body_s=limits.receive_body_s,
             idle_s=limits.caller_idle_s,
         )
-        listening = self._reactor.listenTCP(port, site, interface=host)
+        if tls is None:
+            listening = self._reactor.listenTCP(port, site, interface=host)
+        else:
+            listening = self._reactor.listenSSL(port, site, tls, interface=host)
         return int(listening.getHost().port)
 
     def _on_signal(self, number: int, frame: object) -> None:
         self._reactor.callFromThread(self._drain_or_stop, signal.Signals(number).name)
 
+    def _on_hangup(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._tls.reload)
+
     def _drain_or_stop(self, name: str) -> None:
         if self._drain_started_s is not None:
             self._stop(f"a second signal ({name})")
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
@@ -37,6 +37,7 @@
     host: Host = "127.0.0.1"
     port: Port = 8081
     token_file: Annotated[str, Meta(min_length=1)]
+    tls: TlsSettings | None = None
 
 
 class LimitSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -20,6 +20,7 @@
 
     from corianderrelay.coordination.clock import Clock
     from corianderrelay.protocol.messages import AnyMessage, Hello
+    from corianderrelay.transport.tls import TlsFiles
 
     from ..coordination.relay import Relay
     from ..state.settings import TimingSettings
@@ -32,15 +33,22 @@
     """Opens, watches and replaces the streams to agents.
 
     :param hello: what this entry says first on each stream.
+    :param tls: certificates of the streams; ``None`` for plain ones.
     """
 
     def __init__(
-        self, relay: Relay, hello: Hello, timing: TimingSettings, clock: Clock
+        self,
+        relay: Relay,
+        hello: Hello,
+        timing: TimingSettings,
+        clock: Clock,
+        tls: TlsFiles | None = None,
     ) -> None:
         self._relay = relay
         self._hello = hello
         self._timing = timing
         self._clock = clock
+        self._tls = tls
         self._services_by_agent: dict[str, ClientService] = {}
         self._sessions_by_stream: dict[FramedStream, AgentSession] = {}
         self._sequence = 0
@@ -104,6 +112,8 @@
         endpoint: Any = HostnameEndpoint(
             self._clock, host, port, timeout=_CONNECT_TIMEOUT_S
         )
+        if self._tls is not None:
+            endpoint = self._tls.wrap_client(endpoint, host)
         factory: Any = _StreamFactory(self, self._clock)
         clock: Any = self._clock
         service = ClientService(endpoint, factory, _RECONNECT, clock=clock)
--- /dev/null
+++ b/tests/certificates.py
@@ -0,0 +1,77 @@
+"""Certificates for tests, made by an authority that lives as long as the test."""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+from typing import TYPE_CHECKING
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_LIFETIME = datetime.timedelta(days=1)
+_LOOPBACK = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+
+
+class Authority:
+    """Signs certificates and writes them as PEM files into a folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._name = _name("test authority")
+        self._certificate = self._sign(self._name, self._key, authority=True)
+        self.file = folder / "authority.pem"
+        self.file.write_bytes(_pem(self._certificate))
+
+    def settings(self, name: str) -> dict[str, str]:
+        """Write a new certificate and key; return the TLS settings that name them."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        certificate = self._sign(_name(name), key, authority=False)
+        certificate_file = self._folder / f"{name}.pem"
+        key_file = self._folder / f"{name}.key"
+        certificate_file.write_bytes(_pem(certificate))
+        key_file.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return {
+            "certificate_file": str(certificate_file),
+            "private_key_file": str(key_file),
+        }
+
+    def _sign(
+        self, subject: x509.Name, key: ec.EllipticCurvePrivateKey, *, authority: bool
+    ) -> x509.Certificate:
+        now = datetime.datetime.now(datetime.timezone.utc)
+        return (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self._name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - _LIFETIME)
+            .not_valid_after(now + _LIFETIME)
+            .add_extension(x509.BasicConstraints(authority, None), critical=True)
+            .add_extension(x509.SubjectAlternativeName([_LOOPBACK]), critical=False)
+            .sign(self._key, hashes.SHA256())
+        )
+
+
+def _name(text: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+
+
+def _pem(certificate: x509.Certificate) -> bytes:
+    return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+__all__ = ["Authority"]
