Leave the TLS library out of processes that serve plain streams

Cause: an idle agent took 53.8 MB resident and an idle entry 56.9 MB, against 32 MB for control. Importing modules one by one showed that twisted's reactor brings in pyOpenSSL and cryptography whenever they are installed: 13 MB. Ruled out: uninstalling pyOpenSSL (TLS is a setting, not a build); blocking asyncio (twisted needs it). Also: make run ends its processes on SIGTERM.

--- a/demo/run.py
+++ b/demo/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 import time
 from pathlib import Path
@@ -15,6 +16,7 @@
 
 _READY_TIMEOUT_S = 20.0
 _RUNNERS = 4
+_STOP_SIGNALS = {signal.SIGINT, signal.SIGTERM}
 _KEY = "demo-order-1"
 
 
@@ -29,7 +31,7 @@
             _wait_until_ready(system)
             _show(system)
             if not once:
-                _wait_for_interrupt(system)
+                _wait_for_signal(system)
         finally:
             exit_codes = system.stop()
         click.echo(f"stopped: {dict(exit_codes)}")
@@ -86,14 +88,12 @@
     )
 
 
-def _wait_for_interrupt(system: DemoSystem) -> None:
+def _wait_for_signal(system: DemoSystem) -> None:
     click.echo(f"operators: {system.operators}, token {system.operator_token}")
     click.echo("running; stop with Ctrl-C")
-    try:
-        while True:
-            time.sleep(1)
-    except KeyboardInterrupt:
-        click.echo("stopping")
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    signal.sigwait(_STOP_SIGNALS)
+    click.echo("stopping")
 
 
 def _get_json(url: str, **headers: str) -> Any:
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -7,15 +7,16 @@
 from typing import TYPE_CHECKING, NoReturn
 
 import click
-from result import Err
+from result import Err, Ok
 
+from corianderrelay.transport.optional_tls import leave_tls_out, tls_files
 from corianderrelay.transport.settings_file import read_settings
-from corianderrelay.transport.tls import TlsFiles
 
 from .state.settings import AgentSettings
 
 if TYPE_CHECKING:
     from corianderrelay.state.errors import RelayError
+    from corianderrelay.transport.tls import TlsFiles
 
 _EXIT_REFUSED = 1
 
@@ -39,6 +40,8 @@
 def run(settings_file: Path) -> None:
     """Run beside one engine rank or plain service until SIGTERM."""
     settings, tls = _load(settings_file)
+    if tls is None:
+        leave_tls_out()
     from .serve import serve_agent
 
     sys.exit(serve_agent(settings, tls))
@@ -56,11 +59,8 @@
     settings = read_settings(settings_file, AgentSettings)
     if isinstance(settings, Err):
         _refuse(settings.err_value)
-    tls_settings = settings.ok_value.streams.tls
-    if tls_settings is None:
-        return settings.ok_value, None
-    tls = TlsFiles(tls_settings)
-    loaded = tls.load()
+    tls = tls_files(settings.ok_value.streams.tls)
+    loaded = Ok(None) if tls is None else tls.load()
     if isinstance(loaded, Err):
         _refuse(loaded.err_value)
     return settings.ok_value, tls
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/optional_tls.py
@@ -0,0 +1,37 @@
+"""Leaves the TLS library out of a process whose settings name no certificate.
+
+Twisted imports pyOpenSSL whenever it is installed; a process that serves plain streams
+would carry it in memory unused.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from ..state.common_settings import TlsSettings
+    from .tls import TlsFiles
+
+_LIBRARY = "OpenSSL"
+
+
+def tls_files(settings: TlsSettings | None) -> TlsFiles | None:
+    """Return the files that the settings name, not yet read."""
+    if settings is None:
+        return None
+    from .tls import TlsFiles
+
+    return TlsFiles(settings)
+
+
+def leave_tls_out() -> None:
+    """Make later imports of the TLS library fail, as if it were not installed.
+
+    Call it before twisted's reactor is imported.
+    """
+    modules: dict[str, Any] = sys.modules
+    modules.setdefault(_LIBRARY, None)
+
+
+__all__ = ["leave_tls_out", "tls_files"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/entry_tls.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/entry_tls.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-import eliot
 from result import Err, Ok, Result
 
-from corianderrelay.transport.tls import TlsFiles
+from corianderrelay.transport.optional_tls import tls_files
 
 if TYPE_CHECKING:
-    from corianderrelay.state.common_settings import TlsSettings
     from corianderrelay.state.errors import SettingsError
 
     from ..state.settings import EntrySettings
@@ -22,9 +20,14 @@
     __slots__ = ("callers", "operators", "own_streams")
 
     def __init__(self, settings: EntrySettings) -> None:
-        self.callers = _files(settings.callers.tls)
-        self.operators = _files(settings.operators.tls)
-        self.own_streams = _files(settings.own_streams_tls)
+        self.callers = tls_files(settings.callers.tls)
+        self.operators = tls_files(settings.operators.tls)
+        self.own_streams = tls_files(settings.own_streams_tls)
+
+    @property
+    def used(self) -> bool:
+        """Whether anything is served with TLS."""
+        return any((self.callers, self.operators, self.own_streams))
 
     def load(self) -> Result[None, SettingsError]:
         """Read all files; return the first fault."""
@@ -34,13 +37,11 @@
 
     def reload(self) -> None:
         """Read all files again; a fault is logged and the old ones stay in use."""
+        import eliot
+
         result = self.load()
         fault = str(result.err_value) if isinstance(result, Err) else ""
         eliot.log_message(message_type="entry:tls_reloaded", fault=fault)
 
 
-def _files(settings: TlsSettings | None) -> TlsFiles | None:
-    return None if settings is None else TlsFiles(settings)
-
-
 __all__ = ["EntryTls"]
