Decide requests that must not be repeated by claims, tickets and settlement

Cause: a key sent to several entries, or again after a lost answer, must run at most once. The first claim of a key in its stream wins; an agent starts a key only with a live ticket of its own incarnation, and a ticket serves once, so that the agent's memory is bounded by live tickets, running work and a fixed number of ended keys. Ruled out: fencing by claim order alone, since a copy of a refused dispatch could start later; and clocks for undated keys, which are remembered in the log instead.

--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -100,6 +100,7 @@
     ticket_incarnation: Natural = 0
     ticket_remaining_ms: Natural = 0
     alone: bool = False
+    ticket_id: Natural = 0
 
 
 class Cancel(Message, tag="cancel", frozen=True):
@@ -142,10 +143,16 @@
 
     key: Identifier
     claim_offset: int
+    ticket_id: Natural = 0
+    incarnation: Natural = 0
 
 
 class Tombstoned(Message, tag="tombstoned", frozen=True):
-    """Agent to entry: whether the key had been started by this incarnation."""
+    """Agent to entry: whether this incarnation had started the claim with this key.
+
+    ``forgotten`` says that it cannot tell any more, or never could because the claim
+    names another incarnation; it then counts as started.
+    """
 
     key: Identifier
     incarnation: Natural
@@ -154,6 +161,9 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    claim_offset: int = -1
+    forgotten: bool = False
+    body_kept: bool = True
 
 
 class Accepted(Message, tag="accepted", frozen=True):
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/claims.py
@@ -0,0 +1,224 @@
+"""Folds one claims stream into what is known of each key.
+
+The fold is deterministic: all readers of the same records hold the same claim for a
+key. The first claim wins; only a release lets a later one win.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .claim_records import (
+    AnyClaimRecord,
+    ClaimRecord,
+    Outcome,
+    OutcomeRecord,
+    ReleaseRecord,
+    RememberedKeysRecord,
+    fencing_number,
+)
+from .remembered_keys import RememberedKeys
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+FIRST_OFFSET = 0
+
+
+@dataclass(slots=True)
+class KeyState:
+    """What the stream says of one key.
+
+    :param claim: the claim that holds the key, if any.
+    :param fence: that claim's fencing number.
+    :param seen_at: when this process read that claim, in seconds.
+    :param outcome: the claim's outcome, once recorded.
+    :param spent_nonces: claims that were released or came too late; a copy of one
+        that turns up later must not win.
+    :param last_offset: where the key was last mentioned.
+    """
+
+    claim: ClaimRecord | None = None
+    fence: int = -1
+    seen_at: float = 0.0
+    outcome: OutcomeRecord | None = None
+    spent_nonces: set[str] = field(default_factory=set)
+    last_offset: int = 0
+
+    @property
+    def final_outcome(self) -> Outcome | None:
+        """The answer that anyone may be given now; ``None`` while a claim is open."""
+        if self.claim is None:
+            return Outcome.NOT_RUN
+        return self.outcome.outcome if self.outcome else None
+
+
+class ClaimFold:
+    """The state of all keys of one claims stream.
+
+    :param start_offset: the first offset that this process has read.
+    """
+
+    __slots__ = (
+        "_by_key",
+        "_open_keys",
+        "_remembered",
+        "_recent_undated",
+        "_last_offset",
+        "_start",
+        "_covered",
+        "_remembered_at",
+    )
+
+    def __init__(self, start_offset: int = FIRST_OFFSET) -> None:
+        self._by_key: dict[str, KeyState] = {}
+        self._open_keys: set[str] = set()
+        self._remembered = RememberedKeys()
+        self._recent_undated: set[str] = set()
+        self._last_offset = start_offset - 1
+        self._start = start_offset
+        self._covered = start_offset <= FIRST_OFFSET
+        self._remembered_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    @property
+    def knows_undated_keys(self) -> bool:
+        """Whether every undated key that was ever claimed is known here."""
+        return self._covered
+
+    @property
+    def undated_keys(self) -> int:
+        """How many undated keys are remembered."""
+        return len(self._remembered) + len(self._recent_undated)
+
+    def is_closed(self, key: str) -> bool:
+        """Whether an undated key may not be claimed again, even after a release.
+
+        A reader that starts late cannot tell a first claim from a later one, so a key
+        is closed for all readers from the first record on that remembers it.
+        """
+        return key in self._remembered
+
+    def undated_record(self, wall_now_s: float) -> RememberedKeysRecord:
+        """Return the record that remembers all undated keys read so far."""
+        merged = RememberedKeys()
+        merged.merge(self._remembered.to_bytes())
+        for key in self._recent_undated:
+            merged.add(key)
+        return RememberedKeysRecord(
+            covered_offset=self._last_offset,
+            digests=merged.to_bytes(),
+            written_s=wall_now_s,
+        )
+
+    @property
+    def remembered_written_s(self) -> float:
+        """Wall-clock time of the newest :class:`RememberedKeysRecord` read."""
+        return self._remembered_at
+
+    def get(self, key: str) -> KeyState | None:
+        """Return what is known of a scoped key; ``None`` if nothing is."""
+        return self._by_key.get(key)
+
+    def is_held(self, key: str) -> bool:
+        """Whether a claim, open or with an outcome, holds the key."""
+        state = self._by_key.get(key)
+        return state is not None and state.claim is not None
+
+    def open_claims(self) -> Iterator[KeyState]:
+        """Yield the claims that have no outcome yet."""
+        return (self._by_key[key] for key in self._open_keys)
+
+    def apply(
+        self, offset: int, index: int, record: AnyClaimRecord, now: float
+    ) -> None:
+        """Take the next record of the stream.
+
+        :param index: the record's position within its append.
+        :param now: this process's monotonic time, in seconds.
+        """
+        self._last_offset = offset
+        match record:
+            case ClaimRecord():
+                self._apply_claim(fencing_number(offset, index), offset, record, now)
+            case ReleaseRecord():
+                self._apply_release(offset, record)
+            case OutcomeRecord():
+                self._apply_outcome(offset, record)
+            case RememberedKeysRecord():
+                self._apply_remembered(record)
+
+    def skip_to(self, first_offset: int) -> None:
+        """Note that the records before ``first_offset`` were dropped unread."""
+        self._start = first_offset
+        self._covered = first_offset <= FIRST_OFFSET
+
+    def forget_before(self, first_offset: int) -> None:
+        """Drop keys last mentioned before ``first_offset``, as a late reader would.
+
+        Their dates lie outside the window by then, or they are remembered.
+        """
+        self._by_key = {
+            key: state
+            for key, state in self._by_key.items()
+            if state.last_offset >= first_offset
+        }
+        self._open_keys &= self._by_key.keys()
+
+    def _apply_claim(
+        self, fence: int, offset: int, record: ClaimRecord, now: float
+    ) -> None:
+        state = self._by_key.setdefault(record.key, KeyState())
+        state.last_offset = offset
+        if state.claim is not None and state.claim.nonce == record.nonce:
+            return
+        closed = not record.dated and self.is_closed(record.key)
+        if not record.dated and not closed:
+            self._recent_undated.add(record.key)
+        if closed or state.claim is not None or record.nonce in state.spent_nonces:
+            state.spent_nonces.add(record.nonce)
+            return
+        state.claim = record
+        state.fence = fence
+        state.seen_at = now
+        self._open_keys.add(record.key)
+
+    def _apply_release(self, offset: int, record: ReleaseRecord) -> None:
+        state = self._by_key.setdefault(record.key, KeyState())
+        state.last_offset = offset
+        state.spent_nonces.add(record.nonce)
+        if state.claim is None or state.claim.nonce != record.nonce:
+            return
+        if state.outcome is None:
+            state.claim = None
+            self._open_keys.discard(record.key)
+
+    def _apply_outcome(self, offset: int, record: OutcomeRecord) -> None:
+        state = self._by_key.get(record.key)
+        if state is None or state.claim is None:
+            return
+        if state.claim.nonce != record.nonce:
+            return
+        state.last_offset = offset
+        self._open_keys.discard(record.key)
+        if state.outcome is None or _tells_more(record, state.outcome):
+            state.outcome = record
+
+    def _apply_remembered(self, record: RememberedKeysRecord) -> None:
+        self._remembered.merge(record.digests)
+        self._recent_undated = {
+            key for key in self._recent_undated if key not in self._remembered
+        }
+        self._remembered_at = max(self._remembered_at, record.written_s)
+        if record.covered_offset + 1 >= self._start:
+            self._covered = True
+
+
+def _tells_more(record: OutcomeRecord, known: OutcomeRecord) -> bool:
+    return known.outcome is Outcome.UNKNOWN and record.outcome is Outcome.DONE
+
+
+__all__ = ["ClaimFold", "FIRST_OFFSET", "KeyState"]
--- a/packages/corianderrelay-core/src/corianderrelay/state/errors.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/errors.py
@@ -91,6 +91,13 @@
     http_status = 422
 
 
+class KeyExpiredError(RelayError):
+    """The idempotency key is older than the claims that are kept; it is not run."""
+
+    kind = "key_expired"
+    http_status = 422
+
+
 class QuarantinedError(RelayError):
     """The request crashed endpoints before and is not run again."""
 
@@ -119,6 +126,13 @@
     http_status = 502
 
 
+class AnswerNotKeptError(RelayError):
+    """The request was run before; its answer was too large to be kept."""
+
+    kind = "answer_not_kept"
+    http_status = 410
+
+
 class EndpointFailedError(RelayError):
     """The endpoint failed while it ran the request, and no retry was possible."""
 
@@ -169,12 +183,14 @@
 
 
 __all__ = [
+    "AnswerNotKeptError",
     "ConflictError",
     "DeadlineExceededError",
     "EndpointFailedError",
     "FencedError",
     "FrameError",
     "InvalidRequestError",
+    "KeyExpiredError",
     "KeyReusedError",
     "LogAnswerLostError",
     "LogUnavailableError",
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_settlement.py
@@ -0,0 +1,189 @@
+"""Settles claims that have no outcome, whoever made them.
+
+The agent that a claim names is asked to stop it. What it answers, or that it does not
+answer for long, decides: released, done or unknown.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from corianderrelay.protocol.messages import Tombstone, Tombstoned
+from corianderrelay.state.claim_records import (
+    MAX_KEPT_ANSWER_BYTES,
+    Outcome,
+    OutcomeRecord,
+    ReleaseRecord,
+)
+
+from .keyed_actions import SendTombstone
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from corianderrelay.state.claim_records import ClaimRecord
+    from corianderrelay.state.claims import KeyState
+
+_SPREAD_STEPS = 1024
+
+
+@dataclass(slots=True, frozen=True)
+class SettlementLimits:
+    """When claims are settled, in seconds.
+
+    :param after_s: how old a claim without outcome is before others settle it.
+    :param spread_s: the entries start at different times within this span.
+    :param every_s: time between two questions to an agent.
+    :param unreachable_after_s: an agent silent for so long is taken for gone.
+    """
+
+    after_s: float = 15.0
+    spread_s: float = 5.0
+    every_s: float = 2.0
+    unreachable_after_s: float = 30.0
+
+
+@dataclass(slots=True)
+class _Settlement:
+    claim: ClaimRecord
+    fence: int
+    silent_since: float
+    ask_at: float
+
+
+class ClaimSettlement:
+    """The settlements that this entry works on, one a key."""
+
+    __slots__ = ("_entry_id", "_limits", "_by_key")
+
+    def __init__(self, entry_id: str, limits: SettlementLimits) -> None:
+        self._entry_id = entry_id
+        self._limits = limits
+        self._by_key: dict[str, _Settlement] = {}
+
+    def is_due(self, state: KeyState, now: float) -> bool:
+        """Whether a claim without outcome is old enough to be settled by this entry."""
+        assert state.claim is not None
+        return now >= state.seen_at + self._limits.after_s + self._delay_s(state.claim)
+
+    def start(self, state: KeyState, now: float) -> None:
+        """Begin to settle a claim, unless that has begun."""
+        assert state.claim is not None
+        known = self._by_key.get(state.claim.key)
+        if known is None or known.fence != state.fence:
+            self._by_key[state.claim.key] = _Settlement(
+                state.claim, state.fence, silent_since=now, ask_at=now
+            )
+
+    def keep_only(self, open_keys: set[str]) -> None:
+        """Drop the settlements of keys that have an outcome by now."""
+        for key in self._by_key.keys() - open_keys:
+            del self._by_key[key]
+
+    def questions(self, now: float) -> list[SendTombstone]:
+        """Return what to ask of agents now."""
+        due = [one for one in self._by_key.values() if one.ask_at <= now]
+        for one in due:
+            if now > one.ask_at + self._limits.every_s:
+                # This entry was paused or cut off, which says nothing of the agent.
+                one.silent_since = now
+            one.ask_at = now + self._limits.every_s
+        return [_question(one) for one in due]
+
+    def given_up(self, now: float) -> list[OutcomeRecord]:
+        """Return the outcome of claims whose agent has been silent for too long."""
+        return [
+            unknown_record(one.claim, self._entry_id)
+            for one in self._by_key.values()
+            if now - one.silent_since >= self._limits.unreachable_after_s
+        ]
+
+    def answered(
+        self, answer: Tombstoned, now: float
+    ) -> ReleaseRecord | OutcomeRecord | None:
+        """Return what an agent's answer proves; ``None`` if the request still runs."""
+        one = self._by_key.get(answer.key)
+        if one is None or answer.claim_offset != one.fence:
+            return None
+        if answer.incarnation != one.claim.incarnation or answer.forgotten:
+            return unknown_record(one.claim, self._entry_id)
+        one.silent_since = now
+        if not answer.started:
+            return release_record(one.claim, self._entry_id)
+        if not answer.finished:
+            return None
+        if not answer.status:
+            return unknown_record(one.claim, self._entry_id)
+        return done_record(
+            one.claim,
+            self._entry_id,
+            answer.status,
+            answer.content_type,
+            answer.body,
+            answer.body_kept,
+        )
+
+    def _delay_s(self, claim: ClaimRecord) -> float:
+        seed = f"{self._entry_id}\0{claim.nonce}".encode()
+        step = xxhash.xxh3_64_intdigest(seed) % _SPREAD_STEPS
+        return self._limits.spread_s * step / _SPREAD_STEPS
+
+
+def _question(one: _Settlement) -> SendTombstone:
+    order = Tombstone(
+        one.claim.key,
+        one.fence,
+        ticket_id=one.claim.ticket_id,
+        incarnation=one.claim.incarnation,
+    )
+    return SendTombstone(one.claim.runner_id, order)
+
+
+def release_record(claim: ClaimRecord, entry_id: str) -> ReleaseRecord:
+    """Return the record that the claim was not run and will not be."""
+    return ReleaseRecord(claim.key, claim.nonce, entry_id)
+
+
+def unknown_record(claim: ClaimRecord, entry_id: str) -> OutcomeRecord:
+    """Return the record that nobody can tell whether the claim ran."""
+    return OutcomeRecord(claim.key, claim.nonce, entry_id, Outcome.UNKNOWN)
+
+
+def done_record(
+    claim: ClaimRecord,
+    entry_id: str,
+    status: int,
+    content_type: str,
+    body: bytes,
+    body_kept: bool = True,
+) -> OutcomeRecord:
+    """Return the record of the claim's answer, without a body that is too large."""
+    kept = body_kept and len(body) <= MAX_KEPT_ANSWER_BYTES
+    return OutcomeRecord(
+        claim.key,
+        claim.nonce,
+        entry_id,
+        Outcome.DONE,
+        status,
+        content_type,
+        body if kept else b"",
+        kept,
+    )
+
+
+def open_keys(states: Iterable[KeyState]) -> set[str]:
+    """Return the keys of the claims among ``states``."""
+    return {state.claim.key for state in states if state.claim is not None}
+
+
+__all__ = [
+    "ClaimSettlement",
+    "SettlementLimits",
+    "done_record",
+    "open_keys",
+    "release_record",
+    "unknown_record",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_upkeep.py
@@ -0,0 +1,113 @@
+"""Keeps a claims stream complete: outcomes, settlements and undated keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .claim_settlement import ClaimSettlement, open_keys
+from .keyed_actions import Action, AppendRecord
+from .unrecorded_outcomes import OutcomeOrRelease, UnrecordedOutcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderrelay.protocol.messages import Tombstoned
+    from corianderrelay.state.claims import ClaimFold, KeyState
+
+    from .keyed_limits import KeyedLimits
+
+
+class ClaimUpkeep:
+    """Appends what this entry knows and settles claims that nobody works on.
+
+    :param is_at_work: whether this entry itself runs the request of a claim.
+    """
+
+    __slots__ = (
+        "_limits",
+        "_fold",
+        "_is_at_work",
+        "_unrecorded",
+        "_settlement",
+        "_remember_at_s",
+        "log_up",
+    )
+
+    def __init__(
+        self,
+        entry_id: str,
+        limits: KeyedLimits,
+        fold: ClaimFold,
+        is_at_work: Callable[[KeyState], bool],
+    ) -> None:
+        self._limits = limits
+        self._fold = fold
+        self._is_at_work = is_at_work
+        self._unrecorded = UnrecordedOutcomes(limits.record_again_s)
+        self._settlement = ClaimSettlement(entry_id, limits.settlement)
+        self._remember_at_s = 0.0
+        self.log_up = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the stream shows all that this entry knows."""
+        return not len(self._unrecorded)
+
+    def record(self, record: OutcomeOrRelease, now: float) -> list[Action]:
+        """Append a record, now or when the log is back."""
+        self._unrecorded.add(record, now)
+        return self._append_unrecorded(now)
+
+    def drop_recorded(self, key: str) -> list[str]:
+        """Drop what the stream shows of a key; return the nonces of those claims."""
+        return self._unrecorded.drop_recorded(key, self._fold.get(key))
+
+    def settle(self, state: KeyState, now: float) -> list[Action]:
+        """Begin to settle a claim at once."""
+        self._settlement.start(state, now)
+        return list(self._settlement.questions(now))
+
+    def tombstoned(self, answer: Tombstoned, now: float) -> list[Action]:
+        """Take an agent's answer about a claim that is being settled."""
+        record = self._settlement.answered(answer, now)
+        return self.record(record, now) if record else []
+
+    def tick(self, now: float, wall_now_s: float) -> list[Action]:
+        """Do what is due while the log is up."""
+        if not self.log_up:
+            return []
+        return [
+            *self._settle_due(now),
+            *self._append_unrecorded(now),
+            *self._remember_undated(wall_now_s),
+        ]
+
+    def _settle_due(self, now: float) -> list[Action]:
+        claims = list(self._fold.open_claims())
+        self._settlement.keep_only(open_keys(claims))
+        for state in claims:
+            if not self._is_at_work(state) and self._settlement.is_due(state, now):
+                self._settlement.start(state, now)
+        questions = self._settlement.questions(now)
+        for record in self._settlement.given_up(now):
+            self._unrecorded.add(record, now)
+        return list(questions)
+
+    def _append_unrecorded(self, now: float) -> list[Action]:
+        if not self.log_up:
+            return []
+        return [AppendRecord(record) for record in self._unrecorded.due(now)]
+
+    def _remember_undated(self, wall_now_s: float) -> list[Action]:
+        fold = self._fold
+        due_at_s = max(
+            self._remember_at_s,
+            fold.remembered_written_s + self._limits.remember_again_s,
+        )
+        if wall_now_s < due_at_s or not fold.knows_undated_keys:
+            return []
+        self._remember_at_s = wall_now_s + self._limits.record_again_s
+        return [AppendRecord(fold.undated_record(wall_now_s))]
+
+
+__all__ = ["ClaimUpkeep"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_actions.py
@@ -0,0 +1,105 @@
+"""What the entry does for requests that must not be repeated, one class an action."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from corianderrelay.protocol.messages import Tombstone
+    from corianderrelay.state.claim_records import AnyClaimRecord
+    from corianderrelay.state.errors import RelayError
+
+
+@dataclass(slots=True, frozen=True)
+class KeyedCall:
+    """A request that must not be repeated, with the runner chosen for it.
+
+    :param key: the scoped key.
+    :param digest: digest of the request.
+    :param dated_s: the key's own date in seconds since 1970, if it carries one.
+    :param deadline: when its caller stops waiting, in monotonic seconds.
+    """
+
+    request_id: str
+    key: str
+    digest: str
+    workspace: str
+    service: str
+    runner_id: str
+    deadline: float
+    dated_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class AskTicket:
+    """Ask the runner's agent for a ticket."""
+
+    request_id: str
+    runner_id: str
+    key: str
+
+
+@dataclass(slots=True, frozen=True)
+class AppendRecord:
+    """Append a record to the claims stream."""
+
+    record: AnyClaimRecord
+
+
+@dataclass(slots=True, frozen=True)
+class SendDispatch:
+    """Dispatch the request; its claim is the first for its key.
+
+    :param nonce: the claim's nonce, which names the attempt.
+    """
+
+    request_id: str
+    nonce: str
+    runner_id: str
+    key: str
+    claim_offset: int
+    incarnation: int
+    ticket_id: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendTombstone:
+    """Ask the claim's agent to stop it if it was not started."""
+
+    runner_id: str
+    order: Tombstone
+
+
+@dataclass(slots=True, frozen=True)
+class TellAnswer:
+    """Give the caller the answer of its request."""
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class TellError:
+    """Give the caller an error; ``error.ran`` says whether this call was run."""
+
+    request_id: str
+    error: RelayError
+
+
+Action = (
+    AskTicket | AppendRecord | SendDispatch | SendTombstone | TellAnswer | TellError
+)
+
+__all__ = [
+    "Action",
+    "AppendRecord",
+    "AskTicket",
+    "KeyedCall",
+    "SendDispatch",
+    "SendTombstone",
+    "TellAnswer",
+    "TellError",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_limits.py
@@ -0,0 +1,30 @@
+"""Waiting times and windows of requests that must not be repeated."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .claim_settlement import SettlementLimits
+
+
+@dataclass(slots=True, frozen=True)
+class KeyedLimits:
+    """Waiting times and windows, in seconds.
+
+    :param ticket_wait_s: how long an agent may take to give a ticket.
+    :param claim_wait_s: how long the log may take to show a claim.
+    :param record_again_s: time between two attempts to record an outcome.
+    :param window_s: how far from now the date of a key may lie; half the retention.
+    :param remember_again_s: when the undated keys are recorded again; less than half
+        the retention.
+    """
+
+    ticket_wait_s: float = 2.0
+    claim_wait_s: float = 5.0
+    record_again_s: float = 2.0
+    window_s: float = 3.5 * 86_400
+    remember_again_s: float = 1.5 * 86_400
+    settlement: SettlementLimits = field(default_factory=SettlementLimits)
+
+
+__all__ = ["KeyedLimits"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_register.py
@@ -0,0 +1,125 @@
+"""The open keyed requests of an entry, found by id, by key and by claim."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from corianderrelay.state.claim_records import ClaimRecord
+
+    from .keyed_actions import KeyedCall
+
+_MAX_ABANDONED = 4096
+
+
+class Phase(Enum):
+    """How far a request has come."""
+
+    WAITING = "waiting"
+    TICKET = "ticket"
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+
+
+@dataclass(slots=True)
+class OpenRequest:
+    """A request whose caller has no answer yet.
+
+    :param phase_since: when the phase began, in monotonic seconds.
+    :param claim: the claim made for it, if any.
+    :param ticket_deadline: when that claim's ticket has ended for sure.
+    """
+
+    call: KeyedCall
+    phase: Phase
+    phase_since: float
+    claim: ClaimRecord | None = None
+    ticket_deadline: float = 0.0
+
+    @property
+    def nonce(self) -> str:
+        """The nonce of the request's claim; empty without one."""
+        return self.claim.nonce if self.claim else ""
+
+    def enter(self, phase: Phase, now: float) -> None:
+        """Begin a phase."""
+        self.phase = phase
+        self.phase_since = now
+
+
+class KeyedRegister:
+    """Holds the open requests, and the claims that were given up unseen."""
+
+    __slots__ = ("_by_id", "_ids_by_key", "_id_by_nonce", "_abandoned")
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, OpenRequest] = {}
+        self._ids_by_key: dict[str, list[str]] = {}
+        self._id_by_nonce: dict[str, str] = {}
+        self._abandoned: OrderedDict[str, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def add(self, call: KeyedCall, now: float) -> None:
+        """Take a new request, which waits."""
+        self._by_id[call.request_id] = OpenRequest(call, Phase.WAITING, now)
+        self._ids_by_key.setdefault(call.key, []).append(call.request_id)
+
+    def all(self) -> list[OpenRequest]:
+        """Return all open requests."""
+        return list(self._by_id.values())
+
+    def get(self, request_id: str) -> OpenRequest | None:
+        """Return an open request."""
+        return self._by_id.get(request_id)
+
+    def of_key(self, key: str) -> list[OpenRequest]:
+        """Return the open requests of a key, oldest first."""
+        return [self._by_id[one] for one in self._ids_by_key.get(key, ())]
+
+    def of_claim(self, nonce: str) -> OpenRequest | None:
+        """Return the open request for which a claim was made."""
+        return self._by_id.get(self._id_by_nonce.get(nonce, ""))
+
+    def set_claim(self, request: OpenRequest, claim: ClaimRecord) -> None:
+        """Note the claim made for a request."""
+        request.claim = claim
+        self._id_by_nonce[claim.nonce] = request.call.request_id
+
+    def drop_claim(self, request: OpenRequest) -> None:
+        """Forget a request's claim, which can never hold its key again."""
+        self._id_by_nonce.pop(request.nonce, None)
+        request.claim = None
+
+    def remove(self, request: OpenRequest) -> None:
+        """Drop a request whose caller has its answer."""
+        if request.phase is Phase.CLAIMING:
+            # The claim may still turn up in the log.
+            self._abandon(request.nonce)
+        self._id_by_nonce.pop(request.nonce, None)
+        call = request.call
+        del self._by_id[call.request_id]
+        ids = self._ids_by_key[call.key]
+        ids.remove(call.request_id)
+        if not ids:
+            del self._ids_by_key[call.key]
+
+    def is_abandoned(self, nonce: str) -> bool:
+        """Whether this entry gave up the claim and so will never dispatch it."""
+        return nonce in self._abandoned
+
+    def forget_abandoned(self, nonce: str) -> None:
+        """Drop a claim that the log shows as settled."""
+        self._abandoned.pop(nonce, None)
+
+    def _abandon(self, nonce: str) -> None:
+        self._abandoned[nonce] = None
+        if len(self._abandoned) > _MAX_ABANDONED:
+            self._abandoned.popitem(last=False)
+
+
+__all__ = ["KeyedRegister", "OpenRequest", "Phase"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/unrecorded_outcomes.py
@@ -0,0 +1,81 @@
+"""Outcomes that this entry knows and that its claims stream does not show yet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from corianderrelay.state.claim_records import Outcome, OutcomeRecord, ReleaseRecord
+
+if TYPE_CHECKING:
+    from corianderrelay.state.claims import KeyState
+
+OutcomeOrRelease = OutcomeRecord | ReleaseRecord
+
+
+@dataclass(slots=True)
+class _Unrecorded:
+    record: OutcomeOrRelease
+    append_at: float
+
+
+class UnrecordedOutcomes:
+    """Yields each record again until the stream shows it or one that counts first.
+
+    :param again_s: time between two attempts to append a record, in seconds.
+    """
+
+    __slots__ = ("_again_s", "_by_nonce_by_key")
+
+    def __init__(self, again_s: float) -> None:
+        self._again_s = again_s
+        self._by_nonce_by_key: dict[str, dict[str, _Unrecorded]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._by_nonce_by_key.values()))
+
+    def add(self, record: OutcomeOrRelease, now: float) -> None:
+        """Take a record; the first for a claim counts, but an answer goes before."""
+        by_nonce = self._by_nonce_by_key.setdefault(record.key, {})
+        if record.nonce not in by_nonce or _is_answer(record):
+            by_nonce[record.nonce] = _Unrecorded(record, now)
+
+    def due(self, now: float) -> list[OutcomeOrRelease]:
+        """Return the records to append now."""
+        due = [
+            one
+            for by_nonce in self._by_nonce_by_key.values()
+            for one in by_nonce.values()
+            if one.append_at <= now
+        ]
+        for one in due:
+            one.append_at = now + self._again_s
+        return [one.record for one in due]
+
+    def drop_recorded(self, key: str, state: KeyState | None) -> list[str]:
+        """Drop what ``state`` makes needless; return the nonces of those claims."""
+        by_nonce = self._by_nonce_by_key.get(key, {})
+        recorded = [
+            nonce for nonce, one in by_nonce.items() if _is_needless(one.record, state)
+        ]
+        for nonce in recorded:
+            del by_nonce[nonce]
+        if not by_nonce:
+            self._by_nonce_by_key.pop(key, None)
+        return recorded
+
+
+def _is_answer(record: OutcomeOrRelease) -> bool:
+    return isinstance(record, OutcomeRecord) and record.outcome is Outcome.DONE
+
+
+def _is_needless(record: OutcomeOrRelease, state: KeyState | None) -> bool:
+    if state is None or state.claim is None or state.claim.nonce != record.nonce:
+        return True
+    known = state.outcome
+    if known is None:
+        return False
+    return known.outcome is Outcome.DONE or not _is_answer(record)
+
+
+__all__ = ["OutcomeOrRelease", "UnrecordedOutcomes"]
