Add the instance list, weight store and lock-step group stand-ins, and tests of the adapters

Cause: entry, agent and group coordination need the rest of the platform. Ruled out: Twisted's default endpoints, whose resolver starts a thread pool even for IP numbers (the test process did not exit); IP numbers now connect directly. The sink of a call hears nothing before start() has returned.

Seen failing, each by one mutation: retryAutomatically=True (GET lost answer ran three times); lost append answers mapped to 'unavailable'; 429/503 no longer 'no effect'; refused connects no longer 'not sent'; cancel that does not close the connection; end of body swapped with failure.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
@@ -85,7 +85,10 @@
     """An engine or plain service on the agent's own instance."""
 
     def start(self, call: EngineCall, sink: AnswerSink) -> RunningCall:
-        """Start a call and pass its answer to ``sink`` as it arrives."""
+        """Start a call and pass its answer to ``sink`` as it arrives.
+
+        The sink hears nothing before this method has returned.
+        """
 
     def load(self) -> Deferred[EngineLoad]:
         """Return the load report.
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -56,10 +56,14 @@
     """
 
     def __init__(self, reactor: ReactorBase, base_url: str) -> None:
+        self._reactor = reactor
         self._client = HttpClient(reactor, base_url)
 
     def start(self, call: EngineCall, sink: AnswerSink) -> HttpRunningCall:
-        """Start a call and pass its answer to ``sink`` as it arrives."""
+        """Start a call and pass its answer to ``sink`` as it arrives.
+
+        The sink hears nothing before this method has returned.
+        """
         running = HttpRunningCall(sink)
         headers = dict(call.headers)
         if call.content_type:
@@ -134,11 +138,12 @@
             self._sink.on_failure(_cut(reason.getErrorMessage()))
 
     def _on_head(self, response: ResponseHead) -> None:
-        if self._over:
-            return
         self._body = _BodyRelay(self)
-        self._sink.on_head(response.code, content_type_of(response))
+        if not self._over:
+            self._sink.on_head(response.code, content_type_of(response))
         response.deliverBody(self._body)
+        if self._over:
+            abort_body(self._body)
 
     def _on_no_head(self, failure: Failure) -> None:
         if self._over:
--- a/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
@@ -9,13 +9,21 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from twisted.internet import error as internet_error
+from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.internet.defer import CancelledError, Deferred, succeed
+from twisted.internet.endpoints import (
+    HostnameEndpoint,
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+    wrapClientTLS,
+)
 from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
+from twisted.internet.ssl import optionsForClientTLS
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 if TYPE_CHECKING:
@@ -120,7 +128,11 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
-        self._agent = Agent(reactor, connectTimeout=connect_timeout_s, pool=self._pool)
+        self._agent = Agent.usingEndpointFactory(
+            reactor,
+            _EndpointFactory(reactor, connect_timeout_s),
+            pool=self._pool,
+        )
 
     def request(
         self, method: str, path: str, headers: dict[str, str], body: bytes = b""
@@ -164,6 +176,31 @@
         return cast("Deferred[None]", self._pool.closeCachedConnections())
 
 
+@implementer(IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects to IP addresses with no resolver, which would use threads."""
+
+    def __init__(self, reactor: ReactorBase, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri: URI) -> Any:
+        """Return the endpoint of a URL's host and port."""
+        host = uri.host.decode("ascii")
+        endpoint = self._plain_endpoint(host, uri.port)
+        if uri.scheme != b"https":
+            return endpoint
+        return wrapClientTLS(optionsForClientTLS(host), cast("Any", endpoint))
+
+    def _plain_endpoint(self, host: str, port: int) -> Any:
+        reactor = cast("Any", self._reactor)
+        if isIPAddress(host):
+            return TCP4ClientEndpoint(reactor, host, port, self._timeout_s)
+        if isIPv6Address(host):
+            return TCP6ClientEndpoint(reactor, host, port, self._timeout_s)
+        return HostnameEndpoint(reactor, host, port, self._timeout_s)
+
+
 class _Collector(TwistedProtocol):
     """Collects a body and fires when it is whole."""
 
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/instance_list_http.py
@@ -0,0 +1,106 @@
+"""The instance list over HTTP: the one module that knows its route and answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..coordination.instance_list import Instance, InstanceRole, InstanceState
+from ..state.errors import UnavailableError
+from .http_client import HttpAnswer, HttpClient
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+
+_TIMEOUT_S = 5.0
+_RETRY_AFTER_S = 1.0
+_OK = 200
+
+
+class _ListedInstance(msgspec.Struct):
+    instance_id: str
+    role: InstanceRole
+    zone: str
+    host: str
+    port: int
+    state: InstanceState
+
+
+class _Listing(msgspec.Struct):
+    instances: list[msgspec.Raw]
+
+
+class HttpInstanceList:
+    """Implements :class:`~..coordination.instance_list.InstanceList`.
+
+    :param base_url: such as ``http://10.0.0.5:7001``.
+    :param timeout_s: time limit of a read, in seconds.
+    """
+
+    def __init__(
+        self, reactor: ReactorBase, base_url: str, timeout_s: float = _TIMEOUT_S
+    ) -> None:
+        self._client = HttpClient(reactor, base_url)
+        self._timeout_s = timeout_s
+
+    def read(self) -> Deferred[dict[str, Instance]]:
+        """Return the listed instances by id.
+
+        Entries of a role or state that this version does not know are left out.
+
+        :raises UnavailableError: no list came.
+        """
+        answer = self._client.fetch("GET", "/instances", timeout_s=self._timeout_s)
+        return answer.addCallbacks(_instances_of, _read_failed)
+
+    def close(self) -> Deferred[None]:
+        """Close the connections that are kept open."""
+        return self._client.close()
+
+
+def _instances_of(answer: HttpAnswer) -> dict[str, Instance]:
+    if answer.status != _OK:
+        raise _unavailable(
+            f"status {answer.status}", answer.retry_after_s(_RETRY_AFTER_S)
+        )
+    try:
+        listing = msgspec.json.decode(answer.body, type=_Listing)
+    except ValueError as error:
+        raise _unavailable(f"malformed: {error}") from error
+    listed = filter(None, map(_instance_of, listing.instances))
+    return {instance.instance_id: instance for instance in listed}
+
+
+def _instance_of(raw: msgspec.Raw) -> Instance | None:
+    try:
+        listed = msgspec.json.decode(raw, type=_ListedInstance)
+    except ValueError:
+        return None
+    return Instance(
+        listed.instance_id,
+        listed.role,
+        listed.zone,
+        listed.host,
+        listed.port,
+        listed.state,
+    )
+
+
+def _read_failed(failure: Failure) -> dict[str, Instance]:
+    raise _unavailable(failure.getErrorMessage())
+
+
+def _unavailable(
+    reason: str, retry_after_s: float = _RETRY_AFTER_S
+) -> UnavailableError:
+    return UnavailableError(
+        f"the instance list cannot be read: {reason}",
+        "go on with the last list, or check `platform.instances_url`",
+        retry_after_s=retry_after_s,
+    )
+
+
+__all__ = ["HttpInstanceList"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/weight_store_http.py
@@ -0,0 +1,77 @@
+"""The weight store over HTTP: the one module that knows its route."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from ..coordination.weight_store import ExpertWeights
+from ..state.errors import UnavailableError
+from .http_client import HttpClient
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+
+    from .http_client import HttpAnswer
+
+_TIMEOUT_S = 600.0
+_RETRY_AFTER_S = 1.0
+_OK = 200
+
+
+class HttpWeightStore:
+    """Implements :class:`~..coordination.weight_store.WeightStore`.
+
+    :param timeout_s: time limit of a read, which waits its turn at the store.
+    """
+
+    def __init__(
+        self, reactor: ReactorBase, base_url: str, timeout_s: float = _TIMEOUT_S
+    ) -> None:
+        self._client = HttpClient(reactor, base_url)
+        self._timeout_s = timeout_s
+
+    def read(self, model: str, layer: int, expert: int) -> Deferred[ExpertWeights]:
+        """Return the weights of one expert.
+
+        :raises UnavailableError: they did not come whole.
+        """
+        answer = self._client.fetch(
+            "GET",
+            f"/weights/{quote(model, safe='')}/{layer}/{expert}",
+            timeout_s=self._timeout_s,
+        )
+        return answer.addCallbacks(
+            lambda whole: ExpertWeights(model, layer, expert, _weights_of(whole)),
+            _read_failed,
+        )
+
+    def close(self) -> Deferred[None]:
+        """Close the connections that are kept open."""
+        return self._client.close()
+
+
+def _weights_of(answer: HttpAnswer) -> bytes:
+    if answer.status != _OK:
+        retry_after_s = answer.retry_after_s(_RETRY_AFTER_S)
+        raise _unavailable(f"status {answer.status}", retry_after_s)
+    return answer.body
+
+
+def _read_failed(failure: Failure) -> ExpertWeights:
+    raise _unavailable(failure.getErrorMessage())
+
+
+def _unavailable(
+    reason: str, retry_after_s: float = _RETRY_AFTER_S
+) -> UnavailableError:
+    return UnavailableError(
+        f"the weight store gave no weights: {reason}",
+        "read them again later, or check the weight store's address",
+        retry_after_s=retry_after_s,
+    )
+
+
+__all__ = ["HttpWeightStore"]
--- /dev/null
+++ b/tests/features/core/transport/log_http.feature
@@ -0,0 +1,35 @@
+Feature: The log service over HTTP
+
+  Background:
+    Given a log client and a log stand-in
+
+  Scenario: What is appended is read back at its offset
+    When the log client appends "a" and "b"
+    Then the log client reads "a" at 0 and "b" at 1
+
+  Scenario: A waiting read ends when an entry comes
+    When the log client waits for an entry while "late" is appended
+    Then the waiting read returned "late"
+
+  Scenario Outline: A failed append says whether it may have taken effect
+    Given the log stand-in has the fault <fault>
+    When the log client tries to append "x"
+    Then the append failed with <error>
+    And the log stand-in holds <kept> entries
+
+    Examples:
+      | fault                    | error           | kept |
+      | {"outage": true}         | log_unavailable | 0    |
+      | {"appends_per_s": 0}     | log_unavailable | 0    |
+      | {"lose_next_answers": 1} | log_answer_lost | 1    |
+      | {"delay_s": 3600}        | log_answer_lost | 0    |
+
+  Scenario: A log service that is gone took nothing
+    Given the log stand-in is gone
+    When the log client tries to append "x"
+    Then the append failed with log_unavailable
+
+  Scenario: Entries past the retention are gone and the page says so
+    When the log client appends "a" and "b"
+    And the log stand-in has the fault {"retention_s": 0}
+    Then the log client's page begins at offset 2 and is empty
--- /dev/null
+++ b/tests/features/steps/engine_http_steps.py
@@ -0,0 +1,151 @@
+"""Steps for the adapter of engines and plain services."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from behave import given, then, when
+
+from corianderrelay.state.errors import RelayError
+from corianderrelay_agent.coordination.engine import EngineCall, EngineOrder
+from corianderrelay_agent.transport.engine_http import HttpEngine
+
+from tests.harness.reactor_loop import reactor, result_of, run_until, serve
+from tests.standins.engine_batch import EngineBatch
+from tests.standins.engine_control import EngineControl
+from tests.standins.engine_face import EngineFace, FreeStepper
+from tests.standins.engine_model import model_answer
+from tests.standins.prefix_cache import PrefixCache
+from tests.standins.service_core import ServiceCore
+from tests.standins.service_face import ServiceFace
+
+_CHAT = {"model": "m", "messages": [{"role": "user", "content": "frames?"}]}
+
+
+class _Sink:
+    def __init__(self) -> None:
+        self.data = b""
+        self.ends = 0
+        self.errors: list[RelayError] = []
+
+    def on_head(self, status: int, content_type: str) -> None:
+        self.status = status
+
+    def on_data(self, data: bytes) -> None:
+        self.data += data
+
+    def on_end(self) -> None:
+        self.ends += 1
+
+    def on_failure(self, error: RelayError) -> None:
+        self.errors.append(error)
+
+    @property
+    def over(self) -> bool:
+        return bool(self.ends or self.errors)
+
+
+def _chat(**fields: Any) -> EngineCall:
+    body = json.dumps(_CHAT | {"stream": True} | fields).encode()
+    return EngineCall("POST", "/v1/chat/completions", "application/json", body)
+
+
+def _serve(context: Any, handle: Any) -> None:
+    url, context.close_standin = serve(handle)
+    context.engine = HttpEngine(reactor, url)
+    context.cleanup.callback(lambda: result_of(context.engine.close()))
+    context.cleanup.callback(context.close_standin)
+    context.sink = _Sink()
+
+
+@given("an engine stand-in")
+def step_engine(context: Any) -> None:
+    context.batch = EngineBatch(slots=4, step_s=0.002)
+    control = EngineControl(context.batch, PrefixCache(), reactor)
+    face = EngineFace(context.batch, control)
+    face.stepper = FreeStepper(face, context.batch, reactor)
+    _serve(context, face.handle)
+
+
+@given("a plain service stand-in that loses its second answer")
+def step_service(context: Any) -> None:
+    context.service = ServiceCore()
+    _serve(context, ServiceFace(context.service, reactor).handle)
+
+
+@given("the stand-in behind the adapter is gone")
+def step_gone(context: Any) -> None:
+    context.close_standin()
+
+
+@when("the adapter asks for a streamed answer")
+def step_streamed(context: Any) -> None:
+    context.engine.start(_chat(), context.sink)
+    run_until(lambda: context.sink.over)
+
+
+@then("the sink got the model's answer, token by token, and its end")
+def step_answer(context: Any) -> None:
+    events = [
+        json.loads(line.removeprefix("data: "))
+        for line in context.sink.data.decode().split("\n\n")
+        if line and line != "data: [DONE]"
+    ]
+    deltas = [event["choices"][0]["delta"].get("content") for event in events]
+    assert [delta for delta in deltas if delta] == model_answer(_CHAT), deltas
+    assert context.sink.data.endswith(b"data: [DONE]\n\n")
+    assert (context.sink.ends, context.sink.errors) == (1, [])
+
+
+@when("the adapter cancels a long answer after its first bytes")
+def step_cancel(context: Any) -> None:
+    long_answer = _chat(max_tokens=100_000, min_tokens=100_000)
+    running = context.engine.start(long_answer, context.sink)
+    run_until(lambda: bool(context.sink.data))
+    running.cancel()
+    run_until(lambda: context.batch.executions[0].state == "cancelled")
+
+
+@then("the engine stand-in has cancelled it and the sink hears no end")
+def step_cancelled(context: Any) -> None:
+    assert not context.sink.over
+    assert context.batch.idle
+
+
+@when('the adapter calls "{method} {path}" twice on one connection')
+def step_twice(context: Any, method: str, path: str) -> None:
+    body = b"{}" if method == "POST" else b""
+    call = EngineCall(method, path, "application/json", body)
+    first = _Sink()
+    context.engine.start(call, first)
+    run_until(lambda: first.over)
+    context.service.faults.lose_next_answers = 1
+    context.engine.start(call, context.sink)
+    run_until(lambda: context.sink.over)
+
+
+@then("the sink got a failure that says the call ran: {ran}")
+def step_failure(context: Any, ran: str) -> None:
+    assert [error.ran.value for error in context.sink.errors] == [ran]
+    assert context.sink.ends == 0
+
+
+@then("the plain service stand-in has run it {count:d} times")
+def step_run_count(context: Any, count: int) -> None:
+    assert len(context.service.executions) + context.service.reads == count
+
+
+@when("the adapter gives orders with the fencing tokens {first:d} and {second:d}")
+def step_orders(context: Any, first: int, second: int) -> None:
+    context.error = None
+    result_of(context.engine.order(EngineOrder("load_model", "m", first)))
+    try:
+        result_of(context.engine.order(EngineOrder("load_model", "m", second)))
+    except RelayError as error:
+        context.error = error
+
+
+@then("the last order failed with {kind}")
+def step_order_failed(context: Any, kind: str) -> None:
+    assert context.error is not None and context.error.kind == kind, context.error
--- /dev/null
+++ b/tests/harness/reactor_loop.py
@@ -0,0 +1,62 @@
+"""Runs the reactor step by step inside a test, so that a step can wait for a result."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar, cast
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import maybeDeferred
+from twisted.python.failure import Failure
+from twisted.web.server import Site
+
+from tests.standins.http_face import Face
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.defer import Deferred
+    from twisted.web.server import Request
+
+_Value = TypeVar("_Value")
+_ITERATION_S = 0.01
+_LIMIT_S = 30.0
+
+reactor = cast("ReactorBase", _reactor)
+
+
+def run_until(done: Callable[[], bool], limit_s: float = _LIMIT_S) -> None:
+    """Run the reactor until ``done()``; fail only if that never happens."""
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    end = reactor.seconds() + limit_s
+    while not done():
+        assert reactor.seconds() < end, f"it did not happen within {limit_s:g} s"
+        reactor.iterate(_ITERATION_S)
+
+
+def result_of(deferred: Deferred[_Value]) -> _Value:
+    """Run the reactor until a result is there; return it or raise its error."""
+    results: list[Any] = []
+    deferred.addBoth(results.append)
+    run_until(lambda: bool(results))
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    return cast("_Value", results[0])
+
+
+def serve(
+    handle: Callable[[Request, list[str]], None],
+) -> tuple[str, Callable[[], None]]:
+    """Serve a stand-in's face on loopback; return its address and how to close it."""
+    port: Any = reactor.listenTCP(  # type: ignore[attr-defined]
+        0, Site(Face(handle)), interface="127.0.0.1"
+    )
+
+    def close() -> None:
+        result_of(maybeDeferred(port.stopListening))
+
+    return f"http://127.0.0.1:{port.getHost().port}", close
+
+
+__all__ = ["reactor", "result_of", "run_until", "serve"]
--- /dev/null
+++ b/tests/standins/engine_answer.py
@@ -0,0 +1,69 @@
+"""The two forms in which the engine stand-in answers a chat call."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from tests.standins.http_face import send_json
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+
+class WholeAnswer:
+    """An answer that is sent at once when it is complete."""
+
+    def __init__(self, request: Request, body: dict[str, Any]) -> None:
+        self._request = request
+        self._body = body
+        self._tokens: list[str] = []
+
+    def token(self, token: str) -> None:
+        """Collect a token."""
+        self._tokens.append(token)
+
+    def end(self) -> None:
+        """Send the answer."""
+        message = {"role": "assistant", "content": "".join(self._tokens)}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        answer = {
+            "object": "chat.completion",
+            "model": self._body.get("model"),
+            "choices": [choice],
+            "usage": {"completion_tokens": len(self._tokens)},
+        }
+        send_json(self._request, 200, answer)
+
+
+class StreamedAnswer:
+    """An answer that is sent token by token as server-sent events."""
+
+    def __init__(self, request: Request, body: dict[str, Any]) -> None:
+        self._request = request
+        self._body = body
+        request.setHeader(b"content-type", b"text/event-stream")
+
+    def token(self, token: str) -> None:
+        """Send a token."""
+        self._event({"content": token}, None)
+
+    def end(self) -> None:
+        """Send the end of the stream."""
+        self._event({}, "stop")
+        self._request.write(b"data: [DONE]\n\n")
+        self._request.finish()
+
+    def _event(self, delta: dict[str, str], finish_reason: str | None) -> None:
+        choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+        event = {
+            "object": "chat.completion.chunk",
+            "model": self._body.get("model"),
+            "choices": [choice],
+        }
+        self._request.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+
+
+Answer = WholeAnswer | StreamedAnswer
+
+__all__ = ["Answer", "StreamedAnswer", "WholeAnswer"]
--- a/tests/standins/engine_batch.py
+++ b/tests/standins/engine_batch.py
@@ -38,11 +38,15 @@
 
 @dataclass(slots=True)
 class Call:
-    """A chat call and the tokens that it still has to give."""
+    """A chat call and the tokens that it still has to give.
+
+    :param prefill_steps: steps that its prompt still takes before the first token.
+    """
 
     execution: Execution
     priority: int
     tokens: list[str]
+    prefill_steps: int = 0
 
     @property
     def left(self) -> int:
@@ -73,13 +77,20 @@
     executions: list[Execution] = field(default_factory=list)
     steps: int = 0
 
-    def submit(self, request_id: str, priority: int, body: dict[str, Any]) -> Call:
+    def submit(
+        self,
+        request_id: str,
+        priority: int,
+        body: dict[str, Any],
+        prefill_steps: int = 0,
+    ) -> Call:
         """Queue a chat call and record it."""
         resume_from = int(body.get("resume_from", 0))
         execution = Execution(
             len(self.executions), request_id, prompt_of(body), resume_from
         )
-        call = Call(execution, priority, model_answer(body)[resume_from:])
+        tokens = model_answer(body)[resume_from:]
+        call = Call(execution, priority, tokens, prefill_steps)
         self.executions.append(execution)
         self.queued.append(call)
         return call
@@ -134,6 +145,9 @@
 
 def _advance(call: Call) -> list[Emission]:
     execution = call.execution
+    if call.prefill_steps:
+        call.prefill_steps -= 1
+        return []
     if not call.left:
         execution.state = "done"
         return [Emission(call, None)]
--- /dev/null
+++ b/tests/standins/engine_control.py
@@ -0,0 +1,112 @@
+"""Routes of the engine stand-in beside chat: load, cache, KV, orders, faults."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+from tests.standins.http_face import (
+    argument_of,
+    header_of,
+    json_of,
+    method_of,
+    send_json,
+)
+from tests.standins.prefix_cache import blocks_of
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from tests.standins.engine_batch import EngineBatch
+    from tests.standins.prefix_cache import PrefixCache
+
+_BLOCKS_PER_PREFILL_STEP = 8
+
+
+class EngineControl:
+    """Serves what the platform asks of an engine.
+
+    :param load_lag_s: age of the reported load, in seconds.
+    :param checks_fencing: whether an order with an older number is refused.
+    """
+
+    def __init__(
+        self,
+        batch: EngineBatch,
+        cache: PrefixCache,
+        reactor: ReactorBase,
+        *,
+        load_lag_s: float = 0.0,
+        checks_fencing: bool = True,
+    ) -> None:
+        self._batch = batch
+        self._cache = cache
+        self._reactor = reactor
+        self._load_lag_s = load_lag_s
+        self._checks_fencing = checks_fencing
+        self._highest_token = -1
+        self._orders: list[dict[str, Any]] = []
+        self._loads: deque[tuple[float, dict[str, float]]] = deque(maxlen=1000)
+
+    def handle(self, request: Request, parts: list[str]) -> None:
+        """Answer one request."""
+        match method_of(request), parts:
+            case "GET", ["load"]:
+                send_json(request, 200, self._lagging_load())
+            case "GET", ["cache", "events"]:
+                self._cache_events(request)
+            case "POST", ["kv", "export"]:
+                blocks = self._cache.held(blocks_of(json_of(request)["prompt"]))
+                send_json(request, 200, {"blocks": blocks})
+            case "POST", ["kv", "import"]:
+                self._cache.load(json_of(request)["blocks"], self._reactor.seconds())
+                send_json(request, 200, {"imported": True})
+            case "POST", ["orders"]:
+                self._order(request)
+            case "GET", ["orders"]:
+                send_json(request, 200, {"orders": self._orders})
+            case "POST", ["control"]:
+                for name, value in json_of(request).items():
+                    setattr(self._batch.faults, name, value)
+                send_json(request, 200, asdict(self._batch.faults))
+            case _:
+                send_json(request, 404, {"error": "no such route"})
+
+    def prefill_steps(self, prompt: str) -> int:
+        """Cache a prompt and return the steps that its missing blocks take."""
+        hits = self._cache.use(prompt, self._reactor.seconds())
+        missing = len(blocks_of(prompt)) - hits
+        return -(-missing // _BLOCKS_PER_PREFILL_STEP)
+
+    def note_load(self) -> None:
+        """Keep the present load, to be reported later."""
+        self._loads.append((self._reactor.seconds(), self._batch.load()))
+
+    def _lagging_load(self) -> dict[str, float]:
+        now = self._reactor.seconds()
+        self.note_load()
+        wanted_at = now - self._load_lag_s
+        at, load = next(
+            (entry for entry in reversed(self._loads) if entry[0] <= wanted_at),
+            self._loads[0],
+        )
+        return load | {"age_s": now - at}
+
+    def _cache_events(self, request: Request) -> None:
+        after = int(argument_of(request, "after", 0))
+        events = self._cache.events(after, self._reactor.seconds())
+        send_json(request, 200, {"events": list(map(asdict, events))})
+
+    def _order(self, request: Request) -> None:
+        token = int(header_of(request, "X-Fencing-Token") or -1)
+        if self._checks_fencing and token < self._highest_token:
+            send_json(request, 409, {"highest": self._highest_token})
+            return
+        self._highest_token = max(self._highest_token, token)
+        self._orders.append(json_of(request) | {"fencing_token": token})
+        send_json(request, 200, {"obeyed": True})
+
+
+__all__ = ["EngineControl"]
--- /dev/null
+++ b/tests/standins/group_face.py
@@ -0,0 +1,222 @@
+"""A lock-step group of engine stand-ins: orders to a rank, and the barrier.
+
+Rank 0's engine holds the barrier; the others arrive at it over HTTP before each step.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred, succeed
+
+from corianderrelay.transport.http_client import HttpClient
+
+from tests.standins.group_rank import GroupRank, StepBarrier
+from tests.standins.http_face import header_of, json_of, method_of, send_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from corianderrelay.transport.http_client import HttpAnswer
+
+    from tests.standins.engine_batch import EngineBatch
+    from tests.standins.engine_face import EngineFace
+    from tests.standins.group_rank import RankRefusal
+
+_ARRIVE_TIMEOUT_S = 600.0
+_RETRY_S = 0.1
+_STEPS_SHOWN = 20
+
+
+class GroupHub:
+    """Rank 0's barrier; a step begins once every rank has arrived."""
+
+    def __init__(self, ranks: int) -> None:
+        self.barrier = StepBarrier(ranks)
+        self._waiting_by_rank: dict[int, Deferred[int]] = {}
+
+    def arrive(self, rank: int, map_number: int) -> Deferred[int]:
+        """Return the number of the step once it begins."""
+        begun: Deferred[int] = Deferred()
+        self._waiting_by_rank[rank] = begun
+        if self.barrier.arrive(rank, map_number):
+            waiting, self._waiting_by_rank = self._waiting_by_rank, {}
+            for other in waiting.values():
+                other.callback(self.barrier.step)
+        return begun
+
+    def leave(self, rank: int, begun: Deferred[int]) -> None:
+        """Forget a rank whose connection is gone while it waits."""
+        if self._waiting_by_rank.get(rank) is begun:
+            del self._waiting_by_rank[rank]
+            self.barrier.leave(rank)
+
+
+class RankStepper:
+    """Steps one rank's engine together with its group.
+
+    :param arrive: tells the barrier that the rank waits, with its map.
+    """
+
+    def __init__(
+        self,
+        rank: GroupRank,
+        face: EngineFace,
+        batch: EngineBatch,
+        reactor: ReactorBase,
+        arrive: Callable[[int], Deferred[int]],
+    ) -> None:
+        self._rank = rank
+        self._face = face
+        self._batch = batch
+        self._reactor = reactor
+        self._arrive = arrive
+        self._busy = False
+
+    def wake(self) -> None:
+        """Arrive at the next step unless busy or held."""
+        if self._busy or self._rank.held or self._batch.faults.stalled:
+            return
+        self._busy = True
+        self._arrive(self._rank.map).addCallbacks(self._begin, self._failed)
+
+    def start(self) -> None:
+        """Look again and again whether the rank may go on."""
+        self.wake()
+        self._reactor.callLater(_RETRY_S, self.start)
+
+    def _begin(self, step: int) -> None:
+        self._rank.step = step
+        self._reactor.callLater(self._batch.step_time_s, self._end)
+
+    def _end(self) -> None:
+        self._face.step()
+        self._busy = False
+        self.wake()
+
+    def _failed(self, _failure: object) -> None:
+        self._busy = False
+
+
+class GroupFace:
+    """Serves a rank's group routes and leaves others to the engine's face.
+
+    :param hub: the barrier on rank 0, else ``None``.
+    :param weights: where the weights of a staged map are read, or ``None``.
+    """
+
+    def __init__(
+        self,
+        rank: GroupRank,
+        face: EngineFace,
+        hub: GroupHub | None,
+        weights: HttpClient | None,
+        model: str,
+    ) -> None:
+        self._rank = rank
+        self._face = face
+        self._hub = hub
+        self._weights = weights
+        self._model = model
+
+    def handle(self, request: Request, parts: list[str]) -> None:
+        """Answer one request."""
+        match method_of(request), parts:
+            case "POST", ["group", "arrive"] if self._hub is not None:
+                self._arrive(self._hub, request)
+            case "GET", ["group", "steps"] if self._hub is not None:
+                send_json(request, 200, _steps(self._hub.barrier))
+            case "GET", ["group", "status"]:
+                send_json(request, 200, self._status())
+            case "POST", ["group", "stage" | "arm" | "activate" as action]:
+                self._order(request, action)
+            case _:
+                self._face.handle(request, parts)
+
+    def _arrive(self, hub: GroupHub, request: Request) -> None:
+        arrival = json_of(request)
+        begun = hub.arrive(arrival["rank"], arrival["map"])
+        gone = request.notifyFinish()
+        gone.addErrback(lambda _: hub.leave(arrival["rank"], begun))
+        begun.addCallback(lambda step: _send_step(request, step))
+
+    def _order(self, request: Request, action: str) -> None:
+        body = json_of(request)
+        token = int(header_of(request, "X-Fencing-Token") or -1)
+        admitted = self._rank.admit(token)
+        if isinstance(admitted, Err):
+            send_json(request, 409, {"error": admitted.err_value.reason})
+        elif action == "stage":
+            self._stage(request, body)
+        elif action == "arm":
+            self._obeyed(request, self._rank.arm(body["map"], body["hold_at"]))
+        else:
+            self._obeyed(request, self._rank.activate(body["map"]))
+
+    def _obeyed(self, request: Request, obeyed: Result[None, RankRefusal]) -> None:
+        if isinstance(obeyed, Err):
+            answer = {"error": obeyed.err_value.reason} | self._status()
+            send_json(request, 412, answer)
+            return
+        if self._face.stepper is not None:
+            self._face.stepper.wake()
+        send_json(request, 200, self._status())
+
+    def _stage(self, request: Request, body: dict[str, Any]) -> None:
+        experts = [tuple(expert) for expert in body.get("experts", [])]
+        loaded = self._load(experts)
+        loaded.addCallbacks(lambda _: self._rank.stage(body["map"]), lambda _: None)
+        send_json(request, 202, self._status())
+
+    def _load(self, experts: list[tuple[int, int]]) -> Deferred[None]:
+        if self._weights is None or not experts:
+            return succeed(None)
+        layer, expert = experts[0]
+        path = f"/weights/{self._model}/{layer}/{expert}"
+        read = self._weights.fetch("GET", path, timeout_s=_ARRIVE_TIMEOUT_S)
+        return read.addCallback(lambda _: self._load(experts[1:]))
+
+    def _status(self) -> dict[str, Any]:
+        status = asdict(self._rank)
+        return status | {"held": self._rank.held, "staged": sorted(self._rank.staged)}
+
+
+def remote_arrival(client: HttpClient, rank: int) -> Callable[[int], Deferred[int]]:
+    """Return how a rank other than 0 arrives at the barrier on rank 0."""
+
+    def arrive(map_number: int) -> Deferred[int]:
+        body = msgspec.json.encode({"rank": rank, "map": map_number})
+        answer = client.fetch(
+            "POST", "/group/arrive", timeout_s=_ARRIVE_TIMEOUT_S, body=body
+        )
+        return answer.addCallback(_step_of)
+
+    return arrive
+
+
+def _step_of(answer: HttpAnswer) -> int:
+    step = msgspec.json.decode(answer.body, type=dict[str, int])
+    return step["step"]
+
+
+def _send_step(request: Request, step: int) -> None:
+    send_json(request, 200, {"step": step})
+
+
+def _steps(barrier: StepBarrier) -> dict[str, Any]:
+    shown = list(barrier.maps_by_step.items())[-_STEPS_SHOWN:]
+    return {
+        "step": barrier.step,
+        "mixed": barrier.mixed_steps(),
+        "last": [{"step": step, "maps": maps} for step, maps in shown],
+    }
+
+
+__all__ = ["GroupFace", "GroupHub", "RankStepper", "remote_arrival"]
--- a/tests/standins/log_store.py
+++ b/tests/standins/log_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -59,15 +60,15 @@
     def __init__(self, faults: LogFaults) -> None:
         self.faults = faults
         self._streams_by_name: dict[str, _Stream] = {}
-        self._allowance = 1.0
-        self._allowed_at: float | None = None
+        self._allowance = 0.0
+        self._allowed_at = -math.inf
 
     def append(self, name: str, payload: bytes, now: float) -> Result[int, Refusal]:
         """Append a payload and return its offset, unless out or over the rate."""
         if self.faults.outage:
             return Err(Refusal(503, 1.0))
         if not self._take_allowance(now):
-            return Err(Refusal(429, 1.0 / self.faults.appends_per_s))
+            return Err(Refusal(429, 1.0 / max(1.0, self.faults.appends_per_s)))
         stream = self._streams_by_name.setdefault(name, _Stream())
         stream.kept.append((now, payload))
         return Ok(stream.end - 1)
@@ -97,9 +98,9 @@
 
     def _take_allowance(self, now: float) -> bool:
         rate = self.faults.appends_per_s
-        elapsed = 0.0 if self._allowed_at is None else now - self._allowed_at
-        limit = max(1.0, rate * _BURST_S)
-        self._allowance = min(limit, self._allowance + elapsed * rate)
+        limit = max(1.0, rate * _BURST_S) if rate else 0.0
+        refilled = self._allowance + (now - self._allowed_at) * rate if rate else 0.0
+        self._allowance = min(limit, refilled)
         self._allowed_at = now
         taken = self._allowance >= 1.0
         self._allowance -= taken
--- a/tests/standins/run.py
+++ b/tests/standins/run.py
@@ -13,13 +13,23 @@
 from twisted.internet import reactor as _reactor
 from twisted.web.server import Site
 
+from corianderrelay.transport.http_client import HttpClient
+
 from tests.standins.engine_batch import EngineBatch
-from tests.standins.engine_face import EngineFace
+from tests.standins.engine_control import EngineControl
+from tests.standins.engine_face import EngineFace, FreeStepper
+from tests.standins.group_face import GroupFace, GroupHub, RankStepper, remote_arrival
+from tests.standins.group_rank import NO_MAP, GroupRank
 from tests.standins.http_face import Face
+from tests.standins.instances_core import InstanceHistory, InstanceListFaults
+from tests.standins.instances_face import InstancesFace
 from tests.standins.log_face import LogFace
 from tests.standins.log_store import LogFaults, LogStore
+from tests.standins.prefix_cache import PrefixCache
 from tests.standins.service_core import ServiceCore
 from tests.standins.service_face import ServiceFace
+from tests.standins.weights_core import WeightStore
+from tests.standins.weights_face import WeightsFace
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,25 +76,54 @@
 @click.option("--crash-on", default="", help="A prompt with this text ends it.")
 @click.option("--load-lag-s", default=0.5)
 @click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--cache-blocks", default=1024, help="Capacity of the prefix cache.")
+@click.option("--event-lag-s", default=0.5, help="How late cache events are shown.")
+@click.option("--event-gap-every", default=0, help="Each Nth cache event is lost.")
+@click.option("--rank", default=-1, help="Rank in a lock-step group; -1 for none.")
+@click.option("--ranks", default=0, help="Size of the group; rank 0 needs it.")
+@click.option("--hub-url", default="", help="Rank 0's engine; other ranks need it.")
+@click.option("--weights-url", default="", help="Store that staged maps are read from.")
+@click.option("--model", default="m", help="Model whose weights are read.")
+@click.option("--first-map", default=NO_MAP, help="Expert map held at start.")
 @click.pass_obj
-def engine(
-    host: str,
-    port: int,
-    slots: int,
-    step_s: float,
-    crash_on: str,
-    load_lag_s: float,
-    checks_fencing: bool,
-) -> None:
-    """Run a model engine."""
-    face = EngineFace(
-        EngineBatch(slots, step_s),
+def engine(host: str, /, port: int, **options: Any) -> None:
+    """Run a model engine, alone or as a rank of a lock-step group."""
+    batch = EngineBatch(options["slots"], options["step_s"])
+    cache = PrefixCache(
+        options["cache_blocks"], options["event_lag_s"], options["event_gap_every"]
+    )
+    control = EngineControl(
+        batch,
+        cache,
         reactor,
-        crash_on=crash_on,
-        load_lag_s=load_lag_s,
-        checks_fencing=checks_fencing,
+        load_lag_s=options["load_lag_s"],
+        checks_fencing=options["checks_fencing"],
     )
-    serve(face.handle, host, port)
+    face = EngineFace(batch, control, options["crash_on"])
+    if options["rank"] < 0:
+        face.stepper = FreeStepper(face, batch, reactor)
+        serve(face.handle, host, port)
+    else:
+        serve(_join_group(face, batch, options).handle, host, port)
+
+
+def _join_group(
+    face: EngineFace, batch: EngineBatch, options: dict[str, Any]
+) -> GroupFace:
+    number, first_map = options["rank"], options["first_map"]
+    rank = GroupRank(number, options["checks_fencing"], first_map)
+    hub = GroupHub(options["ranks"]) if number == 0 else None
+    arrive = (
+        remote_arrival(HttpClient(reactor, options["hub_url"]), number)
+        if hub is None
+        else lambda map_number: hub.arrive(0, map_number)
+    )
+    stepper = RankStepper(rank, face, batch, reactor, arrive)
+    face.stepper = stepper
+    stepper.start()
+    url = options["weights_url"]
+    weights = HttpClient(reactor, url) if url else None
+    return GroupFace(rank, face, hub, weights, options["model"])
 
 
 @main.command()
@@ -95,5 +134,26 @@
     serve(ServiceFace(ServiceCore(), reactor).handle, host, port)
 
 
+@main.command()
+@click.option("--port", default=0)
+@click.option("--lag-s", default=1.0)
+@click.pass_obj
+def instances(host: str, port: int, lag_s: float) -> None:
+    """Run the lagging list of instances."""
+    history = InstanceHistory(InstanceListFaults(lag_s))
+    serve(InstancesFace(history, reactor).handle, host, port)
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--bytes-per-s", default=1e9)
+@click.option("--expert-bytes", default=1_000_000)
+@click.pass_obj
+def weights(host: str, port: int, bytes_per_s: float, expert_bytes: int) -> None:
+    """Run the rate-limited weight store."""
+    store = WeightStore(bytes_per_s, expert_bytes)
+    serve(WeightsFace(store, reactor).handle, host, port)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/standins/service_face.py
+++ b/tests/standins/service_face.py
@@ -45,13 +45,8 @@
     def _change(self, request: Request, action: str) -> None:
         key = header_of(request, "Idempotency-Key")
         execution = self._core.change(action, key, json_of(request))
-        faults = self._core.faults
-        if faults.crash_next:
+        if self._core.faults.crash_next:
             os._exit(_CRASH_STATUS)
-        if faults.lose_next_answers > 0:
-            faults.lose_next_answers -= 1
-            drop(request)
-            return
         answer = {"id": execution.number, "action": action, "body": execution.body}
         self._later(request, 201, answer)
 
@@ -63,8 +58,13 @@
             self._later(request, 200, {"id": order.number, "body": order.body})
 
     def _later(self, request: Request, status: int, answer: dict[str, Any]) -> None:
+        faults = self._core.faults
+        if faults.lose_next_answers > 0:
+            faults.lose_next_answers -= 1
+            drop(request)
+            return
         timer = self._reactor.callLater(
-            self._core.faults.delay_s, send_json, request, status, answer
+            faults.delay_s, send_json, request, status, answer
         )
         request.notifyFinish().addErrback(lambda _: timer.cancel())
 
