Keep the TLS library out of the HTTP client until an https address needs it

Cause: after merging the platform's adapters, agents without TLS ended at start: the HTTP client imported twisted's TLS at module level, which plain processes leave out. Found by the process features (bad_input, whole_path), red after the merge.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -9,7 +9,7 @@
 import click
 from result import Err, Ok
 
-from corianderrelay.transport.optional_tls import leave_tls_out, tls_files
+from corianderrelay.transport.optional_tls import leave_tls_out_unless, tls_files
 from corianderrelay.transport.settings_file import read_settings
 
 from .state.settings import AgentSettings
@@ -40,8 +40,8 @@
 def run(settings_file: Path) -> None:
     """Run beside one engine rank or plain service until SIGTERM."""
     settings, tls = _load(settings_file)
-    if tls is None:
-        leave_tls_out()
+    urls = (*settings.platform.urls, settings.endpoint.url)
+    leave_tls_out_unless(tls is not None, urls)
     from .serve import serve_agent
 
     sys.exit(serve_agent(settings, tls))
--- a/packages/corianderrelay-core/src/corianderrelay/state/common_settings.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/common_settings.py
@@ -26,5 +26,10 @@
     log_url: Url
     instances_url: Url
 
+    @property
+    def urls(self) -> tuple[str, str]:
+        """All addresses that the process connects to."""
+        return self.log_url, self.instances_url
+
 
 __all__ = ["Host", "PlatformSettings", "Port", "Seconds", "TlsSettings", "Url"]
--- a/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
@@ -15,10 +15,8 @@
     HostnameEndpoint,
     TCP4ClientEndpoint,
     TCP6ClientEndpoint,
-    wrapClientTLS,
 )
 from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
-from twisted.internet.ssl import optionsForClientTLS
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
@@ -190,6 +188,10 @@
         endpoint = self._plain_endpoint(host, uri.port)
         if uri.scheme != b"https":
             return endpoint
+        # Imported here only: a process without TLS keeps the library out of memory.
+        from twisted.internet.endpoints import wrapClientTLS
+        from twisted.internet.ssl import optionsForClientTLS
+
         return wrapClientTLS(optionsForClientTLS(host), cast("Any", endpoint))
 
     def _plain_endpoint(self, host: str, port: int) -> Any:
--- a/packages/corianderrelay-core/src/corianderrelay/transport/optional_tls.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/optional_tls.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..state.common_settings import TlsSettings
     from .tls import TlsFiles
 
@@ -25,13 +27,18 @@
     return TlsFiles(settings)
 
 
-def leave_tls_out() -> None:
-    """Make later imports of the TLS library fail, as if it were not installed.
+def leave_tls_out_unless(used: bool, urls: Iterable[str]) -> None:
+    """Make later imports of the TLS library fail, unless the process needs it.
 
     Call it before twisted's reactor is imported.
+
+    :param used: whether the settings name certificates.
+    :param urls: where the process connects to; one with ``https`` needs TLS.
     """
+    if used or any(url.startswith("https:") for url in urls):
+        return
     modules: dict[str, Any] = sys.modules
     modules.setdefault(_LIBRARY, None)
 
 
-__all__ = ["leave_tls_out", "tls_files"]
+__all__ = ["leave_tls_out_unless", "tls_files"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -9,7 +9,7 @@
 import click
 from result import Err
 
-from corianderrelay.transport.optional_tls import leave_tls_out
+from corianderrelay.transport.optional_tls import leave_tls_out_unless
 from corianderrelay.transport.settings_file import read_secret, read_settings
 
 from .state.settings import EntrySettings
@@ -40,8 +40,7 @@
 def serve(settings_file: Path) -> None:
     """Serve callers and operators until SIGTERM."""
     settings, token, tls = _load(settings_file)
-    if not tls.used:
-        leave_tls_out()
+    leave_tls_out_unless(tls.used, settings.platform.urls)
     from .serve import serve_entry
 
     sys.exit(serve_entry(settings, token, tls))
