Decide membership from echoed heartbeats

The platform's list lags, so it only seeds. A member is usable for three periods from when this process sent the heartbeat that the member echoes.

Ruled out: counting from the arrival of a heartbeat.

--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -61,7 +61,12 @@
 
 
 class Heartbeat(Message, tag="heartbeat", frozen=True):
-    """Periodic sign of life with the sender's load and its newest configuration."""
+    """Periodic sign of life with the sender's load and its newest configuration.
+
+    ``echo`` is the sequence of the newest heartbeat that the sender has received from
+    this peer: the receiver counts freshness from when it sent that one, so that a
+    heartbeat which was delayed on its way proves nothing about the present.
+    """
 
     sequence: Natural
     config_version: Natural = 0
@@ -72,6 +77,8 @@
     leaving: bool = False
     engine_up: bool = True
     news: bytes = b""
+    echo: Natural = 0
+    period_ms: Natural = 1000
 
 
 class Dispatch(Message, tag="dispatch", frozen=True):
--- /dev/null
+++ b/tests/features/steps/members_steps.py
@@ -0,0 +1,53 @@
+"""Steps for membership from direct heartbeats."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, step, then, when
+from hypothesis.stateful import run_state_machine_as_test
+
+from corianderrelay.state.heartbeat_pacing import HeartbeatPacing
+from corianderrelay.state.members import ListedInstance, Members
+
+from tests.machines.members_machine import MembersMachine
+from tests.machines.settings import machine_settings
+
+
+@then("membership survives {examples:d} runs of {steps:d} steps")
+def step_machine(context: Any, examples: int, steps: int) -> None:
+    run_state_machine_as_test(
+        MembersMachine, settings=machine_settings(examples, steps)
+    )
+
+
+@then("membership heartbeats {peers:d} peers every {period:f} s")
+def step_period(context: Any, peers: int, period: float) -> None:
+    assert round(HeartbeatPacing().period_for(peers), 3) == period
+
+
+@given("membership knows runner-0 as incarnation {incarnation:d}")
+def step_known(context: Any, incarnation: int) -> None:
+    context.members = Members()
+    context.members.seed([ListedInstance("runner-0", "127.0.0.1", 1, "a")], 0.0)
+    assert context.members.stream_opened("runner-0", 1, incarnation, 0.0)
+
+
+@then("membership turns away a stream of incarnation {incarnation:d}")
+def step_turned_away(context: Any, incarnation: int) -> None:
+    assert not context.members.stream_opened("runner-0", 2, incarnation, 0.0)
+
+
+@step("membership takes a stream of incarnation {incarnation:d}")
+def step_taken(context: Any, incarnation: int) -> None:
+    assert context.members.stream_opened("runner-0", 3, incarnation, 0.0)
+
+
+@when("membership hears that incarnation {incarnation:d} is leaving")
+def step_leaving(context: Any, incarnation: int) -> None:
+    context.members.leaving_received("runner-0", incarnation)
+
+
+@then("membership has runner-0 as {standing}")
+def step_standing(context: Any, standing: str) -> None:
+    assert context.members.standing("runner-0", 0.1).value == standing
