--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/entry_tls.py
@@ -0,0 +1,47 @@
+"""The certificates of an entry: for callers, operators and its streams to agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from corianderrelay.transport.optional_tls import tls_files
+
+if TYPE_CHECKING:
+    from corianderrelay.state.errors import SettingsError
+
+    from ..state.settings import EntrySettings
+
+
+class EntryTls:
+    """What is ``None`` is served without TLS."""
+
+    __slots__ = ("callers", "operators", "own_streams")
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.callers = tls_files(settings.callers.tls)
+        self.operators = tls_files(settings.operators.tls)
+        self.own_streams = tls_files(settings.own_streams_tls)
+
+    @property
+    def used(self) -> bool:
+        """Whether anything is served with TLS."""
+        return any((self.callers, self.operators, self.own_streams))
+
+    def load(self) -> Result[None, SettingsError]:
+        """Read all files; return the first fault."""
+        parts = (self.callers, self.operators, self.own_streams)
+        results = [files.load() for files in parts if files is not None]
+        return next((result for result in results if isinstance(result, Err)), Ok(None))
+
+    def reload(self) -> None:
+        """Read all files again; a fault is logged and the old ones stay in use."""
+        import eliot
+
+        result = self.load()
+        fault = str(result.err_value) if isinstance(result, Err) else ""
+        eliot.log_message(message_type="entry:tls_reloaded", fault=fault)
+
+
+__all__ = ["EntryTls"]
--- /dev/null
+++ b/tests/standins/engine_face.py
@@ -0,0 +1,122 @@
+"""HTTP face of the engine stand-in: OpenAI-compatible chat, and what ran."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, Protocol
+
+from tests.standins.engine_answer import Answer, StreamedAnswer, WholeAnswer
+from tests.standins.engine_model import prompt_of
+from tests.standins.http_face import header_of, json_of, method_of, send_json
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from tests.standins.engine_batch import Call, Emission, EngineBatch
+    from tests.standins.engine_control import EngineControl
+
+_CRASH_STATUS = 70
+
+
+class Stepper(Protocol):
+    """Decides when the engine steps."""
+
+    def wake(self) -> None:
+        """A call has come; step from now on."""
+
+
+class EngineFace:
+    """Serves the chat calls of one engine and leaves other routes to its control.
+
+    :param crash_on: a prompt with this text ends the process; empty for none.
+    """
+
+    def __init__(
+        self, batch: EngineBatch, control: EngineControl, crash_on: str = ""
+    ) -> None:
+        self._batch = batch
+        self._control = control
+        self._crash_on = crash_on
+        self._answers_by_call: dict[int, Answer] = {}
+        self.stepper: Stepper | None = None
+
+    def handle(self, request: Request, parts: list[str]) -> None:
+        """Answer one request."""
+        match method_of(request), parts:
+            case "POST", ["v1", "chat", "completions"]:
+                self._chat(request)
+            case "GET", ["executions"]:
+                executions = list(map(asdict, self._batch.executions))
+                send_json(request, 200, {"executions": executions})
+            case _:
+                self._control.handle(request, parts)
+
+    def step(self) -> None:
+        """Make one step and send what it emits."""
+        for emission in self._batch.step():
+            self._emit(emission)
+        self._control.note_load()
+
+    def _chat(self, request: Request) -> None:
+        body = json_of(request)
+        resume_from = int(header_of(request, "X-Resume-From") or 0)
+        body["resume_from"] = int(body.get("resume_from", resume_from))
+        request_id = header_of(request, "X-Request-Id")
+        priority = int(header_of(request, "X-Priority") or 0)
+        prompt = prompt_of(body)
+        prefill_steps = self._control.prefill_steps(prompt)
+        call = self._batch.submit(request_id, priority, body, prefill_steps)
+        if self._crash_on and self._crash_on in prompt:
+            os._exit(_CRASH_STATUS)
+        self._answers_by_call[call.execution.number] = _answer(request, body)
+        request.notifyFinish().addErrback(lambda _: self._cancelled(call))
+        if self.stepper is not None:
+            self.stepper.wake()
+
+    def _cancelled(self, call: Call) -> None:
+        self._answers_by_call.pop(call.execution.number, None)
+        self._batch.cancel(call)
+
+    def _emit(self, emission: Emission) -> None:
+        number = emission.call.execution.number
+        if number not in self._answers_by_call:
+            return
+        if emission.token is None:
+            self._answers_by_call.pop(number).end()
+        else:
+            self._answers_by_call[number].token(emission.token)
+
+
+class FreeStepper:
+    """Steps at the engine's own pace while there are calls."""
+
+    def __init__(
+        self, face: EngineFace, batch: EngineBatch, reactor: ReactorBase
+    ) -> None:
+        self._face = face
+        self._batch = batch
+        self._reactor = reactor
+        self._stepping = False
+
+    def wake(self) -> None:
+        """A call has come; step from now on."""
+        if not self._stepping:
+            self._stepping = True
+            self._reactor.callLater(self._batch.step_time_s, self._step)
+
+    def _step(self) -> None:
+        self._face.step()
+        self._stepping = False
+        if not self._batch.idle:
+            self.wake()
+
+
+def _answer(request: Request, body: dict[str, Any]) -> Answer:
+    if body.get("stream"):
+        return StreamedAnswer(request, body)
+    return WholeAnswer(request, body)
+
+
+__all__ = ["EngineFace", "FreeStepper", "Stepper"]
