Order incarnations by the start of the process

Cause: membership takes a lower incarnation for an older run of the process, and random incarnations would make half of all restarts look older. Ruled out: a counter in the log service (an append at each start, refused in outages).

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+import time
 from random import SystemRandom
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +12,7 @@
 from result import Err, Ok
 
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
+from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.json_log import start_log
 
 from .coordination.attempts import Attempts
@@ -25,7 +27,6 @@
 _EXIT_OK = 0
 _EXIT_CUT = 1
 _DRAIN_POLL_S = 0.1
-_INCARNATION_BITS = 62
 
 
 def serve_agent(settings: AgentSettings, tls: TlsFiles | None) -> int:
@@ -53,7 +54,7 @@
         self._reactor = reactor
         engine = HttpEngine(reactor, settings.endpoint.url)
         self._attempts = Attempts(engine, settings.endpoint, reactor.seconds)
-        self._incarnation = SystemRandom().getrandbits(_INCARNATION_BITS)
+        self._incarnation = new_incarnation(time.time(), SystemRandom())
         self._listener = EntryListener(
             self._attempts, self._hello(), settings.timing, reactor
         )
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/incarnation.py
@@ -0,0 +1,24 @@
+"""Numbers that tell one run of a process from another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+_RANDOM_BITS = 20
+_MS_PER_S = 1000
+
+
+def new_incarnation(wall_clock_s: float, random: Random) -> int:
+    """Return an incarnation that is larger than those of earlier runs.
+
+    :param wall_clock_s: seconds since 1970; decides the order of runs.
+    :param random: tells runs apart that were started in the same millisecond.
+    """
+    started_ms = int(wall_clock_s * _MS_PER_S)
+    return (started_ms << _RANDOM_BITS) | random.getrandbits(_RANDOM_BITS)
+
+
+__all__ = ["new_incarnation"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +13,7 @@
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
+from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.config_in_force import ConfigInForce
@@ -33,7 +35,6 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
-_INCARNATION_BITS = 62
 
 
 class Entry:
@@ -54,7 +55,7 @@
         self.settings = settings
         self.clock = clock
         self.random: Random = SystemRandom()
-        self.incarnation = self.random.getrandbits(_INCARNATION_BITS)
+        self.incarnation = new_incarnation(time.time(), self.random)
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
         self.relay = Relay(self.new_id)
