Add the status and drain commands; pass on which entries leave

Cause: an operator's drain was known to the drained entry alone, so others went on naming it to callers. Entries have no streams among themselves; agents now pass on in their heartbeats which entries have told them that they leave. Ruled out: the platform's list (lags, knows no operator's drain), streams between entries, an append for each drain; see docs/decisions/leaving-entries.md.

--- /dev/null
+++ b/bench/entry_slopes.py
@@ -0,0 +1,158 @@
+"""What an entry spends on connected agents and on open streams, at several sizes.
+
+Prints one JSON line with the readings and, for each quantity, the fitted line
+``intercept + slope * size``.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import numpy
+import psutil
+
+from bench.relay import BenchSystem
+from demo.processes import Process
+from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
+
+_READY_TIMEOUT_S = 60.0
+_SETTLE_S = 3.0
+
+
+class _IdleAgentsSystem(DemoSystem):
+    """One entry with many idle agents that live in one process."""
+
+    def __init__(self, folder: Path, agents: int) -> None:
+        super().__init__(folder)
+        self.entry_count = 1
+        self.engine_count = 0
+        self.agents = agents
+
+    def _start_agents(self) -> None:
+        process = self._start("fake-agents", ["-m", "bench.fake_agents"])
+        port = process.wait_for_line("listening")["listening"]
+        for number in range(self.agents):
+            self._register(f"agent-{number}", "agent", "oslo-a", port)
+
+
+def _wait_ready(system: DemoSystem, runners: int) -> None:
+    deadline = time.monotonic() + _READY_TIMEOUT_S
+    while not system.ready(runners):
+        if time.monotonic() > deadline:
+            raise click.ClickException(f"the entry did not reach {runners} runners")
+        time.sleep(0.2)
+
+
+def _private_mb(process: Process) -> float:
+    return float(psutil.Process(process.pid).memory_full_info().uss) / 1e6
+
+
+def _cpu_s(process: Process) -> float:
+    times = psutil.Process(process.pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def _idle_agents(agents: int, seconds: float) -> dict[str, float]:
+    with temporary_folder() as name:
+        system = _IdleAgentsSystem(Path(name), agents)
+        try:
+            system.start()
+            _wait_ready(system, agents)
+            time.sleep(_SETTLE_S)
+            (entry,) = system.processes_named("entry")
+            before = _cpu_s(entry)
+            time.sleep(seconds)
+            return {
+                "agents": agents,
+                "core_percent": (_cpu_s(entry) - before) / seconds * 100,
+                "private_mb": _private_mb(entry),
+            }
+        finally:
+            system.kill()
+
+
+def _open_streams(streams: int, engines: int) -> dict[str, float]:
+    with temporary_folder() as name:
+        folder = Path(name)
+        system = BenchSystem(folder, engines, streams + 1, 30.0)
+        client = None
+        try:
+            system.start()
+            system.wait_until_ready()
+            (entry,) = system.processes_named("entry")
+            agents = system.processes_named("agent")[:engines]
+            if streams:
+                client = _hold_streams(system, folder, streams)
+                _wait_open(system, streams)
+            return {
+                "streams": streams,
+                "entry_private_mb": _private_mb(entry),
+                "agent_private_mb": max(map(_private_mb, agents)),
+                "entry_resident_mb": psutil.Process(entry.pid).memory_info().rss / 1e6,
+            }
+        finally:
+            if client is not None:
+                client.kill()
+            system.kill()
+
+
+def _hold_streams(system: DemoSystem, folder: Path, streams: int) -> Process:
+    command = ["-m", "bench.stream_client", "--url", system.entries[0]]
+    command += ["--key", KIT_SHOP_KEY, "--streams", str(streams)]
+    command += ["--tokens", "100", "--per-second", "500"]
+    return Process("client", command, folder / "client.log")
+
+
+def _wait_open(system: DemoSystem, streams: int) -> None:
+    deadline = time.monotonic() + _READY_TIMEOUT_S
+    while system.status(system.operators[0])["open_requests"] < streams:
+        if time.monotonic() > deadline:
+            raise click.ClickException(f"{streams} streams did not open")
+        time.sleep(0.5)
+
+
+def fit(readings: list[dict[str, float]], size: str) -> dict[str, dict[str, float]]:
+    """Return, for each quantity, the line through its readings over ``size``."""
+    sizes = [reading[size] for reading in readings]
+    return {
+        name: _line(sizes, [reading[name] for reading in readings])
+        for name in readings[0]
+        if name != size
+    }
+
+
+def _line(sizes: list[float], values: list[float]) -> dict[str, float]:
+    slope, intercept = numpy.polyfit(sizes, values, 1)
+    return {"slope": float(f"{slope:.4g}"), "intercept": float(f"{intercept:.4g}")}
+
+
+@click.command()
+@click.option(
+    "--agents", "agent_counts", multiple=True, default=[15, 60, 240], type=int
+)
+@click.option(
+    "--streams", "stream_counts", multiple=True, default=[0, 1000, 10000], type=int
+)
+@click.option("--seconds", default=10.0, help="How long each idle reading takes.")
+def main(
+    agent_counts: tuple[int, ...], stream_counts: tuple[int, ...], seconds: float
+) -> None:
+    """Measure both slopes and print one JSON line."""
+    idle = [_idle_agents(count, seconds) for count in agent_counts]
+    streams = [_open_streams(count, 4) for count in stream_counts]
+    report: dict[str, Any] = {
+        "bench": "entry_slopes",
+        "idle_agents": idle,
+        "idle_agents_fit": fit(idle, "agents"),
+        "open_streams": streams,
+        "open_streams_fit": fit(streams, "streams"),
+    }
+    click.echo(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -36,6 +36,7 @@
 
     from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.errors import RelayError
+    from corianderrelay.state.recent_marks import RecentMarks
 
     from ..coordination.attempts import Attempts
     from ..state.attempt import AnswerChunk, Attempt
@@ -55,6 +56,7 @@
 
     :param incarnation: number of this agent's process.
     :param seconds: returns the monotonic time.
+    :param leaving_entries: marks the entries that say they leave.
     """
 
     def __init__(
@@ -63,11 +65,13 @@
         stream: MessageStream,
         incarnation: int,
         seconds: Callable[[], float],
+        leaving_entries: RecentMarks,
     ) -> None:
         self._attempts = attempts
         self._stream = stream
         self._incarnation = incarnation
         self._seconds = seconds
+        self._leaving_entries = leaving_entries
         self.entry_id = ""
         self._handlers_by_type: dict[type, Callable[[Any], None]] = {
             Hello: self._on_hello,
@@ -143,7 +147,10 @@
         self._attempts.entries_by_id[self.entry_id] = self
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
-        """Nothing to do: its bytes have shown that the connection lives."""
+        if message.leaving:
+            self._leaving_entries.mark([self.entry_id], self._seconds())
+        else:
+            self._leaving_entries.clear(self.entry_id)
 
     def _on_dispatch(self, message: Dispatch) -> None:
         order = AttemptOrder(
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -9,6 +9,7 @@
 
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import Heartbeat
+from corianderrelay.state.recent_marks import RecentMarks
 from corianderrelay.transport.framed_stream import FramedStream
 
 from ..protocol.entry_session import EntrySession
@@ -24,6 +25,8 @@
     from ..coordination.attempts import Attempts
     from ..state.settings import TimingSettings
 
+_LEAVING_ENTRY_REMEMBERED_S = 60.0
+
 
 class EntryListener(protocol.Factory):
     """Makes a session for each entry that connects.
@@ -45,6 +48,7 @@
         self._timing = timing
         self._clock = clock
         self._sessions_by_stream: dict[FramedStream, EntrySession] = {}
+        self._leaving_entries = RecentMarks(_LEAVING_ENTRY_REMEMBERED_S)
         self._sequence = 0
         self._beat = Periodic(clock, self._heartbeat)
 
@@ -63,7 +67,11 @@
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the entry."""
         session = EntrySession(
-            self._attempts, stream, self._hello.incarnation, self._clock.seconds
+            self._attempts,
+            stream,
+            self._hello.incarnation,
+            self._clock.seconds,
+            self._leaving_entries,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -108,6 +116,7 @@
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
             leaving=self._attempts.leaving,
+            leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
 
 
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -66,6 +66,7 @@
     ``echo`` is the sequence of the newest heartbeat that the sender has received from
     this peer: the receiver counts freshness from when it sent that one, so that a
     heartbeat which was delayed on its way proves nothing about the present.
+    ``leaving_entries`` are the entries that have told this agent that they leave.
     """
 
     sequence: Natural
@@ -79,6 +80,7 @@
     news: bytes = b""
     echo: Natural = 0
     period_ms: Natural = 1000
+    leaving_entries: list[Identifier] = []
 
 
 class Dispatch(Message, tag="dispatch", frozen=True):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, NoReturn
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import click
-from result import Err
+from result import Err, Result
 
 from corianderrelay.transport.optional_tls import leave_tls_out_unless
 from corianderrelay.transport.settings_file import read_secret, read_settings
 
 from .state.settings import EntrySettings
 from .transport.entry_tls import EntryTls
+from .transport.operator_client import OperatorClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from corianderrelay.state.errors import RelayError
 
 _EXIT_REFUSED = 1
@@ -29,6 +33,19 @@
 )
 
 
+def _entry_options(command: Callable[..., None]) -> Callable[..., None]:
+    token = click.option(
+        "--token-file",
+        type=click.Path(path_type=Path),
+        required=True,
+        help="File with the operators' token.",
+    )
+    url = click.option(
+        "--operators-url", required=True, help="Operator address of the entry."
+    )
+    return url(token(command))
+
+
 @click.group()
 @click.version_option(package_name="corianderrelay-entry")
 def main() -> None:
@@ -54,6 +71,56 @@
     click.echo("settings are valid")
 
 
+@main.command()
+@_entry_options
+@click.option("--json", "as_json", is_flag=True, help="Print JSON for scripts.")
+def status(operators_url: str, token_file: Path, as_json: bool) -> None:
+    """Show how an entry sees itself and its runners."""
+    reply = _ask(_client(operators_url, token_file).get("/v1/status"))
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    state = (
+        "draining" if reply["draining"] else "ready" if reply["ready"] else "waiting"
+    )
+    click.echo(
+        f"{reply['instance_id']} in {reply['zone']}: {state}, configuration "
+        f"{reply['config_version']}, {reply['open_requests']} open requests"
+    )
+    for runner in reply["runners"]:
+        click.echo(_runner_line(runner))
+
+
+@main.command()
+@_entry_options
+def drain(operators_url: str, token_file: Path) -> None:
+    """Ask an entry to take no new callers; it serves on until its list expires."""
+    _ask(_client(operators_url, token_file).post("/v1/drain"))
+    click.echo("draining")
+
+
+def _runner_line(runner: dict[str, Any]) -> str:
+    state = "leaving" if runner["leaving"] else "up" if runner["engine_up"] else "down"
+    return (
+        f"  {runner['instance_id']} ({runner['zone']}) {runner['service']}: {state}, "
+        f"{runner['running']} running, {runner['queued']} queued, report "
+        f"{runner['report_age_s']:.1f} s old"
+    )
+
+
+def _client(operators_url: str, token_file: Path) -> OperatorClient:
+    token = read_secret(token_file)
+    if isinstance(token, Err):
+        _refuse(token.err_value)
+    return OperatorClient(operators_url, token.ok_value)
+
+
+def _ask(reply: Result[Any, RelayError]) -> Any:
+    if isinstance(reply, Err):
+        _refuse(reply.err_value)
+    return reply.ok_value
+
+
 def _load(settings_file: Path) -> tuple[EntrySettings, str, EntryTls]:
     settings = read_settings(settings_file, EntrySettings)
     if isinstance(settings, Err):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -20,7 +20,7 @@
 from .coordination.observed_answer import ObservedAnswer
 from .coordination.relay import Relay
 from .coordination.request_metrics import RequestMetrics
-from .state.entry_directory import EntryAddress
+from .state.entry_directory import EntryAddress, EntryDirectory
 from .state.request_register import RequestRegister
 from .transport.agent_connector import AgentConnector
 
@@ -61,11 +61,11 @@
         self.relay = Relay(self.new_id)
         self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
+        self.directory = EntryDirectory()
         self.draining = False
         self.address = settings.callers.address
         self._config_reader = ConfigReader(log, clock, self.config.replace)
         self._instances = instances
-        self._entries: list[EntryAddress] = []
         hello = Hello(
             PROTOCOL_VERSION,
             settings.instance_id,
@@ -73,7 +73,9 @@
             settings.zone,
             "entry",
         )
-        self.connector = AgentConnector(self.relay, hello, settings.timing, clock, tls)
+        self.connector = AgentConnector(
+            self.relay, self.directory, hello, settings.timing, clock, tls
+        )
         self._list_poll = Periodic(clock, self._poll_instances)
 
     @property
@@ -94,10 +96,7 @@
     def known_entries(self) -> list[EntryAddress]:
         """Return the live entries, this one included while it takes new callers."""
         own = EntryAddress(self.settings.instance_id, self.address, self.settings.zone)
-        others = [
-            entry for entry in self._entries if entry.instance_id != own.instance_id
-        ]
-        return others if self.draining else [*others, own]
+        return self.directory.entries(own, self.draining, self.clock.seconds())
 
     def submit(self, call: Call, sink: AnswerSink) -> OpenRequest:
         """Run a call and send its answer to ``sink``."""
@@ -118,6 +117,7 @@
     def drain(self, reason: str) -> None:
         """Take no new callers; serve those that still come until their list expires."""
         self.draining = True
+        self.connector.announce_leaving()
         eliot.log_message(message_type="entry:drain", reason=reason)
 
     def _poll_instances(self) -> Any:
@@ -127,7 +127,7 @@
 
     def _follow_instances(self, instances_by_id: dict[str, Instance]) -> None:
         instances = instances_by_id.values()
-        self._entries = [
+        self.directory.replace(
             EntryAddress(
                 instance.instance_id,
                 f"{instance.host}:{instance.port}",
@@ -136,7 +136,7 @@
             for instance in instances
             if instance.role is InstanceRole.ENTRY
             and instance.state is InstanceState.LIVE
-        ]
+        )
         self.connector.follow(
             {
                 instance.instance_id: (instance.host, instance.port)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -32,6 +32,7 @@
     from corianderrelay.state.call import Call
 
     from ..coordination.relay import Relay
+    from ..state.entry_directory import EntryDirectory
 
     class MessageStream(Protocol):
         """What a session needs of a stream."""
@@ -46,13 +47,19 @@
 class AgentSession:
     """The conversation with one agent over one stream.
 
+    :param directory: learns which entries leave.
     :param seconds: returns the monotonic time.
     """
 
     def __init__(
-        self, relay: Relay, stream: MessageStream, seconds: Callable[[], float]
+        self,
+        relay: Relay,
+        directory: EntryDirectory,
+        stream: MessageStream,
+        seconds: Callable[[], float],
     ) -> None:
         self._relay = relay
+        self._directory = directory
         self._stream = stream
         self._seconds = seconds
         self._runner: Runner | None = None
@@ -155,6 +162,7 @@
         runner.engine_up = message.engine_up
         runner.reported_s = self._seconds()
         runner.dispatched = 0
+        self._directory.mark_leaving(message.leaving_entries, runner.reported_s)
 
     def _on_leaving(self, message: Leaving) -> None:
         self.runner.leaving = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/entry_directory.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/entry_directory.py
@@ -6,10 +6,14 @@
 
 from msgspec import Struct
 
+from corianderrelay.state.recent_marks import RecentMarks
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
+_LEAVING_REMEMBERED_S = 10.0
+
 
 class EntryAddress(Struct, frozen=True):
     """Where one entry can be reached."""
@@ -19,6 +23,41 @@
     zone: str
 
 
+class EntryDirectory:
+    """The entries of the platform's list, less those that have said they leave."""
+
+    __slots__ = ("_entries_by_id", "_leaving")
+
+    def __init__(self) -> None:
+        self._entries_by_id: dict[str, EntryAddress] = {}
+        self._leaving = RecentMarks(_LEAVING_REMEMBERED_S)
+
+    def replace(self, entries: Iterable[EntryAddress]) -> None:
+        """Take a new list of the platform."""
+        self._entries_by_id = {entry.instance_id: entry for entry in entries}
+
+    def mark_leaving(self, entry_ids: Iterable[str], now: float) -> None:
+        """Believe entries that leave before the lagging list says so."""
+        self._leaving.mark(entry_ids, now)
+
+    def entries(
+        self, own: EntryAddress, draining: bool, now: float
+    ) -> list[EntryAddress]:
+        """Return the entries that take new callers.
+
+        :param own: this entry, which is named unless it drains itself.
+        """
+        entries_by_id = self._entries_by_id | {own.instance_id: own}
+        leaving = set(self._leaving.marked(now)) - {own.instance_id}
+        if draining:
+            leaving.add(own.instance_id)
+        return [
+            entry
+            for instance_id, entry in sorted(entries_by_id.items())
+            if instance_id not in leaving
+        ]
+
+
 def ordered_entries(
     entries: Iterable[EntryAddress], zone: str, random: Random
 ) -> list[EntryAddress]:
@@ -32,4 +71,4 @@
     return sorted(shuffled, key=lambda entry: entry.zone != zone)
 
 
-__all__ = ["EntryAddress", "ordered_entries"]
+__all__ = ["EntryAddress", "EntryDirectory", "ordered_entries"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -23,6 +23,7 @@
     from corianderrelay.transport.tls import TlsFiles
 
     from ..coordination.relay import Relay
+    from ..state.entry_directory import EntryDirectory
     from ..state.settings import TimingSettings
 
 _RECONNECT = backoffPolicy(initialDelay=0.2, maxDelay=5.0, factor=1.5)
@@ -39,12 +40,15 @@
     def __init__(
         self,
         relay: Relay,
+        directory: EntryDirectory,
         hello: Hello,
         timing: TimingSettings,
         clock: Clock,
         tls: TlsFiles | None = None,
     ) -> None:
         self._relay = relay
+        self._directory = directory
+        self._leaving = False
         self._hello = hello
         self._timing = timing
         self._clock = clock
@@ -88,9 +92,16 @@
         service = self._services_by_agent.pop(agent_id)
         service.stopService()
 
+    def announce_leaving(self) -> None:
+        """Tell all agents that this entry takes no new callers; they pass it on."""
+        self._leaving = True
+        self._heartbeat()
+
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the agent."""
-        session = AgentSession(self._relay, stream, self._clock.seconds)
+        session = AgentSession(
+            self._relay, self._directory, stream, self._clock.seconds
+        )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
 
@@ -127,7 +138,7 @@
             if stream.last_received_s < silent_since:
                 stream.close("the agent has been silent for too long")
             else:
-                stream.send(Heartbeat(self._sequence))
+                stream.send(Heartbeat(self._sequence, leaving=self._leaving))
 
 
 class _StreamFactory(protocol.Factory):
--- /dev/null
+++ b/tests/features/steps/command_line_steps.py
@@ -0,0 +1,98 @@
+"""Steps that run the operators' commands against a running system."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from behave import then, when
+from click.testing import CliRunner
+
+from corianderrelay_entry.cli import main
+
+from demo.processes import fetch
+from demo.system import KIT_SHOP_KEY
+from tests.features.steps.whole_path_steps import chat_body, send_chat
+from tests.waiting import wait_until
+
+_NOWHERE = "http://127.0.0.1:1"
+
+
+def _run(
+    context: Any,
+    command: str,
+    *flags: str,
+    entry: int = 0,
+    changed: dict[str, str] | None = None,
+) -> Any:
+    options = {
+        "--operators-url": context.system.operators[entry],
+        "--token-file": str(context.system.folder / "operators.token"),
+    } | (changed or {})
+    pairs = [part for pair in options.items() for part in pair]
+    return CliRunner().invoke(main, [command, *flags, *pairs])
+
+
+@when("an operator asks an entry for its status")
+def step_status(context: Any) -> None:
+    context.shown = _run(context, "status")
+    context.shown_json = _run(context, "status", "--json")
+
+
+@then("the text names every runner and the JSON has the same ones")
+def step_names_runners(context: Any) -> None:
+    assert context.shown.exit_code == 0, context.shown.output
+    runners = json.loads(context.shown_json.output)["runners"]
+    names = {runner["instance_id"] for runner in runners}
+    assert names == set(context.system.agent_ports), names
+    assert all(name in context.shown.output for name in names), context.shown.output
+
+
+@when("an operator asks for the status with {fault}")
+def step_faulty_call(context: Any, fault: str) -> None:
+    wrong_token = context.system.folder / "wrong.token"
+    wrong_token.write_text("guessed")
+    changed = {
+        "a wrong token": {"--token-file": str(wrong_token)},
+        "a wrong address": {"--operators-url": _NOWHERE},
+        "no token file": {"--token-file": "/nowhere/token"},
+    }[fault]
+    context.result = _run(context, "status", changed=changed)
+
+
+@then('the command exits with {code:d} and says "{text}"')
+def step_exits(context: Any, code: int, text: str) -> None:
+    assert context.result.exit_code == code, context.result.output
+    assert text in context.result.output, context.result.output
+
+
+def _named_entries(entry: str) -> list[str]:
+    reply = json.loads(fetch(f"{entry}/v1/entries")[2])
+    return sorted(named["instance_id"] for named in reply["entries"])
+
+
+def _all_name(context: Any, names: list[str]) -> bool:
+    return all(_named_entries(entry) == names for entry in context.system.entries)
+
+
+@when("an operator drains the second entry")
+def step_drain(context: Any) -> None:
+    wait_until(
+        lambda: _all_name(context, ["entry-0", "entry-1"]), "both entries are named"
+    )
+    result = _run(context, "drain", entry=1)
+    assert result.exit_code == 0, result.output
+
+
+@then("both entries name only the first one to callers")
+def step_only_first(context: Any) -> None:
+    wait_until(
+        lambda: _all_name(context, ["entry-0"]), "a drained entry is no longer named"
+    )
+
+
+@then("the second entry still answers a chat completion")
+def step_still_answers(context: Any) -> None:
+    entry = context.system.entries[1]
+    status, _, body = send_chat(entry, chat_body("Hi", stream=False), KIT_SHOP_KEY)
+    assert status == 200, body
