Fold the config stream; draw late and copied messages in the claims machine

A strike now draws two faults, a kind of message to copy and one to delay, and the oracle compares whole answers.

--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/config_fold.py
@@ -0,0 +1,232 @@
+"""Folds the ``config`` stream into the version in force.
+
+A record is accepted only if its base is the version in force, its version is the next
+one and its document has no fault. All readers judge alike, whether they have read from
+the first record on or start late from a refresh.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .config_records import AnyConfigRecord, ConfigRecord, RefreshRecord
+from .document import Document
+from .document_check import check_document
+from .document_diff import diff_documents
+
+if TYPE_CHECKING:
+    from .document_diff import DocumentChange
+
+FIRST_OFFSET = 0
+_KEPT_CHANGES = 256
+
+
+class RejectReason(Enum):
+    """Why a record was not put in force."""
+
+    STALE_BASE = "stale_base"
+    WRONG_VERSION = "wrong_version"
+    INVALID_DOCUMENT = "invalid_document"
+
+
+@dataclass(slots=True, frozen=True)
+class VersionInForce:
+    """A version that was accepted.
+
+    :param as_of: the last offset read when it was seen to be in force.
+    """
+
+    version: int
+    document: Document
+    author: str
+    time_s: float
+    as_of: int
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What became of one published record.
+
+    :param reason: why it was rejected; ``None`` if it was accepted.
+    :param changes: what it changed, if it was accepted.
+    """
+
+    offset: int
+    record: ConfigRecord
+    reason: RejectReason | None
+    changes: tuple[DocumentChange, ...] = ()
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the record was put in force."""
+        return self.reason is None
+
+
+class ConfigFold:
+    """The stream as judged so far, and the newest version that this process knows.
+
+    The version in force never goes back, whatever is read or heard of peers.
+    """
+
+    __slots__ = (
+        "_judged",
+        "_newest",
+        "_start",
+        "_next_offset",
+        "_unjudged",
+        "_recent",
+        "_refreshed_s",
+    )
+
+    def __init__(self) -> None:
+        self._judged: VersionInForce | None = None
+        self._newest: VersionInForce | None = None
+        self._start = FIRST_OFFSET
+        self._next_offset = FIRST_OFFSET
+        self._unjudged: list[tuple[int, ConfigRecord]] | None = None
+        self._recent: deque[Verdict] = deque(maxlen=_KEPT_CHANGES)
+        self._refreshed_s = 0.0
+
+    @property
+    def in_force(self) -> VersionInForce | None:
+        """The version in force; ``None`` before the first is known."""
+        return self._newest
+
+    @property
+    def version(self) -> int:
+        """Number of the version in force; 0 before the first is known."""
+        return self._newest.version if self._newest else 0
+
+    @property
+    def judges(self) -> bool:
+        """Whether everything is known that judging the next record needs."""
+        return self._unjudged is None
+
+    @property
+    def next_offset(self) -> int:
+        """Where the next read starts."""
+        return self._next_offset
+
+    @property
+    def refreshed_s(self) -> float:
+        """Wall-clock time at which the newest refresh or first version was written."""
+        return self._refreshed_s
+
+    def apply(self, offset: int, record: AnyConfigRecord) -> list[Verdict]:
+        """Take the next record; return the records that could be judged by it."""
+        self._next_offset = offset + 1
+        if isinstance(record, RefreshRecord):
+            self._refreshed_s = max(self._refreshed_s, record.written_s)
+            return self._rebase(
+                VersionInForce(
+                    record.version,
+                    record.document,
+                    record.author,
+                    record.time_s,
+                    record.as_of,
+                )
+            )
+        if self._unjudged is not None:
+            self._unjudged.append((offset, record))
+            return []
+        return [self._judge(offset, record)]
+
+    def pass_over(self, next_offset: int) -> None:
+        """Note that all records before ``next_offset`` were read."""
+        self._next_offset = max(self._next_offset, next_offset)
+
+    def skip_to(self, first_offset: int) -> None:
+        """Note that the service dropped records before they could be read.
+
+        The version in force stays until a refresh or a peer tells what came since.
+        """
+        self._start = first_offset
+        self._next_offset = first_offset
+        self._unjudged = []
+
+    def adopt(self, known: VersionInForce) -> list[Verdict]:
+        """Take the version that a peer holds, unless a newer one is known."""
+        self._advance(known)
+        return self._rebase(known)
+
+    def changes_since(self, version: int) -> list[Verdict]:
+        """Return what was accepted after a version, as far as it is kept."""
+        return [
+            verdict
+            for verdict in self._recent
+            if verdict.accepted and verdict.record.version > version
+        ]
+
+    def history(self) -> list[Verdict]:
+        """Return the newest records that were judged here, oldest first."""
+        return list(self._recent)
+
+    def refresh_record(self, wall_now_s: float) -> RefreshRecord | None:
+        """Return the record that tells late readers the version in force."""
+        held = self._judged
+        if held is None or not self.judges:
+            return None
+        return RefreshRecord(
+            version=held.version,
+            document=held.document,
+            author=held.author,
+            time_s=held.time_s,
+            as_of=self._next_offset - 1,
+            written_s=wall_now_s,
+        )
+
+    def _rebase(self, known: VersionInForce) -> list[Verdict]:
+        """Judge what was read so far from a version that is known to be in force."""
+        if self._unjudged is None or known.as_of + 1 < self._start:
+            return []
+        later = [item for item in self._unjudged if item[0] > known.as_of]
+        self._unjudged = None
+        self._judged = known
+        self._advance(known)
+        return [self._judge(offset, record) for offset, record in later]
+
+    def _judge(self, offset: int, record: ConfigRecord) -> Verdict:
+        reason = self._reject_reason(record)
+        verdict = Verdict(offset, record, reason, self._changes(record, reason))
+        self._recent.append(verdict)
+        if reason is None:
+            self._judged = VersionInForce(
+                record.version, record.document, record.author, record.time_s, offset
+            )
+            self._refreshed_s = self._refreshed_s or record.time_s
+            self._advance(self._judged)
+        return verdict
+
+    def _reject_reason(self, record: ConfigRecord) -> RejectReason | None:
+        judged_version = self._judged.version if self._judged else 0
+        if record.base != judged_version:
+            return RejectReason.STALE_BASE
+        if record.version != record.base + 1:
+            return RejectReason.WRONG_VERSION
+        if check_document(record.document):
+            return RejectReason.INVALID_DOCUMENT
+        return None
+
+    def _changes(
+        self, record: ConfigRecord, reason: RejectReason | None
+    ) -> tuple[DocumentChange, ...]:
+        if reason is not None:
+            return ()
+        old = self._judged.document if self._judged else Document()
+        return tuple(diff_documents(old, record.document))
+
+    def _advance(self, known: VersionInForce) -> None:
+        if known.version > self.version:
+            self._newest = known
+
+
+__all__ = [
+    "ConfigFold",
+    "FIRST_OFFSET",
+    "RejectReason",
+    "Verdict",
+    "VersionInForce",
+]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/document_check.py
@@ -0,0 +1,137 @@
+"""Finds all faults of a configuration document that no single field shows."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import chain
+from typing import TYPE_CHECKING
+
+from .document import ServiceKind
+from .faults import Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .document import Document, Group, Service
+
+_SHARE_TOLERANCE = 1e-9
+
+
+def check_document(document: Document) -> list[Fault]:
+    """Return every fault; none if the document may be put in force."""
+    checks = (
+        _key_digest_faults(document),
+        _workspace_faults(document),
+        _service_faults(document),
+        _group_faults(document),
+        _trust_faults(document),
+    )
+    return list(chain.from_iterable(checks))
+
+
+def _key_digest_faults(document: Document) -> Iterator[Fault]:
+    uses = Counter(
+        digest
+        for workspace in document.workspaces_by_name.values()
+        for digest in workspace.key_digests
+    )
+    return (
+        Fault(
+            f"$.workspaces.{name}.key_digests[{place}]",
+            "this key digest is listed more than once",
+            "give each workspace keys of its own, and list each once",
+        )
+        for name, workspace in document.workspaces_by_name.items()
+        for place, digest in enumerate(workspace.key_digests)
+        if uses[digest] > 1
+    )
+
+
+def _workspace_faults(document: Document) -> Iterator[Fault]:
+    return (
+        _unknown(f"$.workspaces.{name}.services[{place}]", "service", service)
+        for name, workspace in document.workspaces_by_name.items()
+        for place, service in enumerate(workspace.services)
+        if service not in document.services_by_name
+    )
+
+
+def _service_faults(document: Document) -> Iterator[Fault]:
+    return chain.from_iterable(
+        _faults_of_service(f"$.services.{name}", service, document)
+        for name, service in document.services_by_name.items()
+    )
+
+
+def _faults_of_service(
+    path: str, service: Service, document: Document
+) -> Iterator[Fault]:
+    is_model = service.kind is ServiceKind.MODEL
+    if is_model and service.model is None:
+        yield Fault(f"{path}.model", "a model service names no model", "name its model")
+    if is_model and service.group is None:
+        yield Fault(f"{path}.group", "a model service names no group", "name its group")
+    if not is_model and service.model is not None:
+        yield _only_of_models(f"{path}.model")
+    if not is_model and service.group is not None:
+        yield _only_of_models(f"{path}.group")
+    if service.group is not None and service.group not in document.groups_by_name:
+        yield _unknown(f"{path}.group", "group", service.group)
+
+
+def _group_faults(document: Document) -> Iterator[Fault]:
+    return chain.from_iterable(
+        _faults_of_group(f"$.groups.{name}", group, document)
+        for name, group in document.groups_by_name.items()
+    )
+
+
+def _faults_of_group(path: str, group: Group, document: Document) -> Iterator[Fault]:
+    if group.slots_per_rank * group.ranks < group.experts:
+        yield Fault(
+            f"{path}.slots_per_rank",
+            f"{group.ranks} ranks have {group.slots_per_rank * group.ranks} slots "
+            f"for {group.experts} experts",
+            f"set at least {-(-group.experts // group.ranks)} slots per rank",
+        )
+    shares = group.shares_by_workspace
+    guaranteed = sum(share.guaranteed for share in shares.values())
+    if guaranteed > 1.0 + _SHARE_TOLERANCE:
+        yield Fault(
+            f"{path}.shares",
+            f"the guaranteed shares add up to {guaranteed:g}",
+            "lower them to 1 or less in all",
+        )
+    for name, share in shares.items():
+        if name not in document.workspaces_by_name:
+            yield _unknown(f"{path}.shares.{name}", "workspace", name)
+        if share.burst < share.guaranteed:
+            yield Fault(
+                f"{path}.shares.{name}.burst",
+                f"the burst {share.burst:g} is below the guaranteed "
+                f"{share.guaranteed:g}",
+                "raise the burst to the guaranteed share or more",
+            )
+
+
+def _trust_faults(document: Document) -> Iterator[Fault]:
+    return (
+        _unknown(f"$.endpoint_trust.{name}", "service", name)
+        for name in document.trust_by_service
+        if name not in document.services_by_name
+    )
+
+
+def _unknown(path: str, kind: str, name: str) -> Fault:
+    return Fault(
+        path,
+        f"there is no {kind} {name!r}",
+        f"add the {kind} to the document, or correct the name",
+    )
+
+
+def _only_of_models(path: str) -> Fault:
+    return Fault(path, "only model services have this field", "remove it")
+
+
+__all__ = ["check_document"]
--- a/tests/machines/claims_machine.py
+++ b/tests/machines/claims_machine.py
@@ -21,6 +21,12 @@
     Tombstone,
 )
 from corianderrelay.state.claim_keys import request_digest, scoped_key
+from corianderrelay.state.claim_records import (
+    ClaimRecord,
+    OutcomeRecord,
+    ReleaseRecord,
+    RememberedKeysRecord,
+)
 from corianderrelay.state.claims import ClaimFold
 from corianderrelay.state.errors import Ran
 from corianderrelay_agent.state.key_guard import KeyGuard, KeyGuardLimits
@@ -42,6 +48,7 @@
     from collections.abc import Callable
 
     from corianderrelay.protocol.messages import Ticket
+    from corianderrelay.state.claim_records import AnyClaimRecord
 
 RETENTION_S = 600.0
 ENTRIES = 3
@@ -55,6 +62,19 @@
     ),
 )
 GUARD_LIMITS = KeyGuardLimits(ticket_lifetime_s=4.0, max_finished=1, max_tickets=64)
+KINDS = (
+    "ask_ticket",
+    "ticket",
+    "claim",
+    "release",
+    "outcome",
+    "remembered",
+    "dispatch",
+    "refused",
+    "ended",
+    "tombstone",
+    "tombstoned",
+)
 FAULTS = (
     "kill_entry",
     "freeze_entry",
@@ -76,6 +96,7 @@
 class Mail:
     """A message under way; ``arrive`` is called when the receiver takes it."""
 
+    kind: str
     receiver: Any
     arrive: Callable[[], None]
 
@@ -145,12 +166,15 @@
         self.log = Log()
         self.mails: list[Mail] = []
         self.held: list[Mail] = []
+        self.copied_kind = ""
+        self.delayed_kind = ""
         self.numbers = count(1)
         self.keys: list[tuple[str, float | None]] = []
         self.starts: Counter[str] = Counter()
         self.started_requests: set[str] = set()
         self.told_not_run: set[str] = set()
         self.submitted: dict[str, Entry] = {}
+        self.calls: dict[str, KeyedCall] = {}
         self.told: set[str] = set()
 
     @initialize(skews=st.tuples(*[st.sampled_from([-100.0, 0.0, 100.0])] * ENTRIES))
@@ -192,6 +216,7 @@
             dated_s=dated_s,
         )
         self.submitted[call.request_id] = node
+        self.calls[call.request_id] = call
         node.take(lambda: self._submit(node, call))
 
     @rule(which=st.integers(0, KEYS - 1), agent=st.integers(0, AGENTS - 1))
@@ -257,6 +282,7 @@
         progress=st.integers(0, 8),
         faults=st.tuples(st.sampled_from(FAULTS), st.sampled_from(FAULTS)),
         places=st.tuples(st.integers(0, 30), st.integers(0, 30)),
+        kinds=st.tuples(st.sampled_from(KINDS), st.sampled_from(KINDS)),
         seconds=st.sampled_from([0.0, 1.0, 5.0, 30.0]),
         healed=st.booleans(),
     )
@@ -267,10 +293,15 @@
         progress: int,
         faults: tuple[str, str],
         places: tuple[int, int],
+        kinds: tuple[str, str],
         seconds: float,
         healed: bool,
     ) -> None:
-        """Let two faults strike a call at any step of its way; then it is repeated."""
+        """Let two faults strike a call at any step of its way; then it is repeated.
+
+        Meanwhile the network copies one kind of message and delays another.
+        """
+        self.copied_kind, self.delayed_kind = kinds
         self.call(which, node % ENTRIES, node % AGENTS, False)
         if progress:
             self.run_smoothly(progress, finish=False)
@@ -280,8 +311,14 @@
             self.pass_time(seconds)
         if healed:
             self.heal()
+        self.delayed_kind = ""
         self.call_everywhere(which, (node + 1) % AGENTS)
         self.run_smoothly(12, finish=healed)
+        self.copied_kind = ""
+        if healed:
+            self.mails += self.held
+            self.held = []
+            self.run_smoothly(12, finish=True)
 
     # The faults.
 
@@ -381,8 +418,14 @@
         if entry.alive and not entry.frozen:
             self._act(entry, entry.core.tick(self.now, self._wall(entry)))
 
-    def _post(self, node: Node, arrive: Callable[[], None]) -> None:
-        self.mails.append(Mail(node.take, arrive))
+    def _post(self, kind: str, node: Node, arrive: Callable[[], None]) -> None:
+        self._send(Mail(kind, node.take, arrive))
+
+    def _send(self, mail: Mail) -> None:
+        if mail.kind == self.copied_kind:
+            self.held.append(mail)
+        to = self.held if mail.kind == self.delayed_kind else self.mails
+        to.append(mail)
 
     def _act(self, entry: Entry, actions: list[Action]) -> None:
         for action in actions:
@@ -407,11 +450,12 @@
                 self.log.records.append((self.now, action.record))
                 return
             self._post(
+                "append_failed",
                 entry,
                 lambda: self._act(entry, entry.core.append_failed(action.record)),
             )
 
-        self.mails.append(Mail(arrive, append))
+        self._send(Mail(_kind_of(action.record), arrive, append))
 
     def _agent(self, runner_id: str) -> Agent:
         return next(one for one in self.agents if one.runner_id == runner_id)
@@ -422,9 +466,11 @@
         def grant() -> None:
             answer = agent.guard.grant_ticket(action.key, self.now)
             ticket = answer.ok()
-            self._post(entry, lambda: self._granted(entry, action.request_id, ticket))
+            self._post(
+                "ticket", entry, lambda: self._granted(entry, action.request_id, ticket)
+            )
 
-        self._post(agent, grant)
+        self._post("ask_ticket", agent, grant)
 
     def _granted(self, entry: Entry, request_id: str, ticket: Ticket | None) -> None:
         if ticket is None:
@@ -451,7 +497,7 @@
             ticket_incarnation=action.incarnation,
             ticket_id=action.ticket_id,
         )
-        self._post(agent, lambda: self._admit(entry, agent, order))
+        self._post("dispatch", agent, lambda: self._admit(entry, agent, order))
 
     def _admit(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
         busy = RefusalReason.OVERLOADED if len(agent.running) > 1 else None
@@ -459,6 +505,7 @@
         if admitted.is_err():
             reason = admitted.unwrap_err()
             self._post(
+                "refused",
                 entry,
                 lambda: self._act(
                     entry, entry.core.refused(order.attempt_id, reason, self.now)
@@ -470,9 +517,10 @@
         agent.running.append(lambda: self._finish(entry, agent, order))
 
     def _finish(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
-        body = order.key.encode()
+        body = _answer_to(self.calls[order.request_id])
         agent.guard.finish(order.key, 200, "text/plain", body)
         self._post(
+            "ended",
             entry,
             lambda: self._act(
                 entry,
@@ -493,15 +541,19 @@
         def ask() -> None:
             answer = agent.guard.tombstone(order, self.now)
             self._post(
+                "tombstoned",
                 entry,
                 lambda: self._act(entry, entry.core.tombstoned(answer, self.now)),
             )
 
-        self._post(agent, ask)
+        self._post("tombstone", agent, ask)
 
     def _tell(self, action: TellAnswer | TellError) -> None:
         assert action.request_id not in self.told, "a caller was answered twice"
         self.told.add(action.request_id)
+        if isinstance(action, TellAnswer):
+            expected = _answer_to(self.calls[action.request_id])
+            assert action.body == expected, "a caller got the answer to another request"
         if isinstance(action, TellError) and action.error.ran is Ran.NO:
             self.told_not_run.add(action.request_id)
 
@@ -549,4 +601,18 @@
         assert not waiting, f"callers without an answer: {waiting}"
 
 
+def _answer_to(call: KeyedCall) -> bytes:
+    return f"{call.key} {call.digest}".encode()
+
+
+def _kind_of(record: AnyClaimRecord) -> str:
+    kinds_by_type: dict[type, str] = {
+        ClaimRecord: "claim",
+        ReleaseRecord: "release",
+        OutcomeRecord: "outcome",
+        RememberedKeysRecord: "remembered",
+    }
+    return kinds_by_type[type(record)]
+
+
 __all__ = ["ClaimsMachine"]
--- /dev/null
+++ b/tests/machines/config_machine.py
@@ -0,0 +1,304 @@
+"""Configuration under racing operators, lost answers, outages, retention and pauses.
+
+Every process folds the stream with the product's own code. The oracle reads the whole
+stream, dropped records included, and judges it by itself.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import count
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from corianderrelay.state.config_fold import ConfigFold, VersionInForce
+from corianderrelay.state.config_publication import Publication, PublicationState
+from corianderrelay.state.config_records import AnyConfigRecord, ConfigRecord
+from corianderrelay.state.config_refresh import RefreshTimer
+from corianderrelay.state.document import Document, Service, ServiceKind, Workspace
+from corianderrelay.state.document_check import check_document
+
+RETENTION_S = 600.0
+PROCESSES = 4
+_NOT_IN_FORCE = (PublicationState.REJECTED, PublicationState.NOT_APPENDED)
+
+
+@dataclass(slots=True)
+class Process:
+    """A process that follows the stream."""
+
+    name: str
+    fold: ConfigFold = field(default_factory=ConfigFold)
+    refresh: RefreshTimer = field(default_factory=lambda: RefreshTimer("", RETENTION_S))
+    frozen: bool = False
+    seen: list[int] = field(default_factory=list)
+    open_publications: list[Publication] = field(default_factory=list)
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Operators race while processes are paused, restarted and cut off."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 10_000.0
+        self.log_up = True
+        self.records: list[tuple[float, AnyConfigRecord]] = []
+        self.first_offset = 0
+        self.in_flight: list[AnyConfigRecord] = []
+        self.numbers = count(1)
+        self.told_accepted: dict[str, int] = {}
+        self.told_rejected: set[str] = set()
+
+    @initialize()
+    def start(self) -> None:
+        self.processes = [self._new_process() for _ in range(PROCESSES)]
+
+    @rule(
+        at=st.integers(0, PROCESSES - 1),
+        workspaces=st.integers(0, 3),
+        valid=st.sampled_from([True, True, True, False]),
+        answer=st.sampled_from(["given", "lost", "late", "no_effect"]),
+        base_age=st.sampled_from([0, 0, 0, 1]),
+    )
+    def publish(
+        self, at: int, workspaces: int, valid: bool, answer: str, base_age: int
+    ) -> None:
+        process = self.processes[at]
+        if process.frozen or not process.fold.judges:
+            return
+        record = ConfigRecord(
+            version=max(1, process.fold.version + 1 - base_age),
+            base=max(0, process.fold.version - base_age),
+            document=_document(workspaces, next(self.numbers), valid),
+            author=process.name,
+            time_s=self.now,
+            nonce=f"nonce-{next(self.numbers)}",
+        )
+        publication = Publication(record)
+        process.open_publications.append(publication)
+        if not self.log_up or answer == "no_effect":
+            publication.append_failed()
+            self._note(process)
+        elif answer == "late":
+            publication.answer_lost()
+            self.in_flight.append(record)
+        else:
+            self.records.append((self.now, record))
+            if answer == "lost":
+                publication.answer_lost()
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def read(self, at: int) -> None:
+        self._read(self.processes[at])
+
+    @rule()
+    def read_all(self) -> None:
+        for process in self.processes:
+            self._read(process)
+
+    @rule()
+    def land(self) -> None:
+        if self.in_flight and self.log_up:
+            self.records.append((self.now, self.in_flight.pop(0)))
+
+    @rule(seconds=st.sampled_from([1.0, 20.0, RETENTION_S / 8, RETENTION_S / 3]))
+    def pass_time(self, seconds: float) -> None:
+        steps = max(1, int(seconds / (RETENTION_S / 16)))
+        for _ in range(steps):
+            self._pass(seconds / steps)
+            for process in self.processes:
+                self._read(process)
+                self._refresh(process)
+
+    @rule(seconds=st.sampled_from([RETENTION_S / 3, RETENTION_S, 2 * RETENTION_S]))
+    def log_out_for(self, seconds: float) -> None:
+        # Of a record that nobody read before it was dropped, nothing is known.
+        self.read_all()
+        self.log_up = False
+        self._pass(seconds)
+
+    @rule()
+    def log_back(self) -> None:
+        self.log_up = True
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def freeze(self, at: int) -> None:
+        if self._others_hold_on(at):
+            self.processes[at].frozen = True
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def wake(self, at: int) -> None:
+        self.processes[at].frozen = False
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def restart(self, at: int) -> None:
+        if self._others_hold_on(at):
+            self.processes[at] = self._new_process()
+
+    @rule(at=st.integers(0, PROCESSES - 1), peer=st.integers(0, PROCESSES - 1))
+    def hear_of_peer(self, at: int, peer: int) -> None:
+        process, other = self.processes[at], self.processes[peer]
+        known = other.fold.in_force
+        if known is not None and not process.frozen and not other.frozen:
+            process.fold.adopt(known)
+            self._note(process)
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def stale_refresh(self, at: int) -> None:
+        """Append the refresh of a process that has not read for long."""
+        record = self.processes[at].fold.refresh_record(self.now)
+        if record is not None and self.log_up:
+            self.records.append((self.now, record))
+
+    @rule(at=st.integers(0, PROCESSES - 1))
+    def late_refresh(self, at: int) -> None:
+        """Let a refresh be under way for long."""
+        record = self.processes[at].fold.refresh_record(self.now)
+        if record is not None:
+            self.in_flight.append(record)
+
+    def _new_process(self) -> Process:
+        name = f"process-{next(self.numbers)}"
+        return Process(name, refresh=RefreshTimer(name, RETENTION_S))
+
+    def _others_hold_on(self, at: int) -> bool:
+        """Whether another process knows all there is, so that nothing gets lost."""
+        return any(
+            one.fold.judges
+            and not one.frozen
+            and one.fold.next_offset == len(self.records)
+            for one in self.processes
+            if one is not self.processes[at]
+        )
+
+    def _pass(self, seconds: float) -> None:
+        self.now += seconds
+        while self.first_offset < len(self.records):
+            if self.records[self.first_offset][0] >= self.now - RETENTION_S:
+                break
+            self.first_offset += 1
+
+    def _read(self, process: Process) -> None:
+        if process.frozen or not self.log_up:
+            return
+        fold = process.fold
+        if fold.next_offset < self.first_offset:
+            fold.skip_to(self.first_offset)
+            for publication in process.open_publications:
+                publication.dropped_unread()
+        for offset in range(fold.next_offset, len(self.records)):
+            for verdict in fold.apply(offset, self.records[offset][1]):
+                for publication in process.open_publications:
+                    publication.take(verdict)
+        self._note(process)
+
+    def _refresh(self, process: Process) -> None:
+        if process.frozen or not self.log_up:
+            return
+        record = process.refresh.due(process.fold, self.now)
+        if record is not None:
+            self.records.append((self.now, record))
+
+    def _note(self, process: Process) -> None:
+        process.seen.append(process.fold.version)
+        for publication in process.open_publications:
+            nonce = publication.record.nonce
+            if publication.state is PublicationState.ACCEPTED:
+                self.told_accepted[nonce] = publication.record.version
+            elif publication.state in _NOT_IN_FORCE:
+                self.told_rejected.add(nonce)
+        process.open_publications = [
+            publication
+            for publication in process.open_publications
+            if publication.state is PublicationState.OPEN
+        ]
+
+    # The oracle.
+
+    def _versions_by_offset(self) -> list[ConfigRecord | None]:
+        """Judge all records ever appended; return what is in force after each."""
+        in_force: ConfigRecord | None = None
+        versions: list[ConfigRecord | None] = []
+        for _, record in self.records:
+            if isinstance(record, ConfigRecord):
+                base = in_force.version if in_force else 0
+                follows = record.base == base and record.version == base + 1
+                if follows and not check_document(record.document):
+                    in_force = record
+            versions.append(in_force)
+        return versions
+
+    @invariant()
+    def versions_never_fall(self) -> None:
+        for process in getattr(self, "processes", ()):
+            assert process.seen == sorted(process.seen), process.seen
+
+    @invariant()
+    def all_judge_alike(self) -> None:
+        versions = self._versions_by_offset()
+        for process in getattr(self, "processes", ()):
+            held: VersionInForce | None = process.fold.in_force
+            if held is None:
+                continue
+            published = {one.version: one for one in versions if one is not None}
+            assert held.version in published, f"version {held.version} was rejected"
+            assert held.document == published[held.version].document
+            read = process.fold.next_offset
+            expected = versions[read - 1] if read else None
+            if process.fold.judges and expected is not None:
+                assert held.version >= expected.version, "an older one is in force"
+
+    @invariant()
+    def operators_are_told_the_truth(self) -> None:
+        accepted = {one.nonce: one.version for one in self._versions_by_offset() if one}
+        for nonce, version in self.told_accepted.items():
+            assert accepted.get(nonce) == version, f"{nonce} is not in force"
+        assert not self.told_rejected & accepted.keys(), "a rejected one is in force"
+
+    def teardown(self) -> None:
+        if not hasattr(self, "processes"):
+            return
+        self.log_up = True
+        self.records += [(self.now, record) for record in self.in_flight]
+        self.in_flight = []
+        for process in self.processes:
+            process.frozen = False
+        for _ in range(2):
+            for process in self.processes:
+                self._read(process)
+                self._refresh(process)
+            self._pass(RETENTION_S / 2)
+        for process in self.processes:
+            self._read(process)
+            self._refresh(process)
+        for process in self.processes:
+            self._read(process)
+        self.all_judge_alike()
+        self.operators_are_told_the_truth()
+        self._check_all_are_equal()
+
+    def _check_all_are_equal(self) -> None:
+        versions = self._versions_by_offset()
+        newest = versions[-1] if versions else None
+        expected = newest.version if newest else 0
+        for process in self.processes:
+            assert process.fold.version == expected, (process.fold.version, expected)
+            unanswered = process.open_publications
+            assert not unanswered, f"operators without an answer: {unanswered}"
+
+
+def _document(workspaces: int, number: int, valid: bool) -> Document:
+    service = "shop" if valid else "absent"
+    return Document(
+        workspaces_by_name={
+            f"kits-{place}": Workspace(
+                key_digests=[f"{number:062x}{place:02x}"], services=[service]
+            )
+            for place in range(workspaces or 1)
+        },
+        services_by_name={"shop": Service(kind=ServiceKind.PLAIN)},
+    )
+
+
+__all__ = ["ConfigMachine"]
