Follow and publish configuration; close undated keys that outlived their claim

Cause (found by the claims machine, rule outlast_retention, 600 examples of 20 steps): an entry that dropped the state of an undated key after the retention, with no record of remembered keys read since, let the key be claimed and run again. Such keys are closed now when their state is dropped; the same run passes. Configuration: machine of 500 examples of up to 30 steps, derandomized.

--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/audit.py
@@ -0,0 +1,159 @@
+"""The audit trail: typed records of changes, without secrets or callers' content."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from .errors import FrameError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from .claim_records import ClaimRecord, Outcome
+    from .config_fold import Verdict
+
+AUDIT_STREAM = "audit"
+_MAX_REASON_CHARS = 500
+
+
+class AuditKind(Enum):
+    """What an audit record is about."""
+
+    CONFIG_ACCEPTED = "config_accepted"
+    CONFIG_REJECTED = "config_rejected"
+    CLAIM_SETTLED = "claim_settled"
+    MAP_SWITCHED = "map_switched"
+    QUARANTINED = "quarantined"
+    DRAINED = "drained"
+
+
+class AuditRecord(Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """One change: what, by whom, when, why, and where it is decided.
+
+    ``identity`` is the same in all records of one change, so that copies written by
+    several processes are shown once. ``offset`` is the place of the decision in
+    ``stream``; -1 without one. ``time_s`` is the writer's wall clock, in seconds
+    since 1970.
+    """
+
+    kind: AuditKind
+    identity: str
+    who: str
+    time_s: float
+    why: str
+    workspace: str = ""
+    subject: str = ""
+    stream: str = ""
+    offset: int = -1
+
+
+@dataclass(slots=True, frozen=True)
+class AuditFilter:
+    """Which records to show; ``None`` lets all pass.
+
+    :param since_s: earliest time, in seconds since 1970.
+    :param until_s: latest time, in seconds since 1970.
+    """
+
+    kind: AuditKind | None = None
+    workspace: str | None = None
+    since_s: float | None = None
+    until_s: float | None = None
+
+    def passes(self, record: AuditRecord) -> bool:
+        """Whether a record is to be shown."""
+        return (
+            self.kind in (None, record.kind)
+            and self.workspace in (None, record.workspace)
+            and (self.since_s is None or record.time_s >= self.since_s)
+            and (self.until_s is None or record.time_s <= self.until_s)
+        )
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(AuditRecord)
+
+
+def encode_audit_record(record: AuditRecord) -> bytes:
+    """Return the bytes of a record."""
+    return _ENCODER.encode(record)
+
+
+def decode_audit_record(data: bytes) -> Result[AuditRecord, FrameError]:
+    """Return the record of ``data``, or why it is none."""
+    try:
+        return Ok(_DECODER.decode(data))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Err(
+            FrameError(
+                f"a record of the audit stream is malformed: {error}",
+                "let only processes of this version append to the audit stream",
+            )
+        )
+
+
+def select_records(
+    records: Iterable[AuditRecord], wanted: AuditFilter
+) -> Iterator[AuditRecord]:
+    """Yield the records that pass the filter, each change once."""
+    seen: set[str] = set()
+    for record in records:
+        if record.identity not in seen and wanted.passes(record):
+            seen.add(record.identity)
+            yield record
+
+
+def config_audit(verdict: Verdict, stream: str) -> AuditRecord:
+    """Return the record of a published document that was judged."""
+    record = verdict.record
+    accepted = verdict.reason is None
+    changed = "; ".join(str(change) for change in verdict.changes) or "nothing changed"
+    why = changed if verdict.reason is None else verdict.reason.value
+    return AuditRecord(
+        kind=AuditKind.CONFIG_ACCEPTED if accepted else AuditKind.CONFIG_REJECTED,
+        identity=f"{stream}/{verdict.offset}/{record.nonce}",
+        who=record.author,
+        time_s=record.time_s,
+        why=why[:_MAX_REASON_CHARS],
+        subject=f"version {record.version}",
+        stream=stream,
+        offset=verdict.offset,
+    )
+
+
+def settlement_audit(
+    claim: ClaimRecord, outcome: Outcome, entry_id: str, stream: str, now_s: float
+) -> AuditRecord:
+    """Return the record of a claim that was settled without its own entry.
+
+    :param now_s: wall-clock time in seconds since 1970.
+    """
+    return AuditRecord(
+        kind=AuditKind.CLAIM_SETTLED,
+        identity=f"{stream}/{claim.nonce}/{outcome.value}",
+        who=entry_id,
+        time_s=now_s,
+        why=f"{outcome.value}, as told by or of {claim.runner_id}",
+        workspace=claim.workspace,
+        subject=f"{claim.service} {claim.key}",
+        stream=stream,
+    )
+
+
+__all__ = [
+    "AUDIT_STREAM",
+    "AuditFilter",
+    "AuditKind",
+    "AuditRecord",
+    "config_audit",
+    "decode_audit_record",
+    "encode_audit_record",
+    "select_records",
+    "settlement_audit",
+]
--- a/packages/corianderrelay-core/src/corianderrelay/state/claims.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/claims.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -72,7 +73,8 @@
     )
 
     def __init__(self, start_offset: int = FIRST_OFFSET) -> None:
-        self._by_key: dict[str, KeyState] = {}
+        # In order of their last mention, so that the oldest are found first.
+        self._by_key: OrderedDict[str, KeyState] = OrderedDict()
         self._open_keys: set[str] = set()
         self._remembered = RememberedKeys()
         self._recent_undated: set[str] = set()
@@ -159,20 +161,22 @@
     def forget_before(self, first_offset: int) -> None:
         """Drop keys last mentioned before ``first_offset``, as a late reader would.
 
-        Their dates lie outside the window by then, or they are remembered.
+        The dates of dated keys lie outside the window by then; undated ones are closed.
         """
-        self._by_key = {
-            key: state
-            for key, state in self._by_key.items()
-            if state.last_offset >= first_offset
-        }
-        self._open_keys &= self._by_key.keys()
+        while self._by_key:
+            key, state = next(iter(self._by_key.items()))
+            if state.last_offset >= first_offset:
+                return
+            del self._by_key[key]
+            self._open_keys.discard(key)
+            if key in self._recent_undated:
+                self._recent_undated.discard(key)
+                self._remembered.add(key)
 
     def _apply_claim(
         self, fence: int, offset: int, record: ClaimRecord, now: float
     ) -> None:
-        state = self._by_key.setdefault(record.key, KeyState())
-        state.last_offset = offset
+        state = self._mention(record.key, offset)
         if state.claim is not None and state.claim.nonce == record.nonce:
             return
         closed = not record.dated and self.is_closed(record.key)
@@ -187,8 +191,7 @@
         self._open_keys.add(record.key)
 
     def _apply_release(self, offset: int, record: ReleaseRecord) -> None:
-        state = self._by_key.setdefault(record.key, KeyState())
-        state.last_offset = offset
+        state = self._mention(record.key, offset)
         state.spent_nonces.add(record.nonce)
         if state.claim is None or state.claim.nonce != record.nonce:
             return
@@ -202,11 +205,17 @@
             return
         if state.claim.nonce != record.nonce:
             return
-        state.last_offset = offset
+        self._mention(record.key, offset)
         self._open_keys.discard(record.key)
         if state.outcome is None or _tells_more(record, state.outcome):
             state.outcome = record
 
+    def _mention(self, key: str, offset: int) -> KeyState:
+        state = self._by_key.setdefault(key, KeyState())
+        state.last_offset = offset
+        self._by_key.move_to_end(key)
+        return state
+
     def _apply_remembered(self, record: RememberedKeysRecord) -> None:
         self._remembered.merge(record.digests)
         self._recent_undated = {
--- /dev/null
+++ b/tests/features/steps/config_fold_steps.py
@@ -0,0 +1,115 @@
+"""Steps for the fold of the config stream."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from corianderrelay.state.config_fold import ConfigFold, RejectReason, VersionInForce
+from corianderrelay.state.config_records import (
+    AnyConfigRecord,
+    ConfigRecord,
+    RefreshRecord,
+)
+from corianderrelay.state.document import Document
+
+from tests.machines.config_machine import ConfigMachine
+
+
+def _edit(version: int, base: int, nonce: str = "") -> ConfigRecord:
+    return ConfigRecord(
+        version=version,
+        base=base,
+        document=Document(),
+        author="operator",
+        time_s=1.0,
+        nonce=nonce or f"nonce-{version}",
+    )
+
+
+def _known(version: int, as_of: int) -> VersionInForce:
+    return VersionInForce(version, Document(), "operator", 1.0, as_of)
+
+
+def _refresh(version: int, as_of: int) -> RefreshRecord:
+    return RefreshRecord(
+        version=version,
+        document=Document(),
+        author="operator",
+        time_s=1.0,
+        as_of=as_of,
+        written_s=2.0,
+    )
+
+
+@when("the configuration machine runs {examples:d} examples of up to {steps:d} steps")
+def step_run_config_machine(context: Any, examples: int, steps: int) -> None:
+    run_state_machine_as_test(
+        ConfigMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=steps,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+    context.machine_passed = True
+
+
+@then("the configuration machine found no broken promise")
+def step_config_machine_passed(context: Any) -> None:
+    assert context.machine_passed
+
+
+@given("a configuration stream with versions 1 to 3, a refresh as of 1 and a late edit")
+def step_config_stream(context: Any) -> None:
+    records: list[AnyConfigRecord] = [_edit(1, 0), _edit(2, 1), _edit(3, 2)]
+    context.records = [*records, _edit(3, 2, "late"), _refresh(2, as_of=1)]
+
+
+@when("a reader starts at the {ordinal} record")
+def step_late_reader(context: Any, ordinal: str) -> None:
+    start = {"third": 2, "fourth": 3}[ordinal]
+    context.fold = ConfigFold()
+    context.fold.skip_to(start)
+    context.verdicts = [
+        verdict
+        for offset in range(start, len(context.records))
+        for verdict in context.fold.apply(offset, context.records[offset])
+    ]
+
+
+@then("that reader holds version 3 and has rejected the late edit")
+def step_late_reader_agrees(context: Any) -> None:
+    assert context.fold.version == 3, context.fold.version
+    reasons = [verdict.reason for verdict in context.verdicts]
+    assert reasons == [None, RejectReason.STALE_BASE], reasons
+
+
+@then("that reader holds no version and judges nothing")
+def step_late_reader_waits(context: Any) -> None:
+    assert context.fold.version == 0, context.fold.version
+    assert not context.fold.judges
+    assert context.verdicts == [], context.verdicts
+
+
+@given("a configuration reader that holds version {version:d}")
+def step_reader_holds(context: Any, version: int) -> None:
+    context.fold = ConfigFold()
+    for number in range(1, version + 1):
+        context.fold.apply(number - 1, _edit(number, number - 1))
+
+
+@when("a peer tells that reader of version {version:d}")
+def step_peer_tells(context: Any, version: int) -> None:
+    context.fold.adopt(_known(version, version - 1))
+
+
+@then("that reader still holds version {version:d}")
+def step_still_holds(context: Any, version: int) -> None:
+    assert context.fold.version == version, context.fold.version
--- a/tests/machines/claims_machine.py
+++ b/tests/machines/claims_machine.py
@@ -58,10 +58,10 @@
     window_s=RETENTION_S / 2,
     remember_again_s=RETENTION_S / 4,
     settlement=SettlementLimits(
-        after_s=8.0, spread_s=2.0, every_s=2.0, unreachable_after_s=10.0
+        after_s=1.0, spread_s=1.0, every_s=2.0, unreachable_after_s=10.0
     ),
 )
-GUARD_LIMITS = KeyGuardLimits(ticket_lifetime_s=4.0, max_finished=1, max_tickets=64)
+GUARD_LIMITS = KeyGuardLimits(ticket_lifetime_s=6.0, max_finished=1, max_tickets=64)
 KINDS = (
     "ask_ticket",
     "ticket",
@@ -82,6 +82,8 @@
     "restart_agent",
     "freeze_agent",
     "wake_agent",
+    "fill_agent",
+    "empty_agent",
     "log_out",
     "log_back",
     "lose",
@@ -136,6 +138,7 @@
 
     runner_id: str = ""
     guard: KeyGuard = None  # type: ignore[assignment]
+    full: bool = False
     running: list[Callable[[], None]] = field(default_factory=list)
 
 
@@ -257,6 +260,8 @@
         self.log.up = True
         for node in (*self.entries, *self.agents):
             node.wake()
+        for agent in self.agents:
+            agent.full = False
 
     @rule(entry=st.integers(0, ENTRIES - 1))
     def read(self, entry: int) -> None:
@@ -319,6 +324,35 @@
             self.mails += self.held
             self.held = []
             self.run_smoothly(12, finish=True)
+            self.call(which, (node + 1) % ENTRIES, node % AGENTS, False)
+            self.run_smoothly(8, finish=True)
+
+    @rule(
+        which=st.integers(0, KEYS - 1),
+        node=st.integers(0, 30),
+        out=st.booleans(),
+        replaced=st.booleans(),
+        refreshed=st.booleans(),
+    )
+    def outlast_retention(
+        self, which: int, node: int, out: bool, replaced: bool, refreshed: bool
+    ) -> None:
+        """Repeat a key that has run after its claim is gone from the log."""
+        self.heal()
+        self.call(which, node % ENTRIES, node % AGENTS, False)
+        self.run_smoothly(12, finish=True)
+        if refreshed:
+            self._pass_retention(0)
+        self.log.up = not out
+        self._pass(RETENTION_S * 1.25)
+        self.heal()
+        self._restart_agent(node)
+        if replaced:
+            self._kill_entry(node + 1)
+        if refreshed:
+            self.pass_time(1.0)
+        self.call(which, (node + 1) % ENTRIES, node % AGENTS, False)
+        self.run_smoothly(12, finish=True)
 
     # The faults.
 
@@ -343,6 +377,12 @@
     def _wake_agent(self, place: int) -> None:
         self.agents[place % AGENTS].wake()
 
+    def _fill_agent(self, place: int) -> None:
+        self.agents[place % AGENTS].full = True
+
+    def _empty_agent(self, place: int) -> None:
+        self.agents[place % AGENTS].full = False
+
     def _log_out(self, place: int) -> None:
         self.log.up = False
 
@@ -500,7 +540,7 @@
         self._post("dispatch", agent, lambda: self._admit(entry, agent, order))
 
     def _admit(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
-        busy = RefusalReason.OVERLOADED if len(agent.running) > 1 else None
+        busy = RefusalReason.OVERLOADED if agent.full else None
         admitted = agent.guard.admit(order, self.now, busy)
         if admitted.is_err():
             reason = admitted.unwrap_err()
--- a/tests/machines/config_machine.py
+++ b/tests/machines/config_machine.py
@@ -88,6 +88,52 @@
             if answer == "lost":
                 publication.answer_lost()
 
+    @rule(
+        at=st.integers(0, PROCESSES - 1),
+        versions=st.integers(1, 4),
+        readers=st.sets(st.integers(0, PROCESSES - 1)),
+    )
+    def publish_some(self, at: int, versions: int, readers: set[int]) -> None:
+        for _ in range(versions):
+            self.publish(at, 1, True, "given", 0)
+            for reader in (at, *readers):
+                self._read(self.processes[reader])
+
+    @rule(
+        first=st.integers(0, PROCESSES - 1),
+        second=st.integers(0, PROCESSES - 1),
+        answers=st.tuples(*[st.sampled_from(["given", "lost", "late"])] * 2),
+    )
+    def race(self, first: int, second: int, answers: tuple[str, str]) -> None:
+        self.publish(first, 1, True, answers[0], 0)
+        self.publish(second, 2, True, answers[1], 0)
+
+    @rule(
+        at=st.integers(0, PROCESSES - 1),
+        restarted=st.booleans(),
+        versions=st.integers(0, 2),
+        stale=st.booleans(),
+    )
+    def miss_the_retention(
+        self, at: int, restarted: bool, versions: int, stale: bool
+    ) -> None:
+        """Let a process be away until the first records are gone, then read again."""
+        if not self.log_up or not self._others_hold_on(at):
+            return
+        held = self.processes[at].fold.refresh_record(self.now)
+        self.processes[at].frozen = True
+        other = (at + 1) % PROCESSES
+        for _ in range(3):
+            self.publish_some(other, versions, {other})
+            self.pass_time(RETENTION_S / 2)
+            if stale and held is not None:
+                self.records.append((self.now, held))
+        self.publish_some(other, versions, {other})
+        self.processes[at].frozen = False
+        if restarted:
+            self.restart(at)
+        self._read(self.processes[at])
+
     @rule(at=st.integers(0, PROCESSES - 1))
     def read(self, at: int) -> None:
         self._read(self.processes[at])
