Decide switches of a group's expert map as pure state machines

The coordinator machine stages, begins, arms and decides; the rank machine holds, joins by asking every other rank, and settles an attempt only by a fact (an outcome folded from the log or told by a rank or coordinator that knows it).

Ruled out: commit on the coordinator's word alone (an old coordinator could wake), and a rank that joins from the log alone (it would stall through an outage).

--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/map_switch.py
@@ -0,0 +1,394 @@
+"""The coordinator of a group's switches, as a state machine.
+
+Every call takes what happened and returns what is to be done. An attempt is staged on
+all ranks, begun in the log, armed on all ranks, decided by an append and announced. A
+coordinator that has not appended a commit may drop the attempt at any time: nobody
+else can commit it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from .switch_types import (
+    AppendBegun,
+    AppendDecision,
+    Arm,
+    Armed,
+    ArmRefused,
+    Attempt,
+    AttemptId,
+    JoinQuery,
+    JoinRefused,
+    Outcome,
+    OutcomeQuery,
+    RankIncarnation,
+    Send,
+    Settled,
+    Stage,
+    Staged,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from .group_records import GroupState
+    from .switch_types import AnySwitchMessage, CoordinatorOrder, GroupMap
+
+_OUTCOMES_KEPT = 16
+
+
+def roster_digest(incarnation_by_rank: Mapping[int, int]) -> int:
+    """Return the xxh3-64 of the incarnations, in order of rank."""
+    pairs = sorted(incarnation_by_rank.items())
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(pairs))
+
+
+@dataclass(slots=True, frozen=True)
+class SwitchRules:
+    """Times and steps of a switch.
+
+    :param lead_steps: how far ahead of the group the step of an attempt lies.
+    :param max_lead_steps: bound of the lead, which doubles when a rank was too late.
+    :param resend_s: period after which an unanswered message is sent again.
+    :param stage_timeout_s: longest wait for the weights on all ranks.
+    :param arm_timeout_s: longest wait for all ranks to hold.
+    """
+
+    lead_steps: int = 4
+    max_lead_steps: int = 256
+    resend_s: float = 0.2
+    stage_timeout_s: float = 120.0
+    arm_timeout_s: float = 1.0
+
+
+class Phase(Enum):
+    """How far the coordinator's present attempt is."""
+
+    WAITING_FOR_EPOCH = "waiting_for_epoch"
+    IDLE = "idle"
+    STAGING = "staging"
+    BEGINNING = "beginning"
+    ARMING = "arming"
+    DECIDING = "deciding"
+    SETTLING = "settling"
+    FENCED = "fenced"
+
+
+@dataclass(slots=True, frozen=True)
+class SwitchReport:
+    """How an attempt ended, for the audit trail."""
+
+    attempt: AttemptId
+    group_map: GroupMap
+    step: int
+    committed: bool
+    reason: str
+
+
+class MapSwitch:
+    """Decides for the coordinator of one group.
+
+    :param ranks: number of ranks.
+    """
+
+    __slots__ = (
+        "phase",
+        "state",
+        "reports",
+        "_ranks",
+        "_rules",
+        "_lead_steps",
+        "_number",
+        "_attempt",
+        "_phase_since",
+        "_sent_at",
+        "_next_step_by_rank",
+        "_incarnation_by_rank",
+        "_armed_by_rank",
+        "_newest_by_rank",
+        "_settled",
+        "_outcomes",
+        "_reason",
+    )
+
+    def __init__(self, ranks: int, rules: SwitchRules) -> None:
+        self.phase = Phase.WAITING_FOR_EPOCH
+        self.state: GroupState | None = None
+        self.reports: list[SwitchReport] = []
+        self._ranks = ranks
+        self._rules = rules
+        self._lead_steps = rules.lead_steps
+        self._number = 0
+        self._attempt: Attempt | None = None
+        self._phase_since = 0.0
+        self._sent_at = 0.0
+        self._next_step_by_rank: dict[int, int] = {}
+        self._incarnation_by_rank: dict[int, int] = {}
+        self._armed_by_rank: dict[int, int] = {}
+        self._newest_by_rank: dict[int, int] = {}
+        self._settled: set[int] = set()
+        self._outcomes: dict[AttemptId, bool] = {}
+        self._reason = ""
+
+    @property
+    def epoch(self) -> int:
+        """Offset of this coordinator's start record."""
+        return self.state.epoch if self.state is not None else -1
+
+    @property
+    def idle(self) -> bool:
+        """Whether a switch can be proposed."""
+        return self.phase is Phase.IDLE
+
+    def on_started(self, state: GroupState) -> None:
+        """Take the fold that ends with this coordinator's own start record."""
+        self.state = state
+        self.phase = Phase.IDLE
+
+    def on_fold(self, state: GroupState) -> None:
+        """Take a later fold of the stream; a newer coordinator ends this one."""
+        if self.state is None:
+            return
+        if state.epoch > self.state.epoch:
+            self.phase = Phase.FENCED
+            return
+        self.state = state
+
+    def propose(self, group_map: GroupMap, now: float) -> list[CoordinatorOrder]:
+        """Start an attempt to switch to ``group_map``; nothing while one runs.
+
+        The version is set here: one more than that of the map in force.
+        """
+        if not self.idle or self.state is None:
+            return []
+        self._number += 1
+        attempt_id = AttemptId(self.state.epoch, self._number)
+        numbered = msgspec.structs.replace(group_map, version=self.state.next_version)
+        self._attempt = Attempt(attempt_id, 0, numbered)
+        self._next_step_by_rank.clear()
+        self._incarnation_by_rank.clear()
+        self._armed_by_rank.clear()
+        self._settled.clear()
+        self._enter(Phase.STAGING, now)
+        return self._current_messages(range(self._ranks))
+
+    def on_message(
+        self, rank: int, message: AnySwitchMessage, now: float
+    ) -> list[CoordinatorOrder]:
+        """Take a message of the agent of ``rank``."""
+        if self.phase in (Phase.FENCED, Phase.WAITING_FOR_EPOCH):
+            return []
+        match message:
+            case Staged():
+                return self._on_staged(rank, message, now)
+            case Armed():
+                return self._on_armed(rank, message, now)
+            case ArmRefused():
+                return self._on_arm_refused(rank, message, now)
+            case Settled():
+                return self._on_settled(rank, message, now)
+            case JoinQuery():
+                self.note_incarnation(rank, message.incarnation)
+            case OutcomeQuery():
+                return self._answer_outcome(rank, message.attempt)
+        return []
+
+    def note_incarnation(self, rank: int, incarnation: int) -> None:
+        """Take that the agent of ``rank`` has started as ``incarnation``."""
+        newest = self._newest_by_rank.get(rank, -1)
+        self._newest_by_rank[rank] = max(newest, incarnation)
+
+    def on_begun(self, valid: bool, now: float) -> list[CoordinatorOrder]:
+        """Take that the begin record was folded, or that none was appended."""
+        if self.phase is not Phase.BEGINNING:
+            return []
+        if not valid:
+            return self._end(False, "the log did not take the begin record", now)
+        self._enter(Phase.ARMING, now)
+        return self._current_messages(range(self._ranks))
+
+    def on_decided(
+        self, committed: bool, reason: str, now: float
+    ) -> list[CoordinatorOrder]:
+        """Take the outcome of the attempt as folded, or that no commit was appended."""
+        if self.phase is not Phase.DECIDING:
+            return []
+        return self._end(committed, reason, now)
+
+    def tick(self, now: float) -> list[CoordinatorOrder]:
+        """Repeat what was not answered and end what has taken too long."""
+        timeout_s = {
+            Phase.STAGING: self._rules.stage_timeout_s,
+            Phase.ARMING: self._rules.arm_timeout_s,
+        }.get(self.phase)
+        if timeout_s is not None and now - self._phase_since >= timeout_s:
+            return self._end(False, f"{self.phase.value} timed out", now)
+        if now - self._sent_at < self._rules.resend_s:
+            return []
+        self._sent_at = now
+        return self._current_messages(self._missing_ranks())
+
+    def _on_staged(
+        self, rank: int, message: Staged, now: float
+    ) -> list[CoordinatorOrder]:
+        if not self._is_current(message.attempt, Phase.STAGING):
+            return []
+        stale = self._refuse_stale(rank, message.incarnation)
+        if stale:
+            return stale
+        self._incarnation_by_rank[rank] = message.incarnation
+        self._next_step_by_rank[rank] = message.next_step
+        if len(self._next_step_by_rank) < self._ranks:
+            return []
+        return self._begin(now)
+
+    def _begin(self, now: float) -> list[CoordinatorOrder]:
+        assert self._attempt is not None and self.state is not None
+        lead_steps = self._lead_steps if self.state.maps else 0
+        step = max(self._next_step_by_rank.values()) + lead_steps
+        step = max(step, self.state.last_step + 1)
+        self._attempt = msgspec.structs.replace(self._attempt, step=step)
+        self._enter(Phase.BEGINNING, now)
+        return [AppendBegun(self._attempt)]
+
+    def _on_armed(
+        self, rank: int, message: Armed, now: float
+    ) -> list[CoordinatorOrder]:
+        if not self._is_current(message.attempt, Phase.ARMING):
+            return []
+        for known in message.roster:
+            self.note_incarnation(known.rank, known.incarnation)
+        stale = self._refuse_stale(rank, message.incarnation)
+        if stale:
+            return stale
+        self._armed_by_rank[rank] = message.incarnation
+        if not self._all_armed():
+            return []
+        self._enter(Phase.DECIDING, now)
+        return [AppendDecision(message.attempt)]
+
+    def _all_armed(self) -> bool:
+        return len(self._armed_by_rank) == self._ranks and all(
+            incarnation >= self._newest_by_rank.get(rank, -1)
+            for rank, incarnation in self._armed_by_rank.items()
+        )
+
+    def _on_arm_refused(
+        self, rank: int, message: ArmRefused, now: float
+    ) -> list[CoordinatorOrder]:
+        if not self._is_current(message.attempt, Phase.ARMING):
+            return []
+        if message.unsettled is not None:
+            return self._answer_outcome(rank, message.unsettled)
+        if message.next_step > self._step_of_attempt():
+            self._lead_steps = min(self._lead_steps * 2, self._rules.max_lead_steps)
+            return self._end(False, f"rank {rank} had passed the step", now)
+        return self._end(False, f"rank {rank} has not staged the map", now)
+
+    def _step_of_attempt(self) -> int:
+        return self._attempt.step if self._attempt is not None else -1
+
+    def _on_settled(
+        self, rank: int, message: Settled, now: float
+    ) -> list[CoordinatorOrder]:
+        if self._is_current(message.attempt, Phase.SETTLING):
+            self._settled.add(rank)
+            if len(self._settled) == self._ranks:
+                self._attempt = None
+                self._enter(Phase.IDLE, now)
+        return []
+
+    def _refuse_stale(self, rank: int, incarnation: int) -> list[CoordinatorOrder]:
+        newest = self._newest_by_rank.get(rank, -1)
+        if incarnation < newest:
+            return [Send(rank, JoinRefused(newest))]
+        self._newest_by_rank[rank] = incarnation
+        return []
+
+    def _answer_outcome(self, rank: int, asked: AttemptId) -> list[CoordinatorOrder]:
+        assert self.state is not None
+        committed = self._outcomes.get(asked)
+        if committed is None and asked.epoch < self.state.epoch:
+            committed = self.state.outcome_of(asked)
+        return [] if committed is None else [Send(rank, Outcome(asked, committed))]
+
+    def _end(self, committed: bool, reason: str, now: float) -> list[CoordinatorOrder]:
+        assert self._attempt is not None
+        attempt = self._attempt
+        self._outcomes[attempt.id] = committed
+        while len(self._outcomes) > _OUTCOMES_KEPT:
+            del self._outcomes[next(iter(self._outcomes))]
+        self.reports.append(
+            SwitchReport(attempt.id, attempt.group_map, attempt.step, committed, reason)
+        )
+        self._enter(Phase.SETTLING, now)
+        return self._current_messages(range(self._ranks))
+
+    def _is_current(self, attempt: AttemptId, phase: Phase) -> bool:
+        present = self._attempt
+        return present is not None and present.id == attempt and self.phase is phase
+
+    def _missing_ranks(self) -> Iterable[int]:
+        ranks = range(self._ranks)
+        match self.phase:
+            case Phase.STAGING:
+                return [rank for rank in ranks if rank not in self._next_step_by_rank]
+            case Phase.ARMING:
+                return [rank for rank in ranks if not self._is_armed(rank)]
+            case Phase.SETTLING:
+                return [rank for rank in ranks if rank not in self._settled]
+        return []
+
+    def _is_armed(self, rank: int) -> bool:
+        armed = self._armed_by_rank.get(rank, -1)
+        return armed >= self._newest_by_rank.get(rank, 0)
+
+    def _current_messages(self, ranks: Iterable[int]) -> list[CoordinatorOrder]:
+        attempt = self._attempt
+        if attempt is None:
+            return []
+        message: AnySwitchMessage
+        match self.phase:
+            case Phase.STAGING:
+                message = Stage(attempt.id, attempt.group_map)
+            case Phase.ARMING:
+                message = self._arm_message(attempt)
+            case Phase.SETTLING:
+                message = Outcome(attempt.id, self._outcomes[attempt.id])
+            case _:
+                return []
+        return [Send(rank, message) for rank in ranks]
+
+    def _arm_message(self, attempt: Attempt) -> Arm:
+        group_map = msgspec.structs.replace(attempt.group_map, body=b"")
+        bodiless = msgspec.structs.replace(attempt, group_map=group_map)
+        return Arm(bodiless, roster_digest(self._incarnation_by_rank))
+
+    def _enter(self, phase: Phase, now: float) -> None:
+        self.phase = phase
+        self._phase_since = now
+        self._sent_at = now
+
+
+def roster_of(incarnation_by_rank: Mapping[int, int]) -> tuple[RankIncarnation, ...]:
+    """Return the incarnations as they travel in a message."""
+    return tuple(
+        RankIncarnation(rank, incarnation)
+        for rank, incarnation in sorted(incarnation_by_rank.items())
+    )
+
+
+__all__ = [
+    "MapSwitch",
+    "Phase",
+    "SwitchReport",
+    "SwitchRules",
+    "roster_digest",
+    "roster_of",
+]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_engine.py
@@ -0,0 +1,136 @@
+"""What the agent of a rank knows of its engine, and the next order for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .switch_types import HoldOrder, OrderEngine, ReleaseOrder, StageOrder, SwitchOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .switch_types import EngineMapStatus, GroupMap, MapOrder, PlacedMap
+
+
+class EngineView:
+    """The last status of the engine and the holds that are to be lifted.
+
+    One order is under way at a time. An order that did not change the status is given
+    again only after the next poll.
+    """
+
+    __slots__ = ("status", "_suspected", "_void_steps", "_under_way", "_tried")
+
+    def __init__(self) -> None:
+        self.status: EngineMapStatus | None = None
+        self._suspected: frozenset[int] = frozenset()
+        self._void_steps: frozenset[int] = frozenset()
+        self._under_way = False
+        self._tried: MapOrder | None = None
+
+    def start(self, status: EngineMapStatus | None) -> None:
+        """Take the status read at the agent's start, before it asks its peers."""
+        self.status = status
+        self.suspect_holds()
+
+    def take(self, status: EngineMapStatus | None, polled: bool) -> None:
+        """Take a status; a polled one allows to repeat the last order."""
+        if polled and self._under_way:
+            return
+        self.status = status
+        self._under_way = False
+        if polled:
+            self._tried = None
+        if status is not None:
+            self._void_steps &= status.held_steps
+
+    def suspect_holds(self) -> None:
+        """Remember the present holds; those that no peer knows are void."""
+        held = self.status.held_steps if self.status is not None else frozenset()
+        self._suspected = held
+
+    def release_unknown(self) -> None:
+        """Take that no attempt other than those known can use the suspected holds."""
+        self._void_steps |= self._suspected
+        self._suspected = frozenset()
+
+    def void(self, step: int) -> None:
+        """Take that the attempt which held before ``step`` was not committed."""
+        self._void_steps |= {step}
+
+    def holds_unknown(self, held_for: frozenset[int]) -> bool:
+        """Whether the engine stands at a hold that no known attempt explains."""
+        status = self.status
+        if status is None or status.next_step not in status.held_steps:
+            return False
+        return status.next_step not in held_for | self._void_steps
+
+    def give(self, order: MapOrder, fence: int) -> OrderEngine:
+        """Note that ``order`` is under way and return it."""
+        self._under_way = True
+        self._tried = order
+        return OrderEngine(order, fence)
+
+    def next_order(
+        self,
+        held_for: frozenset[int],
+        maps: tuple[PlacedMap, ...],
+        staging: GroupMap | None,
+    ) -> MapOrder | None:
+        """Return the next order that brings the engine to what it should have."""
+        if self.status is None or self._under_way:
+            return None
+        order = next(self._wanted(self.status, held_for, maps, staging), None)
+        return None if order == self._tried else order
+
+    def has_settled(
+        self, held_for: frozenset[int], maps: tuple[PlacedMap, ...]
+    ) -> bool:
+        """Whether the engine has all holds lifted and all maps that it should."""
+        if self.status is None:
+            return False
+        return next(self._wanted(self.status, held_for, maps, None), None) is None
+
+    def _wanted(
+        self,
+        status: EngineMapStatus,
+        held_for: frozenset[int],
+        maps: tuple[PlacedMap, ...],
+        staging: GroupMap | None,
+    ) -> Iterator[MapOrder]:
+        """Yield orders, holds first, so that no map runs past an open attempt."""
+        for step in sorted(held_for - status.held_steps):
+            if status.next_step <= step:
+                yield HoldOrder(step)
+        switched = {placed.from_step for placed in maps}
+        void = (self._void_steps & status.held_steps) - held_for - switched
+        yield from map(ReleaseOrder, sorted(void))
+        for placed in self._maps_needed(status, maps):
+            yield from self._place(status, placed)
+        if staging is not None and staging.digest not in status.staged_digests:
+            yield StageOrder(staging)
+
+    @staticmethod
+    def _maps_needed(
+        status: EngineMapStatus, maps: tuple[PlacedMap, ...]
+    ) -> tuple[PlacedMap, ...]:
+        """Return the newest map, and the one before it if it is still in use.
+
+        The newest goes first: an engine without any map must not take up the older
+        one before it knows where that ends.
+        """
+        before_newest = bool(maps) and status.next_step < maps[0].from_step
+        return maps if before_newest else maps[:1]
+
+    @staticmethod
+    def _place(status: EngineMapStatus, placed: PlacedMap) -> Iterator[MapOrder]:
+        digest = placed.group_map.digest
+        held = placed.from_step in status.held_steps
+        if status.digest_by_step.get(placed.from_step) == digest and not held:
+            return
+        if digest not in status.staged_digests:
+            yield StageOrder(placed.group_map)
+        yield SwitchOrder(placed.from_step, digest)
+
+
+__all__ = ["EngineView"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
@@ -0,0 +1,428 @@
+"""The part of one rank in its group's switches, as a state machine.
+
+The rank knows which maps are in force and for which attempts its engine must hold.
+It compares that with the engine's status and gives one order at a time until they
+agree; it reports to the coordinator only what a status has confirmed. An attempt whose
+outcome is not known stays held: the rank asks the coordinator, its peers and the log.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .map_switch import roster_digest, roster_of
+from .rank_engine import EngineView
+from .rank_join import RankJoin
+from .switch_types import (
+    Arm,
+    Armed,
+    ArmRefused,
+    Attempt,
+    AttemptId,
+    JoinAnswer,
+    JoinQuery,
+    JoinRefused,
+    Outcome,
+    OutcomeQuery,
+    PlacedMap,
+    ReadGroupLog,
+    Send,
+    Settled,
+    Stage,
+    Staged,
+    place_map,
+)
+
+if TYPE_CHECKING:
+    from .group_records import GroupState
+    from .switch_types import AnySwitchMessage, EngineMapStatus, GroupMap, RankOrder
+
+RankReport = Staged | Armed | ArmRefused | Settled
+
+COORDINATOR_RANK = 0
+_OUTCOMES_KEPT = 16
+
+
+@dataclass(slots=True, frozen=True)
+class RankRules:
+    """Periods of a rank.
+
+    :param ask_s: period after which an open question is asked again.
+    :param unknown_hold_s: how long the engine may hold for an unknown attempt before
+        the rank joins anew.
+    """
+
+    ask_s: float = 0.2
+    unknown_hold_s: float = 1.0
+
+
+class RankSwitch:
+    """Decides for the agent of one rank.
+
+    :param ranks: number of ranks of the group.
+    :param incarnation: number of this start of the agent.
+    """
+
+    __slots__ = (
+        "joined",
+        "superseded_by",
+        "epoch",
+        "maps",
+        "rank",
+        "_ranks",
+        "_rules",
+        "_join",
+        "_engine",
+        "_staging",
+        "_unsettled_by_id",
+        "_armed_for_digest",
+        "_outcome_by_id",
+        "_settling",
+        "_told_by_attempt",
+        "_asked_at",
+        "_asked_peer",
+        "_unknown_since",
+    )
+
+    def __init__(
+        self, rank: int, ranks: int, incarnation: int, rules: RankRules
+    ) -> None:
+        self.joined = False
+        self.superseded_by: int | None = None
+        self.epoch = -1
+        self.maps: tuple[PlacedMap, ...] = ()
+        self.rank = rank
+        self._ranks = ranks
+        self._rules = rules
+        self._join = RankJoin(rank, ranks, incarnation)
+        self._engine = EngineView()
+        self._staging: tuple[AttemptId, GroupMap] | None = None
+        self._unsettled_by_id: dict[AttemptId, Attempt] = {}
+        self._armed_for_digest: dict[AttemptId, int] = {}
+        self._outcome_by_id: dict[AttemptId, bool] = {}
+        self._settling: AttemptId | None = None
+        self._told_by_attempt: dict[AttemptId, set[type]] = {}
+        self._asked_at = 0.0
+        self._asked_peer = rank
+        self._unknown_since: float | None = None
+
+    @property
+    def incarnation(self) -> int:
+        """Number under which this agent speaks."""
+        return self._join.incarnation
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a newer agent of this rank has been heard of; this one is done."""
+        return self.superseded_by is not None
+
+    def start(self, status: EngineMapStatus | None, now: float) -> list[RankOrder]:
+        """Join the group; ``status`` was read from the engine after this start."""
+        self._asked_at = now
+        self._engine.start(status)
+        return [*self._join.start()]
+
+    def found(self, state: GroupState) -> list[RankOrder]:
+        """Take the fold that ends with the start record of this agent's coordinator.
+
+        Every earlier attempt has ended by that record, so this rank has joined.
+        """
+        queries: list[RankOrder] = []
+        if self.superseded_by is not None:
+            queries += self._join.restart_above(self.superseded_by)
+            self.superseded_by = None
+        self.joined = True
+        self._engine.release_unknown()
+        return queries + self.on_fold(state)
+
+    def on_fold(self, state: GroupState) -> list[RankOrder]:
+        """Take a fold of the groups stream up to some record."""
+        if self.superseded:
+            return []
+        self.epoch = max(self.epoch, state.epoch)
+        if self.joined:
+            self._adopt(state.maps)
+        for attempt_id in [*self._unsettled_by_id]:
+            committed = state.outcome_of(attempt_id)
+            if committed is not None:
+                self._settle(attempt_id, committed)
+        return self._act()
+
+    def on_status(
+        self, status: EngineMapStatus | None, *, polled: bool = False
+    ) -> list[RankOrder]:
+        """Take the engine's status, ``None`` if it cannot be had.
+
+        :param polled: whether it was read without an order before it.
+        """
+        self._engine.take(status, polled)
+        return self._act()
+
+    def on_message(self, rank: int, message: AnySwitchMessage) -> list[RankOrder]:
+        """Take a message of the agent of ``rank``."""
+        if self.superseded:
+            return []
+        match message:
+            case JoinQuery():
+                return self._answer_join(rank, message)
+            case JoinAnswer():
+                return self._on_join_answer(rank, message)
+            case JoinRefused():
+                return self._on_join_refused(message)
+            case OutcomeQuery():
+                committed = self._outcome_of(message.attempt)
+                answer = Outcome(message.attempt, bool(committed))
+                return [] if committed is None else [Send(rank, answer)]
+        if not self.joined:
+            return []
+        match message:
+            case Stage():
+                self._on_stage(message)
+            case Arm():
+                return self._on_arm(message)
+            case Outcome():
+                return self._on_outcome(message)
+        return self._act()
+
+    def tick(self, now: float) -> list[RankOrder]:
+        """Ask again what is open."""
+        if self.superseded:
+            return []
+        rejoin = self._rejoin_if_held_unknown(now)
+        if rejoin or now - self._asked_at < self._rules.ask_s:
+            return rejoin
+        self._asked_at = now
+        return [*self._open_queries(), *self._act()]
+
+    def _open_queries(self) -> list[RankOrder]:
+        orders: list[RankOrder] = [*self._join.queries()] if self._join.asking else []
+        if not self._unsettled_by_id:
+            return orders
+        self._asked_peer = (self._asked_peer + 1) % self._ranks
+        asked = sorted({COORDINATOR_RANK, self._asked_peer})
+        for attempt_id in self._unsettled_by_id:
+            orders += [Send(rank, OutcomeQuery(attempt_id)) for rank in asked]
+        return [*orders, ReadGroupLog()]
+
+    def _rejoin_if_held_unknown(self, now: float) -> list[RankOrder]:
+        unknown = self.joined and self._engine.holds_unknown(self._held_for())
+        if not unknown or self._join.asking:
+            self._unknown_since = None
+            return []
+        if self._unknown_since is None:
+            self._unknown_since = now
+        if now - self._unknown_since < self._rules.unknown_hold_s:
+            return []
+        self._unknown_since = None
+        self._asked_at = now
+        self._engine.suspect_holds()
+        return [*self._join.restart_above(self.incarnation)]
+
+    def _answer_join(self, rank: int, query: JoinQuery) -> list[RankOrder]:
+        refusal = self._join.refusal(rank, query.incarnation)
+        if refusal is not None:
+            return [Send(rank, refusal)]
+        self._join.note(rank, query.incarnation)
+        answer = JoinAnswer(
+            asked_by=query.incarnation,
+            incarnation=self.incarnation,
+            joined=self.joined,
+            epoch=self.epoch,
+            maps=self.maps,
+            unsettled=tuple(self._unsettled_by_id.values()),
+            roster=roster_of(self._join.newest_by_rank),
+        )
+        return [Send(rank, answer)]
+
+    def _on_join_answer(self, rank: int, answer: JoinAnswer) -> list[RankOrder]:
+        if not self._join.take_answer(rank, answer):
+            return []
+        self.epoch = max(self.epoch, answer.epoch)
+        for attempt in answer.unsettled:
+            if self._outcome_of(attempt.id) is None:
+                self._unsettled_by_id.setdefault(attempt.id, attempt)
+        self._adopt(answer.maps)
+        if self._join.all_answered:
+            self._finish_join()
+        return self._act()
+
+    def _finish_join(self) -> None:
+        self.joined = self.joined or self._join.heard_joined
+        if self.joined:
+            self._join.finish()
+            self._engine.release_unknown()
+        else:
+            self._join.start()
+
+    def _on_join_refused(self, refused: JoinRefused) -> list[RankOrder]:
+        if refused.newest <= self.incarnation:
+            return []
+        if self.joined:
+            self.superseded_by = refused.newest
+            return []
+        return [*self._join.restart_above(refused.newest)]
+
+    def _on_stage(self, message: Stage) -> None:
+        if message.attempt.epoch < self.epoch:
+            return
+        self.epoch = message.attempt.epoch
+        self._staging = (message.attempt, message.group_map)
+        self._forget_told(message.attempt, Staged)
+        self._told_by_attempt = {
+            attempt_id: kinds
+            for attempt_id, kinds in self._told_by_attempt.items()
+            if attempt_id in self._unsettled_by_id or attempt_id == message.attempt
+        }
+
+    def _on_arm(self, message: Arm) -> list[RankOrder]:
+        attempt = message.attempt
+        if attempt.id.epoch < self.epoch or attempt.id in self._outcome_by_id:
+            return []
+        if self._join.asking:
+            return []
+        if attempt.id not in self._unsettled_by_id:
+            if self._engine.status is None:
+                return []
+            refusal = self._arm_refusal(attempt, self._engine.status)
+            if refusal is not None:
+                return [Send(COORDINATOR_RANK, refusal)]
+            assert self._staging is not None
+            whole = msgspec.structs.replace(attempt, group_map=self._staging[1])
+            self._unsettled_by_id[attempt.id] = whole
+        self._armed_for_digest[attempt.id] = message.roster_digest
+        self._forget_told(attempt.id, Armed, ArmRefused)
+        return self._act()
+
+    def _arm_refusal(
+        self, attempt: Attempt, status: EngineMapStatus
+    ) -> ArmRefused | None:
+        other = next(iter(self._unsettled_by_id), None)
+        staged = self._staging is not None and self._staging[0] == attempt.id
+        if other is None and staged and status.next_step <= attempt.step:
+            return None
+        return ArmRefused(attempt.id, self.incarnation, status.next_step, other)
+
+    def _on_outcome(self, message: Outcome) -> list[RankOrder]:
+        is_known = message.attempt in self._unsettled_by_id
+        is_known = is_known or self._outcome_of(message.attempt) is True
+        if message.committed and not is_known:
+            return [*self._join.restart_above(self.incarnation)]
+        self._settle(message.attempt, message.committed)
+        self._settling = message.attempt
+        self._forget_told(message.attempt, Settled)
+        return self._act()
+
+    def _settle(self, attempt_id: AttemptId, committed: bool) -> None:
+        self._outcome_by_id[attempt_id] = committed
+        while len(self._outcome_by_id) > _OUTCOMES_KEPT:
+            del self._outcome_by_id[next(iter(self._outcome_by_id))]
+        attempt = self._unsettled_by_id.get(attempt_id)
+        if attempt is None:
+            return
+        if committed:
+            self._adopt(place_map(attempt, self.maps))
+        self._stop_holding(attempt_id)
+
+    def _adopt(self, maps: tuple[PlacedMap, ...]) -> None:
+        version = self.maps[0].group_map.version if self.maps else 0
+        if not maps or maps[0].group_map.version <= version:
+            return
+        self.maps = maps
+        for placed in maps:
+            self._outcome_by_id[placed.attempt] = True
+            self._stop_holding(placed.attempt)
+
+    def _stop_holding(self, attempt_id: AttemptId) -> None:
+        self._armed_for_digest.pop(attempt_id, None)
+        attempt = self._unsettled_by_id.pop(attempt_id, None)
+        if attempt is not None:
+            self._engine.void(attempt.step)
+
+    def _outcome_of(self, attempt_id: AttemptId) -> bool | None:
+        return self._outcome_by_id.get(attempt_id)
+
+    def _held_for(self) -> frozenset[int]:
+        return frozenset(attempt.step for attempt in self._unsettled_by_id.values())
+
+    def _act(self) -> list[RankOrder]:
+        if not self.joined or self.superseded:
+            return []
+        staging = self._staging[1] if self._staging is not None else None
+        order = self._engine.next_order(self._held_for(), self.maps, staging)
+        orders: list[RankOrder] = [
+            Send(COORDINATOR_RANK, report)
+            for report in self._reports()
+            if self._is_new(report)
+        ]
+        if order is not None:
+            orders.append(self._engine.give(order, max(self.epoch, 0)))
+        return orders
+
+    def _is_new(self, report: RankReport) -> bool:
+        """Return whether the report was not made yet, and note that it is."""
+        told = self._told_by_attempt.setdefault(report.attempt, set())
+        is_new = type(report) not in told
+        told.add(type(report))
+        return is_new
+
+    def _reports(self) -> list[RankReport]:
+        status = self._engine.status
+        if status is None:
+            return []
+        return [
+            *self._staged_report(status),
+            *self._armed_reports(status),
+            *self._settled_report(status),
+        ]
+
+    def _staged_report(self, status: EngineMapStatus) -> list[RankReport]:
+        if self._staging is None:
+            return []
+        attempt_id, group_map = self._staging
+        is_new = attempt_id not in self._outcome_by_id
+        is_open = is_new and attempt_id not in self._unsettled_by_id
+        took_last = not self.maps or status.next_step >= self.maps[0].from_step
+        if not is_open or not took_last:
+            return []
+        if group_map.digest not in status.staged_digests:
+            return []
+        return [Staged(attempt_id, self.incarnation, status.next_step)]
+
+    def _armed_reports(self, status: EngineMapStatus) -> list[RankReport]:
+        step_by_id = {
+            attempt_id: self._unsettled_by_id[attempt_id].step
+            for attempt_id in self._armed_for_digest
+        }
+        armed: list[RankReport] = [
+            self._armed(attempt_id, self._armed_for_digest[attempt_id])
+            for attempt_id, step in step_by_id.items()
+            if step in status.held_steps
+        ]
+        too_late = [
+            ArmRefused(attempt_id, self.incarnation, status.next_step)
+            for attempt_id, step in step_by_id.items()
+            if step not in status.held_steps and status.next_step > step
+        ]
+        return armed + too_late
+
+    def _armed(self, attempt_id: AttemptId, digest: int) -> Armed:
+        newest = self._join.newest_by_rank
+        roster = () if roster_digest(newest) == digest else roster_of(newest)
+        return Armed(attempt_id, self.incarnation, roster)
+
+    def _settled_report(self, status: EngineMapStatus) -> list[RankReport]:
+        attempt_id = self._settling
+        if attempt_id is None or attempt_id not in self._outcome_by_id:
+            return []
+        if not self._engine.has_settled(self._held_for(), self.maps):
+            return []
+        return [Settled(attempt_id, self.incarnation)]
+
+    def _forget_told(self, attempt_id: AttemptId, *kinds: type) -> None:
+        self._told_by_attempt.get(attempt_id, set()).difference_update(kinds)
+
+
+__all__ = ["COORDINATOR_RANK", "RankRules", "RankSwitch"]
