--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/group_agent.py
@@ -0,0 +1,105 @@
+"""The part of an agent that keeps its rank, and at rank 0 the group, on one map."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from ..state.map_switch import Phase
+from ..state.rank_switch import COORDINATOR_RANK
+from .map_coordinator import MapCoordinator
+from .map_rank import MapRank
+
+if TYPE_CHECKING:
+    from ..state.group_records import GroupState
+    from ..state.map_switch import SwitchReport, SwitchRules
+    from ..state.rank_switch import RankRules
+    from ..state.switch_types import AnySwitchMessage
+    from .group_link import GroupLink, MapEngine
+    from .group_log import GroupLog
+    from .map_coordinator import CoordinatorPeriods
+    from .map_rank import RankPeriods
+    from .tasks import Scheduler
+
+
+class SwitchEvents(Protocol):
+    """Hears how attempts to switch have ended."""
+
+    def on_switch(self, report: SwitchReport) -> None:
+        """Take how an attempt has ended."""
+
+
+class GroupAgent:
+    """One rank's part in its group.
+
+    :param incarnation: number of this start of the agent; a later one has a higher.
+    """
+
+    __slots__ = ("map_rank", "coordinator", "_events")
+
+    def __init__(
+        self,
+        group: str,
+        rank: int,
+        ranks: int,
+        instance_id: str,
+        incarnation: int,
+        log: GroupLog,
+        link: GroupLink,
+        engine: MapEngine,
+        clock: Scheduler,
+        events: SwitchEvents,
+        switch_rules: SwitchRules,
+        rank_rules: RankRules,
+        coordinator_periods: CoordinatorPeriods,
+        rank_periods: RankPeriods,
+    ) -> None:
+        self._events = events
+        self.map_rank = MapRank(
+            rank, ranks, incarnation, log, link, engine, clock, rank_rules, rank_periods
+        )
+        self.coordinator: MapCoordinator | None = None
+        if rank == COORDINATOR_RANK:
+            self.coordinator = MapCoordinator(
+                group,
+                ranks,
+                instance_id,
+                log,
+                link,
+                self,
+                clock,
+                switch_rules,
+                coordinator_periods,
+            )
+
+    def start(self) -> None:
+        """Join the group and, at rank 0, start to coordinate it."""
+        self.map_rank.start()
+        if self.coordinator is not None:
+            self.coordinator.start()
+
+    def stop(self) -> None:
+        """Stop the periodic work."""
+        self.map_rank.stop()
+        if self.coordinator is not None:
+            self.coordinator.stop()
+
+    def on_message(self, rank: int, message: AnySwitchMessage) -> None:
+        """Take a message of the agent of ``rank``."""
+        self.map_rank.on_message(rank, message)
+        if self.coordinator is None:
+            return
+        if self.map_rank.switch.superseded_by is None:
+            self.coordinator.on_message(rank, message)
+        elif self.coordinator.switch.phase is not Phase.WAITING_FOR_EPOCH:
+            self.coordinator.fence()
+
+    def on_epoch(self, state: GroupState) -> None:
+        """Take the fold that ends with the coordinator's own start record."""
+        self.map_rank.found(state)
+
+    def on_switch(self, report: SwitchReport) -> None:
+        """Take how an attempt has ended."""
+        self._events.on_switch(report)
+
+
+__all__ = ["GroupAgent", "SwitchEvents"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/map_rank.py
@@ -0,0 +1,175 @@
+"""Carries out the decisions of one rank's part in its group's switches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..state.errors import FencedError, LogUnavailableError, UnavailableError
+from ..state.rank_switch import COORDINATOR_RANK, RankRules, RankSwitch
+from ..state.switch_types import OrderEngine, ReadGroupLog, Send
+from .tasks import spawn
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..state.group_records import GroupState
+    from ..state.switch_types import AnySwitchMessage, EngineMapStatus, RankOrder
+    from .group_link import GroupLink, MapEngine
+    from .group_log import GroupLog
+    from .tasks import Scheduler
+
+
+@dataclass(slots=True, frozen=True)
+class RankPeriods:
+    """Periods of a rank's agent, in seconds.
+
+    :param poll_s: how often the engine's status is read.
+    :param superseded_restart_s: pause after which a superseded agent joins anew, in
+        case the one that superseded it has died.
+    """
+
+    poll_s: float = 0.05
+    superseded_restart_s: float = 30.0
+
+
+class MapRank:
+    """Keeps the engine of one rank on its group's map.
+
+    :param incarnation: number of this start of the agent.
+    """
+
+    __slots__ = (
+        "switch",
+        "_log",
+        "_link",
+        "_engine",
+        "_clock",
+        "_periods",
+        "_reading_log",
+        "_polling",
+        "_stopped",
+        "_new_switch",
+        "_superseded_at",
+    )
+
+    def __init__(
+        self,
+        rank: int,
+        ranks: int,
+        incarnation: int,
+        log: GroupLog,
+        link: GroupLink,
+        engine: MapEngine,
+        clock: Scheduler,
+        rules: RankRules,
+        periods: RankPeriods,
+    ) -> None:
+        self._new_switch: Callable[[int], RankSwitch] = lambda number: RankSwitch(
+            rank, ranks, number, rules
+        )
+        self.switch = self._new_switch(incarnation)
+        self._superseded_at: float | None = None
+        self._log = log
+        self._link = link
+        self._engine = engine
+        self._clock = clock
+        self._periods = periods
+        self._reading_log = False
+        self._polling = False
+        self._stopped = False
+
+    def start(self) -> None:
+        """Read the engine's status, then join the group."""
+        spawn(self._start())
+
+    def stop(self) -> None:
+        """Stop the periodic work."""
+        self._stopped = True
+
+    def found(self, state: GroupState) -> None:
+        """Take the fold that ends with the start of this agent's own coordinator."""
+        self._superseded_at = None
+        self._carry_out(self.switch.found(state))
+
+    def on_message(self, rank: int, message: AnySwitchMessage) -> None:
+        """Take a message of the agent of ``rank``."""
+        self._carry_out(self.switch.on_message(rank, message))
+
+    async def _start(self) -> None:
+        await self._join()
+        self._tick()
+
+    async def _join(self) -> None:
+        status = await self._read_status()
+        self._carry_out(self.switch.start(status, self._clock.seconds()))
+
+    def _restart_later(self, newest: int, now: float) -> None:
+        if self._superseded_at is None:
+            self._superseded_at = now
+        if now - self._superseded_at >= self._periods.superseded_restart_s:
+            self._superseded_at = None
+            self.switch = self._new_switch(newest + 1)
+            spawn(self._join())
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        now = self._clock.seconds()
+        self._carry_out(self.switch.tick(now))
+        newest = self.switch.superseded_by
+        if newest is not None and self.switch.rank != COORDINATOR_RANK:
+            self._restart_later(newest, now)
+        if not self._polling:
+            self._polling = True
+            spawn(self._poll())
+        self._clock.callLater(self._periods.poll_s, self._tick)
+
+    async def _poll(self) -> None:
+        status = await self._read_status()
+        self._polling = False
+        self._carry_out(self.switch.on_status(status, polled=True))
+
+    async def _read_status(self) -> EngineMapStatus | None:
+        try:
+            return await self._engine.map_status()
+        except UnavailableError:
+            return None
+
+    def _carry_out(self, orders: list[RankOrder]) -> None:
+        for order in orders:
+            match order:
+                case Send():
+                    self._link.send(order.rank, order.message)
+                case OrderEngine():
+                    spawn(self._order(order))
+                case ReadGroupLog():
+                    self._read_log()
+
+    async def _order(self, order: OrderEngine) -> None:
+        status: EngineMapStatus | None = None
+        try:
+            status = await self._engine.order_map(order.order, order.fence)
+        except FencedError:
+            self._read_log()
+            status = await self._read_status()
+        except UnavailableError:
+            status = await self._read_status()
+        self._carry_out(self.switch.on_status(status))
+
+    def _read_log(self) -> None:
+        if not self._reading_log:
+            self._reading_log = True
+            spawn(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        try:
+            state = await self._log.catch_up()
+        except LogUnavailableError:
+            self._reading_log = False
+            return
+        self._reading_log = False
+        self._carry_out(self.switch.on_fold(state))
+
+
+__all__ = ["MapRank", "RankPeriods"]
