--- /dev/null
+++ b/tests/machines/map_switch_world.py
@@ -0,0 +1,428 @@
+"""A group of ranks in virtual time: engines in lock-step, agents, network and log."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from corianderrelay.coordination.group_agent import GroupAgent
+from corianderrelay.coordination.group_log import GroupLog
+from corianderrelay.coordination.log_client import LogEntry, LogPage
+from corianderrelay.coordination.map_coordinator import CoordinatorPeriods
+from corianderrelay.coordination.map_rank import RankPeriods
+from corianderrelay.protocol.group_messages import (
+    decode_switch_message,
+    encode_switch_message,
+)
+from corianderrelay.state.errors import (
+    FencedError,
+    LogAnswerLostError,
+    LogUnavailableError,
+    UnavailableError,
+)
+from corianderrelay.state.map_switch import SwitchReport, SwitchRules
+from corianderrelay.state.rank_switch import RankRules
+from corianderrelay.state.switch_types import (
+    EngineMapStatus,
+    HoldOrder,
+    ReleaseOrder,
+    StageOrder,
+    SwitchOrder,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from corianderrelay.state.switch_types import AnySwitchMessage, MapOrder
+
+_T = TypeVar("_T")
+
+
+@dataclass(slots=True)
+class Faults:
+    """What goes wrong at present; probabilities are per message or call."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    late: float = 0.0
+    engine_answer_lost: float = 0.0
+    log_up: bool = True
+    log_answer_lost: float = 0.0
+    log_late: float = 0.0
+    cut_ranks: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True, frozen=True)
+class Delays:
+    """Times of the simulated platform, in seconds."""
+
+    message_s: float = 0.002
+    order_s: float = 0.001
+    log_s: float = 0.005
+    load_s: float = 0.1
+    step_s: float = 0.02
+    late_s: float = 2.0
+
+
+class World:
+    """Virtual time and everything that lives in it."""
+
+    def __init__(
+        self, random: Random, ranks: int, checking: set[int], delays: Delays
+    ) -> None:
+        self.random = random
+        self.delays = delays
+        self.faults = Faults()
+        self.now = 0.0
+        self.ranks = ranks
+        self._events: list[tuple[float, int, Callable[[], object]]] = []
+        self._sequence = itertools.count()
+        self.nonces = itertools.count()
+        self.log = SimulatedLog(self)
+        self.engines = [SimulatedEngine(self, r, r in checking) for r in range(ranks)]
+        self.group_step = 0
+        self.digests_by_step: dict[int, set[str]] = {}
+        self.agents: list[Agent] = []
+        self._incarnations = itertools.count(1)
+        self.messages = 0
+        self.message_bytes = 0
+        for rank in range(ranks):
+            self.start_agent(rank)
+        self.later(delays.step_s, self._step)
+
+    def later(self, delay_s: float, call: Callable[[], object]) -> None:
+        """Call ``call`` after ``delay_s``."""
+        heapq.heappush(self._events, (self.now + delay_s, next(self._sequence), call))
+
+    def run_for(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + duration_s
+        while self._events and self._events[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = end
+
+    def start_agent(self, rank: int) -> Agent:
+        """Start an agent beside the engine of ``rank``."""
+        agent = Agent(self, rank, next(self._incarnations))
+        self.agents.append(agent)
+        agent.start()
+        return agent
+
+    def agents_of(self, rank: int) -> list[Agent]:
+        """Return the agents of a rank that are not dead, newest last."""
+        return [agent for agent in self.agents if agent.rank == rank and agent.alive]
+
+    def send(self, sender: Agent, rank: int, message: AnySwitchMessage) -> None:
+        """Carry a message, subject to the present faults."""
+        body = encode_switch_message(message)
+        self.messages += 1
+        self.message_bytes += len(body)
+        if rank == sender.rank:
+            self.later(0.0, lambda: sender.receive(sender.rank, body))
+            return
+        copies = 2 if self.chance(self.faults.double) else 1
+        for _ in range(copies):
+            if not self.chance(self.faults.loss):
+                delay_s = self.delay_of(self.delays.message_s, self.faults.late)
+                self.later(delay_s, lambda: self._deliver(sender.rank, rank, body))
+
+    def _deliver(self, source: int, target: int, body: bytes) -> None:
+        if {source, target} & self.faults.cut_ranks:
+            return
+        for agent in self.agents_of(target):
+            agent.receive(source, body)
+
+    def chance(self, probability: float) -> bool:
+        """Draw whether a fault happens."""
+        return probability > 0.0 and self.random.random() < probability
+
+    def delay_of(self, usual_s: float, late: float) -> float:
+        """Draw a delay around ``usual_s``, much longer with probability ``late``."""
+        if self.chance(late):
+            return self.random.uniform(usual_s, self.delays.late_s)
+        return self.random.uniform(0.5 * usual_s, 1.5 * usual_s)
+
+    def _step(self) -> None:
+        self.later(self.delays.step_s, self._step)
+        for engine in self.engines:
+            engine.try_step()
+        if all(engine.next_step > self.group_step for engine in self.engines):
+            self.group_step += 1
+
+
+class SimulatedEngine:
+    """An engine of the group: it starts a step only with a map and without a hold."""
+
+    def __init__(self, world: World, rank: int, checks_fencing: bool) -> None:
+        self._world = world
+        self.rank = rank
+        self.checks_fencing = checks_fencing
+        self.incarnation = 0
+        self.next_step = 0
+        self.held_s = 0.0
+        self._fence = -1
+        self._held: set[int] = set()
+        self._staged: list[str] = []
+        self._digest_by_step: dict[int, str] = {}
+
+    def restart(self) -> None:
+        """Lose everything; the barrier tells the step to run next."""
+        self.incarnation += 1
+        self.next_step = self._world.group_step
+        self._fence = -1
+        self._held = set()
+        self._staged = []
+        self._digest_by_step = {}
+
+    def digest_for(self, step: int) -> str | None:
+        """Return the map ordered for a step."""
+        begun = [start for start in self._digest_by_step if start <= step]
+        return self._digest_by_step[max(begun)] if begun else None
+
+    def try_step(self) -> None:
+        """Start the group's step if nothing forbids it."""
+        step = self._world.group_step
+        digest = self.digest_for(step)
+        if self.next_step != step or digest is None:
+            return
+        if step in self._held:
+            self.held_s += self._world.delays.step_s
+            return
+        self._world.digests_by_step.setdefault(step, set()).add(digest)
+        self.next_step = step + 1
+
+    def status(self) -> EngineMapStatus:
+        """Return what the engine tells of itself."""
+        return EngineMapStatus(
+            self.incarnation,
+            self.next_step,
+            frozenset(self._held),
+            frozenset(self._staged) | set(self._digest_by_step.values()),
+            dict(self._digest_by_step),
+        )
+
+    def obey(self, order: MapOrder, fence: int) -> None:
+        """Take an order.
+
+        :raises FencedError: the engine checks fencing and has seen a higher number.
+        """
+        if self.checks_fencing and fence < self._fence:
+            raise FencedError("the fence is old", "read the log")
+        self._fence = max(self._fence, fence)
+        match order:
+            case StageOrder():
+                self._stage(order.group_map.digest)
+            case HoldOrder() if order.step >= self.next_step:
+                self._held.add(order.step)
+            case ReleaseOrder():
+                self._held.discard(order.step)
+            case SwitchOrder():
+                self._switch(order)
+
+    def _stage(self, digest: str) -> None:
+        incarnation = self.incarnation
+
+        def loaded() -> None:
+            if self.incarnation == incarnation and digest not in self._staged:
+                self._staged = [*self._staged[-1:], digest]
+
+        self._world.later(self._world.delays.load_s, loaded)
+
+    def _switch(self, order: SwitchOrder) -> None:
+        passed = order.step < self.next_step and self.digest_for(self.next_step)
+        if passed or order.digest not in self.status().staged_digests:
+            return
+        self._digest_by_step[order.step] = order.digest
+        self._held.discard(order.step)
+
+
+class SimulatedLog:
+    """The log service."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.payloads: list[bytes] = []
+        self.appends = 0
+
+    def append(self, stream: str, payload: bytes) -> Deferred[int]:
+        """Append, refuse, lose the answer, or take effect late."""
+        world = self._world
+        answer: Deferred[int] = Deferred()
+
+        def take() -> None:
+            if not world.faults.log_up:
+                self._refuse(answer)
+            elif world.chance(world.faults.log_late):
+                self._lose(answer)
+                world.later(world.random.uniform(0.0, 3.0), lambda: self._keep(payload))
+            else:
+                offset = self._keep(payload)
+                if world.chance(world.faults.log_answer_lost):
+                    self._lose(answer)
+                else:
+                    self._later(lambda: answer.callback(offset))
+
+        self._later(take)
+        return answer
+
+    def read(self, stream: str, offset: int, wait_s: float) -> Deferred[LogPage]:
+        """Read up to the end, or refuse."""
+        answer: Deferred[LogPage] = Deferred()
+
+        def take() -> None:
+            if not self._world.faults.log_up:
+                self._refuse(answer)
+                return
+            entries = tuple(
+                LogEntry(position, payload)
+                for position, payload in enumerate(self.payloads)
+                if position >= offset
+            )
+            page = LogPage(0, len(self.payloads), entries)
+            self._later(lambda: answer.callback(page))
+
+        self._later(take)
+        return answer
+
+    def _keep(self, payload: bytes) -> int:
+        self.appends += 1
+        self.payloads.append(payload)
+        return len(self.payloads) - 1
+
+    def _later(self, call: Callable[[], object]) -> None:
+        self._world.later(self._world.delay_of(self._world.delays.log_s, 0.0), call)
+
+    def _refuse(self, answer: Deferred[int] | Deferred[LogPage]) -> None:
+        error = LogUnavailableError("the log is down", "wait")
+        self._later(lambda: answer.errback(error))
+
+    def _lose(self, answer: Deferred[int]) -> None:
+        error = LogAnswerLostError("the answer is lost", "read back")
+        self._later(lambda: answer.errback(error))
+
+
+class Agent:
+    """One agent process: the clock, the engine link and the log client it sees."""
+
+    def __init__(self, world: World, rank: int, incarnation: int) -> None:
+        self.world = world
+        self.rank = rank
+        self.number = incarnation
+        self.alive = True
+        self.frozen = False
+        self.reports: list[SwitchReport] = []
+        self._waiting: list[Callable[[], object]] = []
+        log = GroupLog(self, "kits", lambda: str(next(world.nonces)))
+        self.part = GroupAgent(
+            "kits", rank, world.ranks, f"agent-{incarnation}", incarnation,
+            log, self, self, self, self,
+            SwitchRules(), RankRules(), CoordinatorPeriods(), RankPeriods(),
+        )  # fmt: skip
+        self.coordinator = self.part.coordinator
+        self.map_rank = self.part.map_rank
+
+    def start(self) -> None:
+        """Start the agent's work."""
+        self.part.start()
+
+    def do(self, call: Callable[[], object]) -> None:
+        """Run ``call`` in this process: now, once it wakes, or never."""
+        if self.alive and self.frozen:
+            self._waiting.append(call)
+        elif self.alive:
+            call()
+
+    def wake(self) -> None:
+        """Go on after a freeze; what has piled up is handled first."""
+        self.frozen = False
+        waiting, self._waiting = self._waiting, []
+        for call in waiting:
+            self.do(call)
+
+    def receive(self, source: int, body: bytes) -> None:
+        """Take a message from the network."""
+        self.do(lambda: self.part.on_message(source, decode_switch_message(body)))
+
+    def on_switch(self, report: SwitchReport) -> None:
+        """Keep the report."""
+        self.reports.append(report)
+
+    # The link, the scheduler, the log client and the engine, as the process sees them.
+
+    def send(self, rank: int, message: AnySwitchMessage) -> None:
+        """Send through the world's network."""
+        self.world.send(self, rank, message)
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self.world.now
+
+    def callLater(self, delay: float, call: Callable[[], object]) -> None:
+        """Call back in this process."""
+        self.world.later(delay, lambda: self.do(call))
+
+    def append(self, stream: str, payload: bytes) -> Deferred[int]:
+        """Append to the world's log."""
+        return self._own(self.world.log.append(stream, payload))
+
+    def read(self, stream: str, offset: int, wait_s: float) -> Deferred[LogPage]:
+        """Read the world's log."""
+        return self._own(self.world.log.read(stream, offset, wait_s))
+
+    def map_status(self) -> Deferred[EngineMapStatus]:
+        """Read the engine's status."""
+        return self._ask_engine(lambda engine: engine.status())
+
+    def order_map(self, order: MapOrder, fence: int) -> Deferred[EngineMapStatus]:
+        """Order the engine; an order under way outlives this process."""
+
+        def obey(engine: SimulatedEngine) -> EngineMapStatus:
+            engine.obey(order, fence)
+            return engine.status()
+
+        return self._ask_engine(obey)
+
+    def _ask_engine(
+        self, ask: Callable[[SimulatedEngine], EngineMapStatus]
+    ) -> Deferred[EngineMapStatus]:
+        world = self.world
+        answer: Deferred[EngineMapStatus] = Deferred()
+        lost = world.chance(world.faults.engine_answer_lost)
+        unavailable = UnavailableError("no answer", "ask again")
+
+        def arrive() -> None:
+            try:
+                status = ask(world.engines[self.rank])
+            except FencedError as error:
+                refused = error
+                tell(lambda: answer.errback(refused))
+            else:
+                tell(lambda: answer.callback(status))
+
+        def tell(call: Callable[[], object]) -> None:
+            if not lost:
+                world.later(world.delays.order_s, call)
+
+        late = 1.0 if lost else world.faults.late
+        world.later(world.delay_of(world.delays.order_s, late), arrive)
+        if lost:
+            world.later(world.delays.order_s, lambda: answer.errback(unavailable))
+        return self._own(answer)
+
+    def _own(self, answer: Deferred[_T]) -> Deferred[_T]:
+        """Pass an answer on in this process."""
+        passed: Deferred[_T] = Deferred()
+        answer.addCallbacks(
+            lambda result: self.do(lambda: passed.callback(result)),
+            lambda failure: self.do(lambda: passed.errback(failure)),
+        )
+        return passed
+
+
+__all__ = ["Agent", "Delays", "Faults", "World"]
