--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -61,7 +61,12 @@
 
 
 class Heartbeat(Message, tag="heartbeat", frozen=True):
-    """Periodic sign of life with the sender's load and its newest configuration."""
+    """Periodic sign of life with the sender's load and its newest configuration.
+
+    ``echo`` is the sequence of the newest heartbeat that the sender has received from
+    this peer: the receiver counts freshness from when it sent that one, so that a
+    heartbeat which was delayed on its way proves nothing about the present.
+    """
 
     sequence: Natural
     config_version: Natural = 0
@@ -72,6 +77,8 @@
     leaving: bool = False
     engine_up: bool = True
     news: bytes = b""
+    echo: Natural = 0
+    period_ms: Natural = 1000
 
 
 class Dispatch(Message, tag="dispatch", frozen=True):
@@ -80,7 +87,7 @@
     ``resume_from`` is the number of answer tokens that the caller already has. For
     requests that must not be repeated, ``key`` is set, ``claim_offset`` is the
     claim's offset in its log stream, and ``ticket_incarnation`` is the incarnation of
-    the agent that the claim names.
+    the agent that the claim names. ``trace`` continues the log action of the request.
     """
 
     attempt_id: Identifier
@@ -100,6 +107,8 @@
     ticket_incarnation: Natural = 0
     ticket_remaining_ms: Natural = 0
     alone: bool = False
+    trace: bytes = b""
+    ticket_id: Natural = 0
 
 
 class Cancel(Message, tag="cancel", frozen=True):
@@ -142,10 +151,16 @@
 
     key: Identifier
     claim_offset: int
+    ticket_id: Natural = 0
+    incarnation: Natural = 0
 
 
 class Tombstoned(Message, tag="tombstoned", frozen=True):
-    """Agent to entry: whether the key had been started by this incarnation."""
+    """Agent to entry: whether this incarnation had started the claim with this key.
+
+    ``forgotten`` says that it cannot tell any more, or never could because the claim
+    names another incarnation; it then counts as started.
+    """
 
     key: Identifier
     incarnation: Natural
@@ -154,6 +169,9 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    claim_offset: int = -1
+    forgotten: bool = False
+    body_kept: bool = True
 
 
 class Accepted(Message, tag="accepted", frozen=True):
@@ -217,6 +235,13 @@
     sequence: Natural
 
 
+class Closing(Message, tag="closing", frozen=True):
+    """Either way: why the sender closes this stream; nothing follows."""
+
+    kind: str
+    detail: str
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -235,6 +260,7 @@
     | Leaving
     | Ping
     | Pong
+    | Closing
 )
 
 __all__ = [
@@ -245,6 +271,7 @@
     "AttemptOutcome",
     "Cancel",
     "Chunk",
+    "Closing",
     "Dispatch",
     "End",
     "Heartbeat",
