--- a/bench/entry_slopes.py
+++ b/bench/entry_slopes.py
@@ -15,12 +15,13 @@
 import numpy
 import psutil
 
-from bench.relay import BenchSystem
+from bench.relay import BenchSystem, run_way
 from demo.processes import Process
 from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
 
 _READY_TIMEOUT_S = 60.0
 _SETTLE_S = 3.0
+_FIT_SIZES = 3
 
 
 class _IdleAgentsSystem(DemoSystem):
@@ -107,6 +108,43 @@
     return Process("client", command, folder / "client.log")
 
 
+def _stream_costs(
+    token_counts: tuple[int, ...], streams: int
+) -> list[dict[str, float]]:
+    """Return the CPU of entry and agents a stream, by the tokens of each stream."""
+    with temporary_folder() as name:
+        folder = Path(name)
+        system = BenchSystem(folder, 4, streams, 0.059)
+        try:
+            system.start()
+            system.wait_until_ready()
+            return [
+                _stream_cost(system, folder, count, streams) for count in token_counts
+            ]
+        finally:
+            system.kill()
+
+
+def _stream_cost(
+    system: BenchSystem, folder: Path, tokens: int, streams: int
+) -> dict[str, float]:
+    load = ["--streams", str(streams), "--tokens", str(tokens), "--per-second", "100"]
+    way = run_way(
+        folder,
+        f"tokens-{tokens}",
+        system.entries[0],
+        load,
+        system.processes_named("entry"),
+        system.processes_named("agent"),
+    )
+    per_stream = way.tokens / way.streams
+    return {
+        "tokens": per_stream,
+        "entry_cpu_us": way.near_cpu_us * per_stream,
+        "agent_cpu_us": way.far_cpu_us * per_stream,
+    }
+
+
 def _wait_open(system: DemoSystem, streams: int) -> None:
     deadline = time.monotonic() + _READY_TIMEOUT_S
     while system.status(system.operators[0])["open_requests"] < streams:
@@ -126,6 +164,8 @@
 
 
 def _line(sizes: list[float], values: list[float]) -> dict[str, float]:
+    if len(sizes) < _FIT_SIZES:
+        return {}
     slope, intercept = numpy.polyfit(sizes, values, 1)
     return {"slope": float(f"{slope:.4g}"), "intercept": float(f"{intercept:.4g}")}
 
@@ -144,12 +184,15 @@
     """Measure both slopes and print one JSON line."""
     idle = [_idle_agents(count, seconds) for count in agent_counts]
     streams = [_open_streams(count, 4) for count in stream_counts]
+    costs = _stream_costs((4, 30, 100), 400)
     report: dict[str, Any] = {
         "bench": "entry_slopes",
         "idle_agents": idle,
         "idle_agents_fit": fit(idle, "agents"),
         "open_streams": streams,
         "open_streams_fit": fit(streams, "streams"),
+        "stream_costs": costs,
+        "stream_costs_fit": fit(costs, "tokens"),
     }
     click.echo(json.dumps(report))
 
