--- a/demo/system.py
+++ b/demo/system.py
@@ -6,6 +6,7 @@
 import json
 import secrets
 import tempfile
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -88,7 +89,15 @@
 
     def publish(self, document: dict[str, Any], version: int = 1) -> None:
         """Append the document to the ``config`` stream."""
-        record = {"version": version, "document": document}
+        record = {
+            "type": "config",
+            "version": version,
+            "base": version - 1,
+            "document": document,
+            "author": "demo",
+            "time_s": time.time(),
+            "nonce": secrets.token_hex(8),
+        }
         fetch(f"{self.log_url}/streams/config", "POST", json.dumps(record).encode())
 
     def _document_text(self) -> str:
--- a/packages/corianderrelay-core/src/corianderrelay/state/common_settings.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/common_settings.py
@@ -21,10 +21,14 @@
 
 
 class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Where the platform's log service and list of instances are."""
+    """Where the platform's log service and list of instances are.
+
+    ``log_retention_s`` is how long the log service surely keeps a record, in seconds.
+    """
 
     log_url: Url
     instances_url: Url
+    log_retention_s: Annotated[float, Meta(gt=0.0)] = 3600.0
 
     @property
     def urls(self) -> tuple[str, str]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from corianderrelay.coordination.config_reader import ConfigReader
+from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
@@ -28,6 +28,7 @@
     from corianderrelay.coordination.instance_list import Instance, InstanceList
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.state.call import Call
+    from corianderrelay.state.config_fold import Verdict, VersionInForce
     from corianderrelay.transport.tls import TlsFiles
 
     from .coordination.answer_sink import AnswerSink
@@ -63,7 +64,15 @@
         self.metrics = Metrics(self.request_metrics.collectors())
         self.draining = False
         self.address = settings.callers.address
-        self._config_reader = ConfigReader(log, clock, self.config.replace)
+        self.config_follower = ConfigFollower(
+            log,
+            clock,
+            settings.instance_id,
+            settings.platform.log_retention_s,
+            time.time,
+            self._take_config,
+            self._note_judged,
+        )
         self._instances = instances
         self._entries: list[EntryAddress] = []
         hello = Hello(
@@ -84,7 +93,7 @@
     def start(self) -> None:
         """Connect to the platform and to the agents."""
         self.connector.start()
-        self._config_reader.start()
+        self.config_follower.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
 
     def new_id(self) -> str:
@@ -120,6 +129,18 @@
         self.draining = True
         eliot.log_message(message_type="entry:drain", reason=reason)
 
+    def _take_config(self, held: VersionInForce) -> None:
+        self.config.replace(held.version, held.document)
+        eliot.log_message(message_type="config:in_force", version=held.version)
+
+    def _note_judged(self, verdict: Verdict) -> None:
+        eliot.log_message(
+            message_type="config:judged",
+            version=verdict.record.version,
+            author=verdict.record.author,
+            result=verdict.reason.value if verdict.reason else "accepted",
+        )
+
     def _poll_instances(self) -> Any:
         listed = self._instances.read()
         listed.addCallbacks(self._follow_instances, _log_list_failure)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -18,6 +18,7 @@
 )
 
 from ..protocol.replies import EntryStatusReply, RunnerStatus, WorkStateReply
+from .config_routes import ConfigRoutes
 from .http_answer import write_error, write_json
 
 if TYPE_CHECKING:
@@ -41,9 +42,13 @@
         super().__init__()
         self._entry = entry
         self._token = token
-        self._routes_by_path: dict[str, tuple[str, Callable[[Any], None]]] = {
-            "/v1/status": ("GET", self._status),
-            "/v1/drain": ("POST", self._drain),
+        config = ConfigRoutes(entry.config_follower, entry.new_id)
+        self._handlers_by_route: dict[tuple[str, str], Callable[[Any], None]] = {
+            ("/v1/status", "GET"): self._status,
+            ("/v1/drain", "POST"): self._drain,
+            ("/v1/config", "GET"): config.show,
+            ("/v1/config", "POST"): config.publish,
+            ("/v1/config/history", "GET"): config.history,
         }
 
     def render(self, request: Request) -> int:
@@ -57,16 +62,18 @@
     def _route(self, request: Request) -> None:
         self._check_token(request)
         path = request.path.decode("latin-1")
-        if path not in self._routes_by_path:
+        method = request.method.decode("latin-1")
+        allowed = [one for known, one in self._handlers_by_route if known == path]
+        if not allowed:
             raise NotFoundError(
                 f"there is no route {path!r}", "see the operators' pages"
             )
-        method, handler = self._routes_by_path[path]
-        if request.method.decode("latin-1") != method:
+        if method not in allowed:
             raise MethodNotAllowedError(
-                "the method is not allowed here", f"use {method} for this route"
+                "the method is not allowed here",
+                f"use {' or '.join(allowed)} for this route",
             )
-        handler(request)
+        self._handlers_by_route[path, method](request)
 
     def _check_token(self, request: Request) -> None:
         header = (request.getHeader(b"authorization") or b"").decode("latin-1")
