Wire claims into the entry's and the agent's path of orders

Cause: an order went straight to an agent and could run twice after a lost connection. Orders now go ticket, claim, dispatch; a keyed attempt that its endpoint has seen runs to its end whatever becomes of its entry, and its answer is kept for settlement.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
@@ -25,6 +25,7 @@
     from ..state.settings import EndpointSettings
     from .engine import Engine, RunningCall
     from .entry_port import EntryPort
+    from .keyed_attempts import KeyedAttempts
 
 _LEAVING_RETRY_AFTER_S = 0.0
 _EVENT_STREAM = "text/event-stream"
@@ -35,14 +36,20 @@
 
     :param endpoint: slots and queue length of the endpoint.
     :param seconds: returns the monotonic time.
+    :param keyed: decides on attempts of requests that must not be repeated.
     """
 
     def __init__(
-        self, engine: Engine, endpoint: EndpointSettings, seconds: Callable[[], float]
+        self,
+        engine: Engine,
+        endpoint: EndpointSettings,
+        seconds: Callable[[], float],
+        keyed: KeyedAttempts,
     ) -> None:
         self._engine = engine
         self._endpoint = endpoint
         self._seconds = seconds
+        self.keyed = keyed
         self._queue: deque[Attempt] = deque()
         self._calls_by_attempt: dict[str, RunningCall] = {}
         self.attempts_by_id: dict[str, Attempt] = {}
@@ -67,7 +74,7 @@
     def submit(self, order: AttemptOrder, entry_id: str) -> None:
         """Take the attempt or refuse it at once."""
         entry = self.entries_by_id[entry_id]
-        refusal = self._refusal(order)
+        refusal = self.refusal(order)
         if refusal is not None:
             entry.refused(order.attempt_id, refusal)
             return
@@ -78,10 +85,18 @@
         self._start_queued()
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop an attempt whose answer is no longer wanted."""
-        attempt = self.attempts_by_id.pop(attempt_id, None)
-        if attempt is None:
+        """Stop an attempt whose answer is no longer wanted.
+
+        One that must not be repeated runs to its end once the endpoint has seen it.
+        """
+        attempt = self.attempts_by_id.get(attempt_id)
+        if attempt is None or (
+            attempt.order.key and attempt_id in self._calls_by_attempt
+        ):
             return
+        del self.attempts_by_id[attempt_id]
+        if attempt.order.key:
+            self.keyed.on_withdrawn(attempt)
         attempt.phase = AttemptPhase.ENDED
         call = self._calls_by_attempt.pop(attempt_id, None)
         if call is not None:
@@ -115,6 +130,8 @@
     def on_data(self, attempt: Attempt, data: bytes, tokens: int) -> None:
         """The engine has answered some more."""
         chunk = attempt.add_chunk(data, tokens)
+        if attempt.order.key:
+            self.keyed.on_data(attempt, data)
         entry = self.entries_by_id.get(attempt.entry_id)
         if entry is not None:
             entry.chunk(attempt, chunk)
@@ -123,17 +140,22 @@
         """The engine's answer is whole."""
         if attempt.next_sequence == 0:
             self.on_data(attempt, b"", 0)
+        if attempt.order.key:
+            self.keyed.on_done(attempt)
         entry = self._end(attempt)
         if entry is not None:
             entry.done(attempt)
 
     def on_failure(self, attempt: Attempt, error: RelayError) -> None:
         """The engine gave no whole answer."""
+        if attempt.order.key:
+            self.keyed.on_failure(attempt, error)
         entry = self._end(attempt)
         if entry is not None:
             entry.failed(attempt, error)
 
-    def _refusal(self, order: AttemptOrder) -> RelayError | None:
+    def refusal(self, order: AttemptOrder) -> RelayError | None:
+        """Return why the attempt is not taken now, if so."""
         if self.leaving:
             return UnavailableError(
                 "the instance is leaving",
@@ -166,6 +188,8 @@
 
     def _expire(self, attempt: Attempt) -> None:
         del self.attempts_by_id[attempt.order.attempt_id]
+        if attempt.order.key:
+            self.keyed.on_withdrawn(attempt)
         entry = self.entries_by_id.get(attempt.entry_id)
         if entry is not None:
             error = DeadlineExceededError(
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from result import Err
+
 from corianderrelay.protocol.messages import (
     PROTOCOL_VERSION,
     Accepted,
@@ -20,6 +22,8 @@
     Pong,
     RefusalReason,
     Refused,
+    TicketRequest,
+    Tombstone,
 )
 from corianderrelay.state.errors import (
     DeadlineExceededError,
@@ -80,6 +84,8 @@
             Cancel: self._on_cancel,
             Acknowledge: self._on_acknowledge,
             Attach: self._on_attach,
+            TicketRequest: self._on_ticket_request,
+            Tombstone: self._on_tombstone,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -173,8 +179,33 @@
             alone=message.alone,
             trace=message.trace,
         )
+        if message.key and not self._admits(message, order):
+            return
         self._attempts.submit(order, self.entry_id)
 
+    def _admits(self, message: Dispatch, order: AttemptOrder) -> bool:
+        """Whether a request that must not be repeated may start now."""
+        refusal = self._attempts.refusal(order)
+        reason = _reason(refusal) if refusal else None
+        admitted = self._attempts.keyed.admit(message, reason)
+        if isinstance(admitted, Err):
+            self._stream.send(Refused(message.attempt_id, admitted.err_value))
+            return False
+        return True
+
+    def _on_ticket_request(self, message: TicketRequest) -> None:
+        if self._attempts.leaving:
+            self._stream.send(Refused(message.key, RefusalReason.LEAVING))
+            return
+        granted = self._attempts.keyed.grant(message.key)
+        if isinstance(granted, Err):
+            self._stream.send(Refused(message.key, granted.err_value))
+        else:
+            self._stream.send(granted.ok_value)
+
+    def _on_tombstone(self, message: Tombstone) -> None:
+        self._stream.send(self._attempts.keyed.tombstone(message))
+
     def _on_cancel(self, message: Cancel) -> None:
         self._attempts.cancel(message.attempt_id)
 
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -16,6 +16,8 @@
 from corianderrelay.transport.json_log import start_log
 
 from .coordination.attempts import Attempts
+from .coordination.keyed_attempts import KeyedAttempts
+from .state.key_guard import KeyGuard, KeyGuardLimits
 from .transport.engine_http import HttpEngine
 from .transport.entry_listener import EntryListener
 
@@ -53,8 +55,15 @@
         self._tls = tls
         self._reactor = reactor
         engine = HttpEngine(reactor, settings.endpoint.url)
-        self._attempts = Attempts(engine, settings.endpoint, reactor.seconds)
         self._incarnation = new_incarnation(time.time(), SystemRandom())
+        limits = KeyGuardLimits(ticket_lifetime_s=settings.timing.ticket_s)
+        guard = KeyGuard(self._incarnation, limits)
+        self._attempts = Attempts(
+            engine,
+            settings.endpoint,
+            reactor.seconds,
+            KeyedAttempts(guard, reactor.seconds),
+        )
         self._listener = EntryListener(
             self._attempts, self._hello(), settings.timing, reactor
         )
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/key_guard.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/key_guard.py
@@ -21,6 +21,7 @@
     Tombstone,
     Tombstoned,
 )
+from corianderrelay.state.claim_records import MAX_KEPT_ANSWER_BYTES
 
 _MS_PER_S = 1000.0
 
@@ -137,11 +138,13 @@
         started.finished = True
         started.status = status
         started.content_type = content_type
-        started.body = body
+        started.body_kept = len(body) <= MAX_KEPT_ANSWER_BYTES
         self._finished[key] = started
-        self._kept_answers[key] = started
-        self._answer_bytes += len(body)
-        self._drop_old_answers()
+        if started.body_kept:
+            started.body = body
+            self._kept_answers[key] = started
+            self._answer_bytes += len(body)
+            self._drop_old_answers()
         self._forget_old_keys()
 
     def withdraw(self, key: str) -> None:
--- a/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
@@ -98,7 +98,9 @@
         """Read the stream from its first record that is kept, and never stop."""
         if self._stopped:
             return
-        page = self._log.read(CONFIG_STREAM, self._fold.next_offset, _WAIT_S)
+        # The first page tells that the log is up, so it is not waited for.
+        wait_s = _WAIT_S if self.log_up else 0.0
+        page = self._log.read(CONFIG_STREAM, self._fold.next_offset, wait_s)
         page.addCallbacks(self._on_page, self._on_read_failed)
         page.addErrback(self._on_fault)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from corianderrelay.protocol.messages import Tombstone
     from corianderrelay.state.call import Call
 
+    from ..state.keyed_actions import SendDispatch
     from ..state.runner import Runner
 
 
@@ -29,5 +31,14 @@
     def acknowledge(self, attempt_id: str, sequence: int) -> None:
         """Tell the agent that chunks up to ``sequence`` need not be kept."""
 
+    def ask_ticket(self, key: str) -> None:
+        """Ask the agent for a ticket for a scoped key."""
+
+    def dispatch_keyed(self, call: Call, order: SendDispatch) -> None:
+        """Ask the agent to run a call whose claim holds its key."""
+
+    def tombstone(self, order: Tombstone) -> None:
+        """Ask the agent to stop a claim that it has not started."""
+
 
 __all__ = ["AgentPort"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/claims_stream.py
@@ -0,0 +1,123 @@
+"""Follows one claims stream and appends to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eliot
+from result import Err
+
+from corianderrelay.state.claim_records import decode_claim_record, encode_claim_record
+from corianderrelay.state.errors import LogAnswerLostError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.coordination.log_client import LogClient, LogPage
+    from corianderrelay.state.claim_records import AnyClaimRecord
+
+    from ..state.keyed_actions import Action
+    from ..state.keyed_requests import KeyedRequests
+
+_WAIT_S = 5.0
+_RETRY_S = 0.5
+
+
+class ClaimsStream:
+    """Brings the stream's records to the requests whose keys lie in it.
+
+    :param act: carries out the actions that a record calls for.
+    """
+
+    __slots__ = (
+        "_log",
+        "_clock",
+        "_name",
+        "_requests",
+        "_act",
+        "_offset",
+        "_log_up",
+        "_stopped",
+    )
+
+    def __init__(
+        self,
+        log: LogClient,
+        clock: Clock,
+        name: str,
+        requests: KeyedRequests,
+        act: Callable[[KeyedRequests, list[Action]], None],
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._name = name
+        self._requests = requests
+        self._act = act
+        self._offset = 0
+        self._log_up = False
+        self._stopped = False
+
+    def start(self) -> None:
+        """Read from the first record that is kept, and never stop."""
+        if self._stopped:
+            return
+        # The first page tells that the log is up, so it is not waited for.
+        wait_s = _WAIT_S if self._log_up else 0.0
+        page = self._log.read(self._name, self._offset, wait_s)
+        page.addCallbacks(self._on_page, self._on_read_failed)
+        page.addErrback(self._on_fault)
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._stopped = True
+
+    def append(self, record: AnyClaimRecord) -> None:
+        """Append a record; whether it is there is only told by reading it back."""
+        appended = self._log.append(self._name, encode_claim_record(record))
+        appended.addErrback(self._on_append_failed, record)
+
+    def _on_page(self, page: LogPage) -> None:
+        self._log_up = True
+        fold = self._requests.fold
+        if page.first_offset > self._offset:
+            fold.skip_to(page.first_offset)
+        fold.forget_before(page.first_offset)
+        decoded = (
+            (entry.offset, decode_claim_record(entry.payload)) for entry in page.entries
+        )
+        # What is malformed is passed over by all readers alike.
+        records = [
+            (offset, 0, result.ok_value)
+            for offset, result in decoded
+            if not isinstance(result, Err)
+        ]
+        self._offset = max(page.next_offset, page.first_offset)
+        self._act(self._requests, self._requests.advance(records, self._now()))
+        self._clock.callLater(0, self.start)
+
+    def _on_read_failed(self, failure: Failure) -> None:
+        self._log_up = False
+        self._requests.log_lost()
+        eliot.log_message(
+            message_type="claims:read_failed",
+            stream=self._name,
+            reason=failure.getErrorMessage(),
+        )
+        self._clock.callLater(_RETRY_S, self.start)
+
+    def _on_append_failed(self, failure: Failure, record: AnyClaimRecord) -> None:
+        if not failure.check(LogAnswerLostError):
+            self._act(self._requests, self._requests.append_failed(record))
+
+    def _on_fault(self, failure: Failure) -> None:
+        eliot.log_message(message_type="claims:fault", reason=failure.getTraceback())
+        self._clock.callLater(_RETRY_S, self.start)
+
+    def _now(self) -> float:
+        return self._clock.seconds()
+
+
+__all__ = ["ClaimsStream"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
@@ -0,0 +1,315 @@
+"""Relays calls that must not be repeated: carries out what their requests decide."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import eliot
+
+from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.messages import AttemptOutcome, RefusalReason
+from corianderrelay.state.claim_keys import (
+    key_date,
+    key_partition,
+    request_digest,
+    scoped_key,
+)
+from corianderrelay.state.claims import ClaimFold
+from corianderrelay.state.errors import UnavailableError
+
+from ..state.keyed_actions import (
+    AppendRecord,
+    AskTicket,
+    KeyedCall,
+    SendDispatch,
+    SendTombstone,
+    TellAnswer,
+    TellError,
+)
+from ..state.keyed_requests import KeyedRequests
+from ..state.open_request import OpenRequest, RequestPhase
+from .claims_stream import ClaimsStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.coordination.log_client import LogClient
+    from corianderrelay.protocol.messages import Ticket, Tombstoned
+    from corianderrelay.state.call import Call
+
+    from ..state.keyed_actions import Action
+    from ..state.keyed_limits import KeyedLimits
+    from .agent_port import AgentPort
+    from .answer_sink import AnswerSink
+
+CLAIMS_PARTITIONS = 4
+_TICK_S = 0.5
+_RETRY_AFTER_S = 1.0
+
+
+@dataclass(slots=True)
+class _KeyedRequest:
+    request: OpenRequest
+    sink: AnswerSink | None
+    status: int = 0
+    content_type: str = ""
+    parts: list[bytes] = field(default_factory=list)
+    nonces: list[str] = field(default_factory=list)
+
+
+class KeyedRelay:
+    """The keyed requests of this entry, over all claims streams.
+
+    :param agents_by_id: the connected agents; others may change it.
+    :param wall_seconds: returns the wall-clock time in seconds since 1970.
+    :param nonces: yields a new unique name at each step.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        limits: KeyedLimits,
+        log: LogClient,
+        clock: Clock,
+        agents_by_id: Mapping[str, AgentPort],
+        wall_seconds: Callable[[], float],
+        nonces: Iterator[str],
+    ) -> None:
+        self._clock = clock
+        self._wall_seconds = wall_seconds
+        self._agents_by_id = agents_by_id
+        self._partitions = [
+            KeyedRequests(entry_id, limits, ClaimFold(), nonces)
+            for _ in range(CLAIMS_PARTITIONS)
+        ]
+        self._streams = [
+            ClaimsStream(log, clock, f"claims-{number}", requests, self._act)
+            for number, requests in enumerate(self._partitions)
+        ]
+        self._open_by_id: dict[str, _KeyedRequest] = {}
+        self._id_by_nonce: dict[str, str] = {}
+        self._asking_by_key: dict[str, str] = {}
+        self._tick = Periodic(clock, self._on_tick)
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests whose callers have no answer yet."""
+        return len(self._open_by_id)
+
+    def start(self) -> None:
+        """Follow the claims streams."""
+        for stream in self._streams:
+            stream.start()
+        self._tick.start(_TICK_S)
+
+    def stop(self) -> None:
+        """Follow the claims streams no longer."""
+        for stream in self._streams:
+            stream.stop()
+        self._tick.stop()
+
+    def submit(self, call: Call, sink: AnswerSink, now: float) -> OpenRequest:
+        """Run a call at most once for its key, and send its answer to ``sink``."""
+        request = OpenRequest(call, now)
+        runner_id = self._choose_runner(call.service)
+        if runner_id is None:
+            request.phase = RequestPhase.FAILED
+            sink.fail(_no_runner_error(call.service))
+            return request
+        keyed = KeyedCall(
+            request_id=call.request_id,
+            key=scoped_key(call.workspace, call.service, call.idempotency_key),
+            digest=request_digest(call.method, call.path, call.body),
+            workspace=call.workspace,
+            service=call.service,
+            runner_id=runner_id,
+            deadline=call.deadline_s,
+            dated_s=key_date(call.idempotency_key),
+        )
+        self._open_by_id[call.request_id] = _KeyedRequest(request, sink)
+        requests = self._requests_of(keyed.key)
+        self._act(requests, requests.submit(keyed, now, self._wall_seconds()))
+        return request
+
+    def abandon(self, request: OpenRequest) -> None:
+        """The caller is gone; its request goes on, and its answer is recorded."""
+        opened = self._open_by_id.get(request.call.request_id)
+        if opened is not None:
+            opened.sink = None
+
+    def owns(self, name: str) -> bool:
+        """Whether a message's attempt or key belongs to a keyed request."""
+        return name in self._id_by_nonce or name in self._asking_by_key
+
+    def on_ticket(self, ticket: Ticket) -> None:
+        """An agent gave a ticket."""
+        request_id = self._asking_by_key.pop(ticket.key, "")
+        requests = self._requests_of(ticket.key)
+        actions = requests.ticket_granted(
+            request_id, ticket, self._clock.seconds(), self._wall_seconds()
+        )
+        self._act(requests, actions)
+
+    def on_tombstoned(self, answer: Tombstoned) -> None:
+        """An agent told what became of a claim."""
+        requests = self._requests_of(answer.key)
+        self._act(requests, requests.tombstoned(answer, self._clock.seconds()))
+
+    def on_refused(self, name: str, reason: RefusalReason) -> None:
+        """An agent refused a ticket or an attempt."""
+        if name in self._asking_by_key:
+            requests = self._requests_of(name)
+            request_id = self._asking_by_key.pop(name)
+            self._act(requests, requests.ticket_refused(request_id))
+            return
+        requests = self._requests_of_attempt(name)
+        now = self._clock.seconds()
+        self._act(requests, requests.refused(name, reason, now))
+
+    def on_chunk(
+        self, nonce: str, sequence: int, data: bytes, status: int, content_type: str
+    ) -> None:
+        """A piece of an answer has arrived; a late or doubled one is dropped."""
+        opened = self._open_by_id[self._id_by_nonce[nonce]]
+        request = opened.request
+        if request.attempt_id != nonce or sequence != request.next_sequence:
+            return
+        if sequence == 0:
+            opened.status = status
+            opened.content_type = content_type
+        request.add_chunk(data, 0)
+        opened.parts.append(data)
+
+    def on_end(
+        self, nonce: str, outcome: AttemptOutcome, chunks: int, digest: int
+    ) -> None:
+        """The attempt is over; an answer that is not whole settles nothing."""
+        requests = self._requests_of_attempt(nonce)
+        opened = self._open_by_id[self._id_by_nonce[nonce]]
+        now = self._clock.seconds()
+        whole = opened.request.is_whole(chunks, digest)
+        if outcome is AttemptOutcome.DONE and not whole:
+            reason = RefusalReason.STALE_INCARNATION
+            self._act(requests, requests.refused(nonce, reason, now))
+            return
+        body = b"".join(opened.parts)
+        actions = requests.ended(
+            nonce, outcome, opened.status, opened.content_type, body, now
+        )
+        self._act(requests, actions)
+
+    def on_agent_lost(self, runner_id: str) -> None:
+        """The stream to an agent is gone: what ran there is asked about later."""
+        lost = [
+            nonce
+            for nonce, request_id in self._id_by_nonce.items()
+            if self._open_by_id[request_id].request.runner_id == runner_id
+        ]
+        for nonce in lost:
+            requests = self._requests_of_attempt(nonce)
+            reason = RefusalReason.STALE_INCARNATION
+            now = self._clock.seconds()
+            self._act(requests, requests.refused(nonce, reason, now))
+
+    def _on_tick(self) -> None:
+        for requests in self._partitions:
+            actions = requests.tick(self._clock.seconds(), self._wall_seconds())
+            self._act(requests, actions)
+
+    def _requests_of(self, key: str) -> KeyedRequests:
+        return self._partitions[key_partition(key, CLAIMS_PARTITIONS)]
+
+    def _requests_of_attempt(self, nonce: str) -> KeyedRequests:
+        call = self._open_by_id[self._id_by_nonce[nonce]].request.call
+        key = scoped_key(call.workspace, call.service, call.idempotency_key)
+        return self._requests_of(key)
+
+    def _choose_runner(self, service: str) -> str | None:
+        runners = (agent.runner for agent in self._agents_by_id.values())
+        usable = [one for one in runners if one.usable and one.service == service]
+        best = min(usable, key=lambda runner: runner.load, default=None)
+        return best.instance_id if best else None
+
+    def _act(self, requests: KeyedRequests, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case AskTicket():
+                    self._ask_ticket(requests, action)
+                case AppendRecord(record):
+                    self._streams[self._partitions.index(requests)].append(record)
+                case SendDispatch():
+                    self._dispatch(requests, action)
+                case SendTombstone(runner_id, order):
+                    agent = self._agents_by_id.get(runner_id)
+                    if agent is not None:
+                        agent.tombstone(order)
+                case TellAnswer():
+                    self._tell_answer(action)
+                case TellError():
+                    self._tell_error(action)
+
+    def _ask_ticket(self, requests: KeyedRequests, action: AskTicket) -> None:
+        agent = self._agents_by_id.get(action.runner_id)
+        if agent is None:
+            self._act(requests, requests.ticket_refused(action.request_id))
+            return
+        self._asking_by_key[action.key] = action.request_id
+        agent.ask_ticket(action.key)
+
+    def _dispatch(self, requests: KeyedRequests, action: SendDispatch) -> None:
+        agent = self._agents_by_id.get(action.runner_id)
+        opened = self._open_by_id[action.request_id]
+        self._id_by_nonce[action.nonce] = action.request_id
+        opened.nonces.append(action.nonce)
+        if agent is None:
+            # Nothing was sent, so nothing can start.
+            reason = RefusalReason.LEAVING
+            now = self._clock.seconds()
+            self._act(requests, requests.refused(action.nonce, reason, now))
+            return
+        opened.request.begin_attempt(action.nonce, action.runner_id)
+        opened.parts.clear()
+        agent.dispatch_keyed(opened.request.call, action)
+
+    def _tell_answer(self, action: TellAnswer) -> None:
+        opened = self._close(action.request_id)
+        opened.request.phase = RequestPhase.DONE
+        if opened.sink is not None:
+            opened.sink.start(action.status, action.content_type)
+            opened.sink.write(action.body)
+            opened.sink.finish()
+
+    def _tell_error(self, action: TellError) -> None:
+        opened = self._close(action.request_id)
+        opened.request.phase = RequestPhase.FAILED
+        eliot.log_message(
+            message_type="keyed:not_answered",
+            request_id=action.request_id,
+            kind=action.error.kind,
+            ran=action.error.ran.value,
+        )
+        if opened.sink is not None:
+            opened.sink.fail(action.error)
+
+    def _close(self, request_id: str) -> _KeyedRequest:
+        opened = self._open_by_id.pop(request_id)
+        call = opened.request.call
+        key = scoped_key(call.workspace, call.service, call.idempotency_key)
+        if self._asking_by_key.get(key) == request_id:
+            del self._asking_by_key[key]
+        for nonce in opened.nonces:
+            del self._id_by_nonce[nonce]
+        return opened
+
+
+def _no_runner_error(service: str) -> UnavailableError:
+    return UnavailableError(
+        f"no endpoint of service {service!r} is reachable, so this call was not run",
+        f"send it again with the same key after {_RETRY_AFTER_S:.0f} s",
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+__all__ = ["CLAIMS_PARTITIONS", "KeyedRelay"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -17,10 +17,12 @@
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.config_in_force import ConfigInForce
+from .coordination.keyed_relay import KeyedRelay
 from .coordination.observed_answer import ObservedAnswer
 from .coordination.relay import Relay
 from .coordination.request_metrics import RequestMetrics
 from .state.entry_directory import EntryAddress, EntryDirectory
+from .state.keyed_limits import keyed_limits
 from .state.request_register import RequestRegister
 from .transport.agent_connector import AgentConnector
 
@@ -60,6 +62,15 @@
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
         self.relay = Relay(self.new_id)
+        self.keyed = KeyedRelay(
+            settings.instance_id,
+            keyed_limits(settings.platform.log_retention_s),
+            log,
+            clock,
+            self.relay.agents_by_id,
+            time.time,
+            iter(self.new_id, ""),
+        )
         self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
         self.directory = EntryDirectory()
@@ -83,7 +94,13 @@
             "entry",
         )
         self.connector = AgentConnector(
-            self.relay, self.directory, hello, settings.timing, clock, tls
+            self.relay,
+            self.keyed,
+            self.directory,
+            hello,
+            settings.timing,
+            clock,
+            tls,
         )
         self._list_poll = Periodic(clock, self._poll_instances)
 
@@ -96,6 +113,7 @@
         """Connect to the platform and to the agents."""
         self.connector.start()
         self.config_follower.start()
+        self.keyed.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
 
     def new_id(self) -> str:
@@ -119,10 +137,21 @@
         observed = ObservedAnswer(
             sink, action, self.request_metrics, call.service, self.clock.seconds
         )
-        request = self.relay.submit(traced, observed, self.clock.seconds())
+        relay = self.keyed if call.idempotency_key else self.relay
+        request = relay.submit(traced, observed, self.clock.seconds())
         self.register.add(request)
         return request
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have no final answer yet."""
+        return self.relay.open_requests + self.keyed.open_requests
+
+    def abandon(self, request: OpenRequest) -> None:
+        """The caller of a request is gone."""
+        self.relay.abandon(request)
+        self.keyed.abandon(request)
+
     def drain(self, reason: str) -> None:
         """Take no new callers; serve those that still come until their list expires."""
         self.draining = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from corianderrelay.protocol.messages import (
     PROTOCOL_VERSION,
     Accepted,
@@ -19,6 +21,9 @@
     Ping,
     Pong,
     Refused,
+    Ticket,
+    TicketRequest,
+    Tombstoned,
 )
 from corianderrelay.state.errors import FrameError
 
@@ -28,11 +33,13 @@
     from collections.abc import Callable
     from typing import Protocol
 
-    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.protocol.messages import AnyMessage, Tombstone
     from corianderrelay.state.call import Call
 
+    from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
     from ..state.entry_directory import EntryDirectory
+    from ..state.keyed_actions import SendDispatch
 
     class MessageStream(Protocol):
         """What a session needs of a stream."""
@@ -54,11 +61,13 @@
     def __init__(
         self,
         relay: Relay,
+        keyed: KeyedRelay,
         directory: EntryDirectory,
         stream: MessageStream,
         seconds: Callable[[], float],
     ) -> None:
         self._relay = relay
+        self._keyed = keyed
         self._directory = directory
         self._stream = stream
         self._seconds = seconds
@@ -71,6 +80,8 @@
             Refused: self._on_refused,
             Chunk: self._on_chunk,
             End: self._on_end,
+            Ticket: self._on_ticket,
+            Tombstoned: self._on_tombstoned,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -103,11 +114,33 @@
         """The stream is gone."""
         if self._relay.agents_by_id.get(self.agent_id) is self:
             self._relay.on_agent_lost(self.agent_id)
+            self._keyed.on_agent_lost(self.agent_id)
 
     def dispatch(self, attempt_id: str, call: Call, resume_from: int) -> None:
         """Send the call to the agent; see ``AgentPort``."""
+        self._stream.send(self._dispatch_of(attempt_id, call, resume_from))
+
+    def dispatch_keyed(self, call: Call, order: SendDispatch) -> None:
+        """Send a call whose claim holds its key; see ``AgentPort``."""
+        message = replace(
+            self._dispatch_of(order.nonce, call, 0),
+            claim_offset=order.claim_offset,
+            ticket_incarnation=order.incarnation,
+            ticket_id=order.ticket_id,
+        )
+        self._stream.send(message)
+
+    def ask_ticket(self, key: str) -> None:
+        """Ask for a ticket; see ``AgentPort``."""
+        self._stream.send(TicketRequest(key))
+
+    def tombstone(self, order: Tombstone) -> None:
+        """Ask the agent to stop a claim; see ``AgentPort``."""
+        self._stream.send(order)
+
+    def _dispatch_of(self, attempt_id: str, call: Call, resume_from: int) -> Dispatch:
         remaining_s = max(0.0, call.deadline_s - self._seconds())
-        message = Dispatch(
+        return Dispatch(
             attempt_id=attempt_id,
             request_id=call.request_id,
             workspace=call.workspace,
@@ -123,7 +156,6 @@
             key=call.idempotency_key,
             trace=call.trace,
         )
-        self._stream.send(message)
 
     def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt; see ``AgentPort``."""
@@ -170,10 +202,28 @@
     def _on_accepted(self, message: Accepted) -> None:
         """Nothing to do: the first chunk or the end tells the rest."""
 
+    def _on_ticket(self, message: Ticket) -> None:
+        self._keyed.on_ticket(message)
+
+    def _on_tombstoned(self, message: Tombstoned) -> None:
+        self._keyed.on_tombstoned(message)
+
     def _on_refused(self, message: Refused) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_refused(message.attempt_id, message.reason)
+            return
         self._relay.on_refused(message.attempt_id, message.retry_after_ms / 1000)
 
     def _on_chunk(self, message: Chunk) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_chunk(
+                message.attempt_id,
+                message.sequence,
+                message.data,
+                message.status,
+                message.content_type,
+            )
+            return
         self._relay.on_chunk(
             message.attempt_id,
             message.sequence,
@@ -184,6 +234,11 @@
         )
 
     def _on_end(self, message: End) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_end(
+                message.attempt_id, message.outcome, message.chunks, message.digest
+            )
+            return
         if message.outcome is AttemptOutcome.DONE:
             self._relay.on_end(message.attempt_id, message.chunks, message.digest)
         else:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
@@ -120,7 +120,7 @@
         assert self._drain_started_s is not None
         waited_s = self._reactor.seconds() - self._drain_started_s
         ttl_over = waited_s >= self._settings.timing.entries_ttl_s
-        if ttl_over and self._entry.relay.open_requests == 0:
+        if ttl_over and self._entry.open_requests == 0:
             self._stop("drained")
         elif waited_s >= self._settings.timing.drain_deadline_s:
             self._stop("the drain deadline")
@@ -128,7 +128,7 @@
             self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
 
     def _stop(self, reason: str) -> None:
-        cut = self._entry.relay.open_requests
+        cut = self._entry.open_requests
         self.exit_code = _EXIT_CUT if cut else _EXIT_OK
         eliot.log_message(
             message_type="entry:stopped", reason=reason, cut_off_requests=cut
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_limits.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_limits.py
@@ -6,6 +6,9 @@
 
 from .claim_settlement import SettlementLimits
 
+_WINDOW_SHARE = 0.5
+_REMEMBER_SHARE = 0.25
+
 
 @dataclass(slots=True, frozen=True)
 class KeyedLimits:
@@ -27,4 +30,15 @@
     settlement: SettlementLimits = field(default_factory=SettlementLimits)
 
 
-__all__ = ["KeyedLimits"]
+def keyed_limits(retention_s: float) -> KeyedLimits:
+    """Return the limits that suit a log service.
+
+    :param retention_s: how long the service surely keeps a record, in seconds.
+    """
+    return KeyedLimits(
+        window_s=retention_s * _WINDOW_SHARE,
+        remember_again_s=retention_s * _REMEMBER_SHARE,
+    )
+
+
+__all__ = ["KeyedLimits", "keyed_limits"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -22,6 +22,7 @@
     from corianderrelay.protocol.messages import AnyMessage, Hello
     from corianderrelay.transport.tls import TlsFiles
 
+    from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
     from ..state.entry_directory import EntryDirectory
     from ..state.settings import TimingSettings
@@ -40,6 +41,7 @@
     def __init__(
         self,
         relay: Relay,
+        keyed: KeyedRelay,
         directory: EntryDirectory,
         hello: Hello,
         timing: TimingSettings,
@@ -47,6 +49,7 @@
         tls: TlsFiles | None = None,
     ) -> None:
         self._relay = relay
+        self._keyed = keyed
         self._directory = directory
         self._leaving = False
         self._hello = hello
@@ -100,7 +103,7 @@
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the agent."""
         session = AgentSession(
-            self._relay, self._directory, stream, self._clock.seconds
+            self._relay, self._keyed, self._directory, stream, self._clock.seconds
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
@@ -114,7 +114,7 @@
             raise result.err_value
         entry = self._entry
         call = result.ok_value
-        if entry.relay.open_requests >= entry.settings.limits.waiting_requests:
+        if entry.open_requests >= entry.settings.limits.waiting_requests:
             raise OverloadedError(
                 "this entry has as many open requests as it may have",
                 f"send it again after {_OVERLOADED_RETRY_AFTER_S:.0f} s, or to "
@@ -132,7 +132,7 @@
     ) -> None:
         if isinstance(sink, StreamedAnswer):
             sink.stop()
-        self._entry.relay.abandon(opened)
+        self._entry.abandon(opened)
 
     def _sink(self, request: Request, call: Call) -> StreamedAnswer | WholeAnswer:
         if call.streamed:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -108,7 +108,7 @@
             ready=entry.ready,
             draining=entry.draining,
             config_version=entry.config.version,
-            open_requests=entry.relay.open_requests,
+            open_requests=entry.open_requests,
             runners=runners,
         )
         write_json(request, msgspec.json.encode(status))
