--- /dev/null
+++ b/tests/standins/run.py
@@ -0,0 +1,159 @@
+"""Runs one stand-in: ``python -m tests.standins.run KIND --port N [options]``.
+
+It prints one JSON line ``{"listening": port}`` when it listens; SIGTERM ends it.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any, cast
+
+import click
+from twisted.internet import reactor as _reactor
+from twisted.web.server import Site
+
+from corianderrelay.transport.http_client import HttpClient
+
+from tests.standins.engine_batch import EngineBatch
+from tests.standins.engine_control import EngineControl
+from tests.standins.engine_face import EngineFace, FreeStepper
+from tests.standins.group_face import GroupFace, GroupHub, RankStepper, remote_arrival
+from tests.standins.group_rank import NO_MAP, GroupRank
+from tests.standins.http_face import Face
+from tests.standins.instances_core import InstanceHistory, InstanceListFaults
+from tests.standins.instances_face import InstancesFace
+from tests.standins.log_face import LogFace
+from tests.standins.log_store import LogFaults, LogStore
+from tests.standins.prefix_cache import PrefixCache
+from tests.standins.service_core import ServiceCore
+from tests.standins.service_face import ServiceFace
+from tests.standins.weights_core import WeightStore
+from tests.standins.weights_face import WeightsFace
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+reactor = cast("ReactorBase", _reactor)
+
+
+def serve(handle: Callable[[Request, list[str]], None], host: str, port: int) -> None:
+    """Listen, say so on standard output, and serve until SIGTERM."""
+    site = Site(Face(handle))
+    listening: Any = reactor.listenTCP(  # type: ignore[attr-defined]
+        port, site, interface=host
+    )
+    print(json.dumps({"listening": listening.getHost().port}), flush=True)
+    reactor.run()
+
+
+@click.group()
+@click.option("--host", default="127.0.0.1", help="Address to listen on.")
+@click.pass_context
+def main(context: click.Context, host: str) -> None:
+    """Run a stand-in for a part of the platform."""
+    context.obj = host
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--appends-per-s", default=300.0)
+@click.option("--retention-s", default=3600.0)
+@click.pass_obj
+def log(host: str, port: int, appends_per_s: float, retention_s: float) -> None:
+    """Run the append-only log service."""
+    faults = LogFaults(appends_per_s=appends_per_s, retention_s=retention_s)
+    serve(LogFace(LogStore(faults), reactor).handle, host, port)
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--slots", default=8)
+@click.option("--step-s", default=0.01)
+@click.option("--crash-on", default="", help="A prompt with this text ends it.")
+@click.option("--load-lag-s", default=0.5)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--cache-blocks", default=1024, help="Capacity of the prefix cache.")
+@click.option("--event-lag-s", default=0.5, help="How late cache events are shown.")
+@click.option("--event-gap-every", default=0, help="Each Nth cache event is lost.")
+@click.option("--rank", default=-1, help="Rank in a lock-step group; -1 for none.")
+@click.option("--ranks", default=0, help="Size of the group; rank 0 needs it.")
+@click.option("--hub-url", default="", help="Rank 0's engine; other ranks need it.")
+@click.option("--weights-url", default="", help="Store that staged maps are read from.")
+@click.option("--model", default="m", help="Model whose weights are read.")
+@click.option("--first-map", default=NO_MAP, help="Expert map held at start.")
+@click.pass_obj
+def engine(host: str, /, port: int, **options: Any) -> None:
+    """Run a model engine, alone or as a rank of a lock-step group."""
+    batch = EngineBatch(options["slots"], options["step_s"])
+    cache = PrefixCache(
+        options["cache_blocks"], options["event_lag_s"], options["event_gap_every"]
+    )
+    control = EngineControl(
+        batch,
+        cache,
+        reactor,
+        load_lag_s=options["load_lag_s"],
+        checks_fencing=options["checks_fencing"],
+    )
+    face = EngineFace(batch, control, options["crash_on"])
+    if options["rank"] < 0:
+        face.stepper = FreeStepper(face, batch, reactor)
+        serve(face.handle, host, port)
+    else:
+        serve(_join_group(face, batch, options).handle, host, port)
+
+
+def _join_group(
+    face: EngineFace, batch: EngineBatch, options: dict[str, Any]
+) -> GroupFace:
+    number, first_map = options["rank"], options["first_map"]
+    rank = GroupRank(number, options["checks_fencing"], first_map)
+    hub = GroupHub(options["ranks"]) if number == 0 else None
+    arrive = (
+        remote_arrival(HttpClient(reactor, options["hub_url"]), number)
+        if hub is None
+        else lambda map_number: hub.arrive(0, map_number)
+    )
+    stepper = RankStepper(rank, face, batch, reactor, arrive)
+    face.stepper = stepper
+    stepper.start()
+    url = options["weights_url"]
+    weights = HttpClient(reactor, url) if url else None
+    return GroupFace(rank, face, hub, weights, options["model"])
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.pass_obj
+def service(host: str, port: int) -> None:
+    """Run a plain service whose changing calls must not be repeated."""
+    serve(ServiceFace(ServiceCore(), reactor).handle, host, port)
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--lag-s", default=1.0)
+@click.pass_obj
+def instances(host: str, port: int, lag_s: float) -> None:
+    """Run the lagging list of instances."""
+    history = InstanceHistory(InstanceListFaults(lag_s))
+    serve(InstancesFace(history, reactor).handle, host, port)
+
+
+@main.command()
+@click.option("--port", default=0)
+@click.option("--bytes-per-s", default=1e9)
+@click.option("--expert-bytes", default=1_000_000)
+@click.pass_obj
+def weights(host: str, port: int, bytes_per_s: float, expert_bytes: int) -> None:
+    """Run the rate-limited weight store."""
+    store = WeightStore(bytes_per_s, expert_bytes)
+    serve(WeightsFace(store, reactor).handle, host, port)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
