--- a/bench/planner_suite.py
+++ b/bench/planner_suite.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import json
 from collections.abc import Iterator
@@ -48,8 +47,7 @@
 def cases(seed: int, planner_only: bool = False) -> Iterator[Case]:
     """Yield all cases; baselines do not depend on a user's weights."""
     baselines = [("full_replan", ""), ("threshold", ""), ("never", ""), ("bound", "")]
-    names = ("planner", "planner_greedy", "thrifty_1.05", "thrifty_1.1", "thrifty_1.2")
-    planners = itertools.product(names, WEIGHTS_BY_USER)
+    planners = itertools.product(("planner", "planner_greedy"), WEIGHTS_BY_USER)
     policies = [*planners] if planner_only else [*baselines, *planners]
     for ranks, trace in itertools.product(SLOTS_PER_RANK_BY_RANKS, traces.NAMES):
         for policy, user in policies:
@@ -73,12 +71,8 @@
         return FullReplan(slots_per_rank)
     if case.policy == "threshold":
         return ThresholdReplan(slots_per_rank)
-    concentration = 1.0 if case.policy == "planner" else 0.0
+    concentration = 0.0 if case.policy == "planner_greedy" else 1.0
     skew_weight, move_cost = WEIGHTS_BY_USER[case.user]
-    if case.policy.startswith("thrifty"):
-        greedy = rules(slots_per_rank, skew_weight, move_cost, concentration)
-        acceptable = float(case.policy.removeprefix("thrifty_"))
-        return CostAware(dataclasses.replace(greedy, acceptable_skew=acceptable))
     return CostAware(rules(slots_per_rank, skew_weight, move_cost, concentration))
 
 
--- a/packages/corianderrelay-core/src/corianderrelay/state/expert_planner.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/expert_planner.py
@@ -42,8 +42,6 @@
     :param stale_after_s: age from which reports of load are too old to plan on.
     :param concentration_weight: relief of the most loaded rank that a step gives up to
         spread heavy experts over more replicas, both in units of load.
-    :param acceptable_skew: range within which steps are chosen for the moves that they
-        spare later; at or below it, nothing moves.
     """
 
     slots_per_rank: int
@@ -56,7 +54,6 @@
     max_transfer_s: float = 10.0
     stale_after_s: float = 15.0
     concentration_weight: float = 1.0
-    acceptable_skew: float = 0.0
 
     @property
     def max_slots(self) -> int:
@@ -176,7 +173,6 @@
             tokens_per_s_by_expert,
             self._rules.slots_per_rank,
             self._rules.concentration_weight,
-            self._rules.acceptable_skew,
         )
         before = search.map.skew
         plan = self._best_plan(search)
@@ -211,7 +207,6 @@
             steps < min(_MAX_STEPS, best_step + _PATIENCE_STEPS)
             and slots < rules.max_slots
             and rules.net_saving_s(most_share, slots + 1) > best_s
-            and search.map.skew > rules.acceptable_skew
             and search.relieve()
         ):
             slots = search.map.moved_slots
--- a/packages/corianderrelay-core/src/corianderrelay/state/expert_search.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/expert_search.py
@@ -57,15 +57,12 @@
     :param slots_per_rank: slots of each rank.
     :param concentration_weight: relief that a step gives up to spread heavy experts
         over more replicas, both in units of load.
-    :param acceptable_skew: among the steps within it, the one that concentrates load
-        least is taken; the greedy one when none is within.
     """
 
     __slots__ = (
         "map",
         "_slots_per_rank",
         "_concentration_weight",
-        "_acceptable_skew",
         "_pinned",
         "_coolest",
         "_steps_since_sort",
@@ -77,10 +74,8 @@
         tokens_by_expert: Sequence[float],
         slots_per_rank: int,
         concentration_weight: float = 1.0,
-        acceptable_skew: float = 0.0,
     ) -> None:
         self.map = WorkingMap(expert_map, tokens_by_expert)
-        self._acceptable_skew = acceptable_skew
         self._slots_per_rank = slots_per_rank
         self._concentration_weight = concentration_weight
         self._pinned: set[tuple[int, int]] = set()
@@ -96,14 +91,7 @@
         steps = [step for step in self._steps(hottest) if step.peak < highest]
         if not steps:
             return self._split(hottest)
-        accepted = self._acceptable_skew * self.map.mean_load
-        within = [step for step in steps if step.peak <= accepted]
-        if within:
-            self._apply(
-                min(within, key=lambda step: (step.slots, self._concentration(step)))
-            )
-        else:
-            self._apply(max(steps, key=lambda step: self._worth(step, ceiling)))
+        self._apply(max(steps, key=lambda step: self._worth(step, ceiling)))
         return True
 
     def _worth(self, step: _Step, ceiling: float) -> float:
