Give operators a console of forms whose output is one checked document

Cause: operators had no way to change the configuration but raw JSON. Ruled out: keeping drafts in the entry or the log; see docs/decisions/console.md. Seen failing first, one mutation each: escaping off; no Origin check; no Sec-Fetch-Site check; the form's mark not compared; faults not passed to the form; the refusal not shown after a lost race.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -27,10 +27,13 @@
 from .transport.agent_connector import AgentConnector
 
 if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
     from corianderrelay.coordination.instance_list import Instance, InstanceList
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.state.call import Call
     from corianderrelay.state.config_fold import Verdict, VersionInForce
+    from corianderrelay.state.document import Document
     from corianderrelay.transport.tls import TlsFiles
 
     from .coordination.answer_sink import AnswerSink
@@ -152,6 +155,10 @@
         self.relay.abandon(request)
         self.keyed.abandon(request)
 
+    def publish(self, base: int, document: Document, author: str) -> Deferred[int]:
+        """Put a document in force over version ``base``; see ``ConfigFollower``."""
+        return self.config_follower.publish(base, document, author, self.new_id())
+
     def drain(self, reason: str) -> None:
         """Take no new callers; serve those that still come until their list expires."""
         self.draining = True
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/console_forms.py
@@ -0,0 +1,194 @@
+"""Turns the fields of the console's forms into items of a document, and back.
+
+Each collection has one reader, which makes the JSON that an operator would have
+written by hand; that JSON is then checked like any document, so that a fault names the
+field that it belongs to.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from corianderrelay.protocol.checked_json import decode_checked
+from corianderrelay.state.document import Document
+from corianderrelay.state.faults import Fault
+
+from ..state.draft import ITEM_TYPES_BY_COLLECTION, Collection, Draft
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+Fields = dict[str, str]
+SPARE_SHARE_ROWS = 2
+
+
+class FormItem(msgspec.Struct, frozen=True):
+    """What an edit form was sent with.
+
+    :param name: name of the item.
+    :param item: the item, or ``None`` when a field has a fault.
+    :param faults_by_field: messages by field; the empty name stands for the whole form.
+    """
+
+    name: str
+    item: Any
+    faults_by_field: dict[str, list[str]]
+
+
+def read_item(collection: Collection, fields: Fields) -> FormItem:
+    """Return the item that the fields of a form describe, or its faults."""
+    name = fields.get("name", "").strip()
+    written = _READERS_BY_COLLECTION[collection](fields)
+    whole = {collection.value: {name: written}}
+    checked = decode_checked(msgspec.json.encode(whole), Document)
+    if isinstance(checked, Err):
+        prefix = f"$.{collection.value}.{name}."
+        return FormItem(name, None, _by_field(checked.err_value, prefix))
+    item = Draft(0, checked.ok_value).items(collection)[name]
+    return FormItem(name, item, {})
+
+
+def fields_of(collection: Collection, name: str, item: Any) -> Fields:
+    """Return the fields with which the form of an item is filled."""
+    written: dict[str, Any] = msgspec.to_builtins(item)
+    lists = {
+        key: "\n".join(value)
+        for key, value in written.items()
+        if isinstance(value, list)
+    }
+    texts = {
+        key: _text(value)
+        for key, value in written.items()
+        if isinstance(value, (str, int, float))
+    }
+    return {"name": name, **texts, **lists, **_share_fields(written)}
+
+
+def share_rows(fields: Fields) -> int:
+    """Return how many rows of shares a form shows, with some to spare."""
+    used = [
+        row
+        for row in itertools.takewhile(
+            lambda row: f"share_workspace_{row}" in fields, itertools.count()
+        )
+    ]
+    return len(used) + SPARE_SHARE_ROWS
+
+
+def read_draft(fields: Fields) -> Result[Draft, list[Fault]]:
+    """Return the draft that a form carries in its hidden fields."""
+    base = fields.get("base", "")
+    if not base.isdecimal():
+        return Err([Fault("$.base", "is no version", "start the draft again")])
+    checked = decode_checked(fields.get("draft", "").encode(), Document)
+    if isinstance(checked, Err):
+        return checked
+    return Ok(Draft(int(base), checked.ok_value))
+
+
+def _text(value: str | float) -> str:
+    if isinstance(value, bool):
+        return "on" if value else ""
+    return str(value)
+
+
+def _lines(text: str) -> list[str]:
+    return [line.strip() for line in text.splitlines() if line.strip()]
+
+
+def _number(text: str) -> int | float | str:
+    # What is no number is passed on as it is, so that the check names the field.
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            continue
+    return text
+
+
+def _workspace(fields: Fields) -> dict[str, Any]:
+    return {
+        "display_name": fields.get("display_name", ""),
+        "key_digests": _lines(fields.get("key_digests", "")),
+        "services": _lines(fields.get("services", "")),
+    }
+
+
+def _service(fields: Fields) -> dict[str, Any]:
+    named = {key: fields[key].strip() for key in ("model", "group") if fields.get(key)}
+    written = {
+        "kind": fields.get("kind", ""),
+        "timeout_s": _number(fields.get("timeout_s", "")),
+        "idempotent_methods": _lines(fields.get("idempotent_methods", "")),
+    }
+    return {**written, **named}
+
+
+def _group(fields: Fields) -> dict[str, Any]:
+    numbers = ("ranks", "experts", "slots_per_rank", "skew_weight", "move_cost")
+    written = {key: _number(fields.get(key, "")) for key in numbers}
+    return {**written, "shares": _shares(fields)}
+
+
+def _shares(fields: Fields) -> dict[str, Any]:
+    rows = itertools.takewhile(
+        lambda row: f"share_workspace_{row}" in fields, itertools.count()
+    )
+    named = [row for row in rows if fields[f"share_workspace_{row}"].strip()]
+    return {
+        fields[f"share_workspace_{row}"].strip(): {
+            "guaranteed": _number(fields.get(f"share_guaranteed_{row}", "")),
+            "burst": _number(fields.get(f"share_burst_{row}", "") or "1"),
+        }
+        for row in named
+    }
+
+
+def _share_fields(written: Mapping[str, Any]) -> Fields:
+    shares = written.get("shares", {})
+    return {
+        f"share_{key}_{row}": str(value)
+        for row, (workspace, share) in enumerate(sorted(shares.items()))
+        for key, value in (("workspace", workspace), *{"burst": 1.0, **share}.items())
+    }
+
+
+def _trust(fields: Fields) -> dict[str, Any]:
+    return {"checks_fencing": fields.get("checks_fencing") == "on"}
+
+
+_READERS_BY_COLLECTION: dict[Collection, Callable[[Fields], dict[str, Any]]] = {
+    Collection.WORKSPACES: _workspace,
+    Collection.SERVICES: _service,
+    Collection.GROUPS: _group,
+    Collection.ENDPOINT_TRUST: _trust,
+}
+
+
+def _by_field(faults: list[Fault], prefix: str) -> dict[str, list[str]]:
+    by_field: dict[str, list[str]] = {}
+    for fault in faults:
+        field = _field_of(fault.path, prefix)
+        by_field.setdefault(field, []).append(f"{fault.reason}; {fault.remedy}")
+    return by_field
+
+
+def _field_of(path: str, prefix: str) -> str:
+    if not path.startswith(prefix):
+        return "name"
+    return path.removeprefix(prefix).split(".")[0].split("[")[0]
+
+
+__all__ = [
+    "Fields",
+    "FormItem",
+    "ITEM_TYPES_BY_COLLECTION",
+    "fields_of",
+    "read_draft",
+    "read_item",
+    "share_rows",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/console_pages.py
@@ -0,0 +1,133 @@
+"""Renders the console's pages; everything shown is escaped."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from jinja2 import Environment, PackageLoader
+
+from ..state.draft import Collection, Draft
+from .console_forms import fields_of, share_rows
+
+if TYPE_CHECKING:
+    from corianderrelay.state.document import Document
+
+    from .console_forms import Fields, FormItem
+    from .replies import EntryStatusReply
+
+_NEW_ITEM_FIELDS: dict[Collection, dict[str, str]] = {
+    Collection.SERVICES: {"timeout_s": "120", "idempotent_methods": "GET\nHEAD"},
+    Collection.GROUPS: {"skew_weight": "1", "move_cost": "1"},
+}
+
+
+@dataclass(slots=True)
+class DraftPage:
+    """What the pages of a draft show; the draft itself travels in hidden fields.
+
+    :param version: the version in force.
+    :param messages: what the operator must know first, such as a lost race.
+    """
+
+    csrf: str
+    base: int
+    draft_json: str
+    version: int
+    names_by_collection: dict[str, list[str]]
+    author: str = ""
+    messages: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    changes: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class EditForm:
+    """What an edit form shows.
+
+    :param item: name of the item under edit; empty for a new one.
+    """
+
+    collection: str
+    item: str
+    fields: Fields
+    faults_by_field: dict[str, list[str]] = field(default_factory=dict)
+
+    @property
+    def share_rows(self) -> int:
+        """How many rows of shares are shown."""
+        return share_rows(self.fields)
+
+
+def draft_page(draft: Draft, csrf: str, version: int) -> DraftPage:
+    """Return the page of a draft, without messages, faults or changes."""
+    return DraftPage(
+        csrf=csrf,
+        base=draft.base,
+        draft_json=msgspec.json.encode(draft.document).decode(),
+        version=version,
+        names_by_collection={
+            collection.value: sorted(draft.items(collection))
+            for collection in Collection
+        },
+    )
+
+
+def edit_form(draft: Draft, collection: Collection, name: str) -> EditForm:
+    """Return the form of an item, or of a new one if there is none of that name."""
+    item = draft.items(collection).get(name)
+    if item is None:
+        new = _NEW_ITEM_FIELDS.get(collection, {})
+        return EditForm(collection.value, "", dict(new))
+    return EditForm(collection.value, name, fields_of(collection, name, item))
+
+
+def refused_form(
+    collection: Collection, item: str, fields: Fields, read: FormItem
+) -> EditForm:
+    """Return the form as it was sent, with its faults."""
+    return EditForm(collection.value, item, fields, read.faults_by_field)
+
+
+class ConsolePages:
+    """The console's templates."""
+
+    __slots__ = ("_environment",)
+
+    def __init__(self) -> None:
+        self._environment = Environment(
+            loader=PackageLoader("corianderrelay_entry", "templates"),
+            autoescape=True,
+            trim_blocks=True,
+            lstrip_blocks=True,
+        )
+
+    def status(self, status: EntryStatusReply, document: Document, csrf: str) -> bytes:
+        """Return the read-only page."""
+        return self._render("status.html", status=status, document=document, csrf=csrf)
+
+    def draft(self, page: DraftPage) -> bytes:
+        """Return the page that lists a draft's items."""
+        return self._render("draft.html", page=page)
+
+    def edit(self, page: DraftPage, form: EditForm) -> bytes:
+        """Return the form of one item."""
+        return self._render("edit.html", page=page, form=form)
+
+    def review(self, page: DraftPage) -> bytes:
+        """Return the page that shows a draft's changes."""
+        return self._render("review.html", page=page)
+
+    def _render(self, template: str, **values: Any) -> bytes:
+        return self._environment.get_template(template).render(values).encode()
+
+
+__all__ = [
+    "ConsolePages",
+    "DraftPage",
+    "EditForm",
+    "draft_page",
+    "edit_form",
+    "refused_form",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/console_site.py
@@ -0,0 +1,270 @@
+"""The operators' console of forms; it needs no script and keeps nothing between posts.
+
+A draft travels in hidden fields of its pages, so that any entry can take the next step
+and a replaced entry loses no draft.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
+
+import msgspec
+from result import Err
+
+from corianderrelay.state.document_check import check_document
+from corianderrelay.state.document_diff import diff_documents
+from corianderrelay.state.errors import (
+    InvalidRequestError,
+    NotFoundError,
+    UnauthorizedError,
+)
+
+from ..protocol.console_forms import read_draft, read_item
+from ..protocol.console_pages import (
+    ConsolePages,
+    DraftPage,
+    draft_page,
+    edit_form,
+    refused_form,
+)
+from ..state.draft import Collection, Draft
+from .entry_status import entry_status
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+    from twisted.web.server import Request
+
+    from ..entry import Entry
+    from ..protocol.console_forms import Fields
+
+PREFIX = "/console"
+_MAX_AUTHOR_LENGTH = 100
+_OWN_SITES = frozenset({"", "same-origin", "none"})
+_SECURITY_HEADERS = {
+    b"content-security-policy": b"default-src 'none'; style-src 'unsafe-inline'; "
+    b"form-action 'self'; frame-ancestors 'none'; base-uri 'none'",
+    b"x-content-type-options": b"nosniff",
+    b"referrer-policy": b"no-referrer",
+    b"cache-control": b"no-store",
+}
+
+
+class ConsoleSite:
+    """Pages under ``/console`` of the operators' port.
+
+    :param token: the operators' token; it is the password of the login.
+    """
+
+    def __init__(self, entry: Entry, token: str) -> None:
+        self._entry = entry
+        self._token = token
+        self._pages = ConsolePages()
+        self._csrf = hmac.new(token.encode(), b"console", hashlib.sha256).hexdigest()
+        self._actions: dict[str, Callable[[Request, Fields], None]] = {
+            "start": self._start,
+            "show": self._show,
+            "edit": self._edit,
+            "save": self._save,
+            "remove": self._remove,
+            "review": self._review,
+            "rebase": self._rebase,
+            "download": self._download,
+            "publish": self._publish,
+        }
+
+    def render(self, request: Request) -> None:
+        """Answer one request under ``/console``."""
+        if not self._knows_token(request):
+            request.setHeader(b"www-authenticate", b'Basic realm="corianderrelay"')
+            raise UnauthorizedError(
+                "the console needs the operators' token",
+                "log in with any name and the token as password",
+            )
+        for name, value in _SECURITY_HEADERS.items():
+            request.setHeader(name, value)
+        path = request.path.decode("latin-1").removeprefix(PREFIX)
+        if request.method == b"GET" and path in ("", "/"):
+            self._show_status(request)
+        elif request.method == b"POST" and path == "/draft":
+            self._act(request)
+        else:
+            raise NotFoundError("there is no such page", f"go to {PREFIX}/")
+
+    def _knows_token(self, request: Request) -> bool:
+        header = (request.getHeader(b"authorization") or b"").decode("latin-1")
+        try:
+            login = base64.b64decode(header.removeprefix("Basic "), validate=True)
+        except binascii.Error:
+            return False
+        password = login.partition(b":")[2]
+        return hmac.compare_digest(password, self._token.encode())
+
+    def _act(self, request: Request) -> None:
+        fields = _fields(request)
+        _refuse_other_sites(request)
+        if not hmac.compare_digest(
+            fields.get("csrf", "").encode(), self._csrf.encode()
+        ):
+            raise UnauthorizedError(
+                "the form is not one of this console",
+                f"go to {PREFIX}/ and start again",
+            )
+        action = self._actions.get(fields.get("action", ""))
+        if action is None:
+            raise InvalidRequestError("unknown action", f"go to {PREFIX}/")
+        action(request, fields)
+
+    def _show_status(self, request: Request) -> None:
+        page = self._pages.status(
+            entry_status(self._entry), self._entry.config.document, self._csrf
+        )
+        _send_page(request, page)
+
+    def _start(self, request: Request, fields: Fields) -> None:
+        config = self._entry.config
+        self._send_draft(request, Draft(config.version, config.document))
+
+    def _show(self, request: Request, fields: Fields) -> None:
+        self._send_draft(request, _draft(fields))
+
+    def _edit(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields)
+        form = edit_form(draft, _collection(fields), fields.get("item", ""))
+        _send_page(request, self._pages.edit(self._page(draft), form))
+
+    def _save(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields)
+        collection = _collection(fields)
+        old_name = fields.get("item", "")
+        read = read_item(collection, fields)
+        if read.name != old_name and read.name in draft.items(collection):
+            read.faults_by_field["name"] = ["this name is taken; choose another"]
+        if read.faults_by_field:
+            form = refused_form(collection, old_name, fields, read)
+            _send_page(request, self._pages.edit(self._page(draft), form))
+            return
+        renamed = draft.without_item(collection, old_name)
+        self._send_draft(request, renamed.with_item(collection, read.name, read.item))
+
+    def _remove(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields)
+        item = fields.get("item", "")
+        self._send_draft(request, draft.without_item(_collection(fields), item))
+
+    def _review(self, request: Request, fields: Fields) -> None:
+        _send_page(request, self._pages.review(self._page(_draft(fields))))
+
+    def _rebase(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields).rebased(self._entry.config.version)
+        _send_page(request, self._pages.review(self._page(draft)))
+
+    def _download(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields)
+        body = msgspec.json.format(msgspec.json.encode(draft.document), indent=2)
+        request.setHeader(b"content-type", b"application/json")
+        request.setHeader(
+            b"content-disposition", b'attachment; filename="configuration.json"'
+        )
+        request.write(body)
+        request.finish()
+
+    def _publish(self, request: Request, fields: Fields) -> None:
+        draft = _draft(fields)
+        author = fields.get("author", "").strip()[:_MAX_AUTHOR_LENGTH]
+        if not author:
+            self._send_review(request, draft, "write your name for the audit trail", "")
+            return
+        published: Deferred[int] = self._entry.publish(
+            draft.base, draft.document, author
+        )
+        published.addCallbacks(
+            lambda version: self._published(request, version),
+            lambda failure: self._not_published(request, draft, author, failure),
+        )
+
+    def _published(self, request: Request, version: int) -> None:
+        request.setResponseCode(303)
+        request.setHeader(b"location", f"{PREFIX}/".encode())
+        request.setHeader(b"x-config-version", str(version).encode())
+        request.finish()
+
+    def _not_published(
+        self, request: Request, draft: Draft, author: str, failure: Failure
+    ) -> None:
+        self._send_review(request, draft, failure.getErrorMessage(), author)
+
+    def _send_review(
+        self, request: Request, draft: Draft, message: str, author: str
+    ) -> None:
+        page = self._page(draft)
+        page.messages.append(message)
+        page.author = author
+        request.setResponseCode(409)
+        _send_page(request, self._pages.review(page))
+
+    def _send_draft(self, request: Request, draft: Draft) -> None:
+        _send_page(request, self._pages.draft(self._page(draft)))
+
+    def _page(self, draft: Draft) -> DraftPage:
+        config = self._entry.config
+        page = draft_page(draft, self._csrf, config.version)
+        page.faults = [str(fault) for fault in check_document(draft.document)]
+        changes = diff_documents(config.document, draft.document)
+        page.changes = [str(change) for change in changes]
+        return page
+
+
+def _fields(request: Request) -> Fields:
+    args: dict[bytes, list[bytes]] = request.args
+    try:
+        return {name.decode(): values[0].decode() for name, values in args.items()}
+    except UnicodeDecodeError:
+        raise InvalidRequestError(
+            "a field is not UTF-8", "send the form from a browser"
+        ) from None
+
+
+def _draft(fields: Fields) -> Draft:
+    draft = read_draft(fields)
+    if isinstance(draft, Err):
+        reasons = "; ".join(str(fault) for fault in draft.err_value)
+        raise InvalidRequestError(
+            f"the draft is damaged: {reasons}", f"go to {PREFIX}/ and start again"
+        )
+    return draft.ok_value
+
+
+def _collection(fields: Fields) -> Collection:
+    try:
+        return Collection(fields.get("collection", ""))
+    except ValueError:
+        raise InvalidRequestError("unknown collection", f"go to {PREFIX}/") from None
+
+
+def _refuse_other_sites(request: Request) -> None:
+    fetched_from = (request.getHeader(b"sec-fetch-site") or b"").decode("latin-1")
+    origin = (request.getHeader(b"origin") or b"").decode("latin-1")
+    host = (request.getHeader(b"host") or b"").decode("latin-1")
+    same = not origin or urlsplit(origin).netloc == host
+    if fetched_from not in _OWN_SITES or not same:
+        raise UnauthorizedError(
+            "the form was posted from another site", f"go to {PREFIX}/ yourself"
+        )
+
+
+def _send_page(request: Any, page: bytes) -> None:
+    request.setHeader(b"content-type", b"text/html; charset=utf-8")
+    request.setHeader(b"content-length", str(len(page)).encode())
+    request.write(page)
+    request.finish()
+
+
+__all__ = ["ConsoleSite", "PREFIX"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,8 +18,9 @@
     UnauthorizedError,
 )
 
-from ..protocol.replies import EntryStatusReply, RunnerStatus, WorkStateReply
+from ..protocol.replies import WorkStateReply
 from .config_routes import ConfigRoutes
+from .entry_status import entry_status
 from .http_answer import write_error, write_json
 
 if TYPE_CHECKING:
@@ -27,6 +29,9 @@
     from twisted.web.server import Request
 
     from ..entry import Entry
+    from .console_site import ConsoleSite
+
+CONSOLE_PREFIX = "/console"
 
 
 @implementer(IResource)
@@ -51,6 +56,13 @@
             ("/v1/config/history", "GET"): config.history,
         }
 
+    @cached_property
+    def _console(self) -> ConsoleSite:
+        # Imported when an operator opens it: its templates cost memory.
+        from .console_site import ConsoleSite
+
+        return ConsoleSite(self._entry, self._token)
+
     def render(self, request: Request) -> int:
         """Answer one request; called by Twisted."""
         try:
@@ -60,8 +72,11 @@
         return NOT_DONE_YET
 
     def _route(self, request: Request) -> None:
-        self._check_token(request)
         path = request.path.decode("latin-1")
+        if path.startswith(CONSOLE_PREFIX):
+            self._console.render(request)
+            return
+        self._check_token(request)
         method = request.method.decode("latin-1")
         allowed = [one for known, one in self._handlers_by_route if known == path]
         if not allowed:
@@ -85,33 +100,7 @@
             )
 
     def _status(self, request: Request) -> None:
-        entry = self._entry
-        now = entry.clock.seconds()
-        runners = [
-            RunnerStatus(
-                instance_id=agent.runner.instance_id,
-                zone=agent.runner.zone,
-                service=agent.runner.service,
-                group=agent.runner.group,
-                rank=agent.runner.rank,
-                running=agent.runner.running,
-                queued=agent.runner.queued,
-                leaving=agent.runner.leaving,
-                engine_up=agent.runner.engine_up,
-                report_age_s=round(now - agent.runner.reported_s, 3),
-            )
-            for _, agent in sorted(entry.relay.agents_by_id.items())
-        ]
-        status = EntryStatusReply(
-            instance_id=entry.settings.instance_id,
-            zone=entry.settings.zone,
-            ready=entry.ready,
-            draining=entry.draining,
-            config_version=entry.config.version,
-            open_requests=entry.open_requests,
-            runners=runners,
-        )
-        write_json(request, msgspec.json.encode(status))
+        write_json(request, msgspec.json.encode(entry_status(self._entry)))
 
     def _drain(self, request: Request) -> None:
         self._entry.drain("operator")
--- /dev/null
+++ b/tests/features/steps/console_steps.py
@@ -0,0 +1,229 @@
+"""Steps that use the console as a browser without script would."""
+
+from __future__ import annotations
+
+import base64
+import html
+import json
+import re
+from typing import Any
+from urllib.parse import urlencode
+
+from behave import given, then, when
+
+from demo.processes import fetch
+from tests.waiting import wait_until
+
+_DIGEST = "ab" * 32
+_FORM_FIELD = re.compile(
+    r'<input type="hidden" name="(csrf|base|draft)" value="([^"]*)"'
+)
+_FORMS: dict[str, dict[str, str]] = {
+    "workspaces": {
+        "name": "new-shop",
+        "display_name": "New shop",
+        "key_digests": _DIGEST,
+        "services": "orders",
+    },
+    "services": {"name": "new-service", "kind": "plain", "timeout_s": "10"},
+    "groups": {
+        "name": "new-group",
+        "ranks": "2",
+        "experts": "8",
+        "slots_per_rank": "5",
+        "skew_weight": "1",
+        "move_cost": "1",
+    },
+}
+
+
+class _Console:
+    """One operator's browser: it sends the hidden fields of the last page back."""
+
+    def __init__(self, url: str, token: str) -> None:
+        login = base64.b64encode(f"operator:{token}".encode()).decode()
+        self.url = url
+        self.headers = {"Authorization": f"Basic {login}"}
+        self.hidden: dict[str, str] = {}
+        self.status = 0
+        self.page = ""
+
+    def open(self) -> None:
+        self.status, _, body = fetch(
+            f"{self.url}/console/", "GET", None, **self.headers
+        )
+        self._read(body)
+
+    def post(self, fields: dict[str, str], **headers: str) -> None:
+        body = urlencode(self.hidden | fields).encode()
+        self.status, _, answer = fetch(
+            f"{self.url}/console/draft",
+            "POST",
+            body,
+            **(self.headers | headers),
+            Content_Type="application/x-www-form-urlencoded",
+        )
+        self._read(answer)
+
+    def _read(self, body: bytes) -> None:
+        self.page = body.decode()
+        found = {
+            name: html.unescape(value) for name, value in _FORM_FIELD.findall(self.page)
+        }
+        self.hidden = found or self.hidden
+
+    @property
+    def draft(self) -> dict[str, Any]:
+        return dict(json.loads(self.hidden["draft"]))
+
+
+def _console(context: Any, entry: int = 0) -> _Console:
+    return _Console(context.system.operators[entry], context.system.operator_token)
+
+
+def _versions(context: Any) -> list[int]:
+    urls = context.system.operators
+    return [context.system.status(url)["config_version"] for url in urls]
+
+
+def _start(console: _Console) -> None:
+    console.open()
+    assert console.status == 200, console.page
+    console.post({"action": "start"})
+    assert console.status == 200, console.page
+
+
+def _add_workspace(console: _Console, **fields: str) -> None:
+    form = _FORMS["workspaces"] | fields
+    digest = form["name"].encode().hex().ljust(64, "0")[:64]
+    console.post(
+        {"action": "save", "collection": "workspaces", "item": ""}
+        | form
+        | {"key_digests": digest}
+    )
+
+
+@given("a console draft started from the version in force")
+def step_start_draft(context: Any) -> None:
+    wait_until(lambda: len(set(_versions(context))) == 1, "both entries agree")
+    context.version = _versions(context)[0]
+    context.console = _console(context)
+    _start(context.console)
+    context.first_draft = context.console.draft
+
+
+@given('another operator has meanwhile published the workspace "{name}"')
+def step_other_publishes(context: Any, name: str) -> None:
+    other = _console(context, entry=1)
+    _start(other)
+    _add_workspace(other, name=name)
+    other.post({"action": "publish", "author": "Ola"})
+    assert other.status == 303, other.page
+    wait_until(lambda: min(_versions(context)) > context.version, "both have it")
+
+
+@when('the operator adds the workspace "{name}" with the service "{service}"')
+def step_add_workspace(context: Any, name: str, service: str) -> None:
+    _add_workspace(context.console, name=name, services=service)
+    assert name in context.console.draft["workspaces"], context.console.page
+
+
+@when('the operator publishes the draft as "{author}"')
+def step_publish(context: Any, author: str) -> None:
+    context.console.post({"action": "publish", "author": author})
+
+
+@then('both entries have a later version with the workspace "{name}" in force')
+def step_in_force(context: Any, name: str) -> None:
+    assert context.console.status == 303, context.console.page
+    wait_until(
+        lambda: min(_versions(context)) == context.version + 1, "both entries have it"
+    )
+    fresh = _console(context, entry=1)
+    _start(fresh)
+    assert name in fresh.draft["workspaces"], fresh.draft
+
+
+@when("the operator saves a {collection} form with {field} set to {value}")
+def step_save_faulty(context: Any, collection: str, field: str, value: str) -> None:
+    written = "" if value == "(empty)" else value
+    changed = {field: written}
+    if field == "shares":
+        changed = {
+            "share_workspace_0": "kit-shop",
+            "share_guaranteed_0": value.split()[1],
+        }
+    form = {"action": "save", "collection": collection, "item": ""}
+    context.console.post(form | _FORMS[collection] | changed)
+
+
+@then("the form shows a fault at {field} and the draft is unchanged")
+def step_fault_at(context: Any, field: str) -> None:
+    page = context.console.page
+    assert f'id="{field}-fault"' in page, page
+    assert context.console.draft == context.first_draft
+
+
+@then('the draft shows the fault "{text}"')
+def step_shows_fault(context: Any, text: str) -> None:
+    faults = re.findall(r'<p class="fault">([^<]*)</p>', context.console.page)
+    assert any(text in fault for fault in faults), context.console.page
+
+
+@then("publishing the draft is refused")
+def step_publish_refused(context: Any) -> None:
+    context.console.post({"action": "publish", "author": "Kari"})
+    assert context.console.status == 409, context.console.page
+    assert set(_versions(context)) == {context.version}
+
+
+@then('the console says that "{name}" was changed by the other operator')
+def step_says_changed(context: Any, name: str) -> None:
+    assert context.console.status == 409, context.console.page
+    alerts = re.findall(r'role="alert">([^<]*)<', context.console.page)
+    assert any(name in alert and "Ola" in alert for alert in alerts), alerts
+
+
+@then('the draft still has the workspace "{name}" and can be based on the new version')
+def step_keeps_draft(context: Any, name: str) -> None:
+    assert name in context.console.draft["workspaces"]
+    context.console.post({"action": "rebase"})
+    assert int(context.console.hidden["base"]) == max(_versions(context))
+    assert name in context.console.draft["workspaces"]
+
+
+@when("the draft is published {how}")
+def step_foreign_post(context: Any, how: str) -> None:
+    publish = {"action": "publish", "author": "Mallory"}
+    console = context.console
+    if how == "without the token":
+        console.headers = {}
+    if how == "without the form's own mark":
+        publish["csrf"] = "0" * 64
+    foreign = {
+        "from another site": {"Sec_Fetch_Site": "cross-site"},
+        "with another origin": {"Origin": "http://elsewhere.example"},
+    }
+    console.post(publish, **foreign.get(how, {}))
+
+
+@then("the console answers {status:d} and the version in force stays")
+def step_answers(context: Any, status: int) -> None:
+    assert context.console.status == status, context.console.page
+    assert set(_versions(context)) == {context.version}
+
+
+@when('the operator adds a workspace that displays "{text}"')
+def step_display(context: Any, text: str) -> None:
+    context.script = text
+    _add_workspace(context.console, name="odd-shop", display_name=text)
+
+
+@then("no page of the console contains that script")
+def step_no_script(context: Any) -> None:
+    edit = {"action": "edit", "collection": "workspaces", "item": "odd-shop"}
+    for fields in ({"action": "show"}, edit, {"action": "review"}):
+        context.console.post(fields)
+        assert context.console.status == 200, context.console.page
+        assert "odd-shop" in context.console.page
+        assert context.script not in context.console.page
