--- a/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
@@ -40,7 +40,7 @@
 
 _WAIT_S = 5.0
 _RETRY_S = 1.0
-_PUBLICATION_WAIT_S = 10.0
+_PUBLICATION_WAIT_S = 8.0
 
 
 class ConfigFollower:
--- a/packages/corianderrelay-core/src/corianderrelay/state/audit.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/audit.py
@@ -8,9 +8,6 @@
 
 import msgspec
 from msgspec import Struct
-from result import Err, Ok, Result
-
-from .errors import FrameError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -28,9 +25,9 @@
     CONFIG_ACCEPTED = "config_accepted"
     CONFIG_REJECTED = "config_rejected"
     CLAIM_SETTLED = "claim_settled"
+    ENTRY_DRAINED = "entry_drained"
     MAP_SWITCHED = "map_switched"
     QUARANTINED = "quarantined"
-    DRAINED = "drained"
 
 
 class AuditRecord(Struct, frozen=True, omit_defaults=True, kw_only=True):
@@ -80,22 +77,22 @@
 _DECODER = msgspec.json.Decoder(AuditRecord)
 
 
-def encode_audit_record(record: AuditRecord) -> bytes:
-    """Return the bytes of a record."""
-    return _ENCODER.encode(record)
+def encode_audit_records(records: Iterable[AuditRecord]) -> bytes:
+    """Return the payload of an append: a line of JSON for each record."""
+    return _ENCODER.encode_lines(records)
+
 
+def decode_audit_records(payload: bytes) -> list[AuditRecord]:
+    """Return the records of an append's payload; what is malformed is left out."""
+    decoded = map(_decode_line, payload.splitlines())
+    return [record for record in decoded if record is not None]
 
-def decode_audit_record(data: bytes) -> Result[AuditRecord, FrameError]:
-    """Return the record of ``data``, or why it is none."""
+
+def _decode_line(line: bytes) -> AuditRecord | None:
     try:
-        return Ok(_DECODER.decode(data))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Err(
-            FrameError(
-                f"a record of the audit stream is malformed: {error}",
-                "let only processes of this version append to the audit stream",
-            )
-        )
+        return _DECODER.decode(line)
+    except msgspec.DecodeError:
+        return None
 
 
 def select_records(
@@ -152,8 +149,8 @@
     "AuditKind",
     "AuditRecord",
     "config_audit",
-    "decode_audit_record",
-    "encode_audit_record",
+    "decode_audit_records",
+    "encode_audit_records",
     "select_records",
     "settlement_audit",
 ]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -5,24 +5,19 @@
 import json
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import Any
 
 import click
-from result import Err, Result
+from result import Err
 
 from corianderrelay.transport.optional_tls import leave_tls_out_unless
 from corianderrelay.transport.settings_file import read_secret, read_settings
 
+from .audit_command import audit
+from .config_commands import config
+from .operator_options import ask, client, entry_options, refuse
 from .state.settings import EntrySettings
 from .transport.entry_tls import EntryTls
-from .transport.operator_client import OperatorClient
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from corianderrelay.state.errors import RelayError
-
-_EXIT_REFUSED = 1
 
 _settings_option = click.option(
     "--settings",
@@ -33,19 +28,6 @@
 )
 
 
-def _entry_options(command: Callable[..., None]) -> Callable[..., None]:
-    token = click.option(
-        "--token-file",
-        type=click.Path(path_type=Path),
-        required=True,
-        help="File with the operators' token.",
-    )
-    url = click.option(
-        "--operators-url", required=True, help="Operator address of the entry."
-    )
-    return url(token(command))
-
-
 @click.group()
 @click.version_option(package_name="corianderrelay-entry")
 def main() -> None:
@@ -72,11 +54,11 @@
 
 
 @main.command()
-@_entry_options
+@entry_options
 @click.option("--json", "as_json", is_flag=True, help="Print JSON for scripts.")
 def status(operators_url: str, token_file: Path, as_json: bool) -> None:
     """Show how an entry sees itself and its runners."""
-    reply = _ask(_client(operators_url, token_file).get("/v1/status"))
+    reply = ask(client(operators_url, token_file).get("/v1/status"))
     if as_json:
         click.echo(json.dumps(reply))
         return
@@ -92,10 +74,10 @@
 
 
 @main.command()
-@_entry_options
+@entry_options
 def drain(operators_url: str, token_file: Path) -> None:
     """Ask an entry to take no new callers; it serves on until its list expires."""
-    _ask(_client(operators_url, token_file).post("/v1/drain"))
+    ask(client(operators_url, token_file).post("/v1/drain"))
     click.echo("draining")
 
 
@@ -108,36 +90,21 @@
     )
 
 
-def _client(operators_url: str, token_file: Path) -> OperatorClient:
-    token = read_secret(token_file)
-    if isinstance(token, Err):
-        _refuse(token.err_value)
-    return OperatorClient(operators_url, token.ok_value)
-
-
-def _ask(reply: Result[Any, RelayError]) -> Any:
-    if isinstance(reply, Err):
-        _refuse(reply.err_value)
-    return reply.ok_value
-
-
 def _load(settings_file: Path) -> tuple[EntrySettings, str, EntryTls]:
     settings = read_settings(settings_file, EntrySettings)
     if isinstance(settings, Err):
-        _refuse(settings.err_value)
+        refuse(settings.err_value)
     token = read_secret(Path(settings.ok_value.operators.token_file))
     if isinstance(token, Err):
-        _refuse(token.err_value)
+        refuse(token.err_value)
     tls = EntryTls(settings.ok_value)
     loaded = tls.load()
     if isinstance(loaded, Err):
-        _refuse(loaded.err_value)
+        refuse(loaded.err_value)
     return settings.ok_value, token.ok_value, tls
 
 
-def _refuse(error: RelayError) -> NoReturn:
-    click.echo(f"{error.kind}: {error}", err=True)
-    sys.exit(_EXIT_REFUSED)
-
+main.add_command(config)
+main.add_command(audit)
 
 __all__ = ["main"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/config_commands.py
@@ -0,0 +1,126 @@
+"""The ``config`` commands: check, publish and look at configuration documents."""
+
+from __future__ import annotations
+
+import getpass
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from result import Err
+
+from corianderrelay.protocol.checked_json import decode_checked
+from corianderrelay.state.config_refusals import invalid_document_error
+from corianderrelay.state.document import Document
+from corianderrelay.state.document_check import check_document
+from corianderrelay.state.document_diff import diff_documents
+from corianderrelay.state.errors import SettingsError
+
+from .operator_options import ask, client, entry_options, json_option, refuse
+from .protocol.config_api import ConfigReply, PublishRequest
+
+_document_argument = click.argument(
+    "document_file", type=click.Path(path_type=Path), metavar="DOCUMENT"
+)
+
+
+@click.group()
+def config() -> None:
+    """Check, publish and look at the configuration."""
+
+
+@config.command()
+@_document_argument
+def validate(document_file: Path) -> None:
+    """Check a document and name every fault."""
+    _read_document(document_file)
+    click.echo("the document is valid")
+
+
+@config.command()
+@_document_argument
+@entry_options
+@click.option("--base", type=int, required=True, help="Version it was made from.")
+@click.option("--author", default=getpass.getuser, help="Who publishes it.")
+@click.option("--note", default="", help="Why it is published.")
+@json_option
+def publish(
+    document_file: Path,
+    operators_url: str,
+    token_file: Path,
+    base: int,
+    author: str,
+    note: str,
+    as_json: bool,
+) -> None:
+    """Put a document in force, unless another version came between."""
+    document = _read_document(document_file)
+    order = PublishRequest(base=base, document=document, author=author, note=note)
+    entry = client(operators_url, token_file)
+    reply = ask(entry.post("/v1/config", msgspec.json.encode(order)))
+    text = f"version {reply['version']} is in force"
+    click.echo(json.dumps(reply) if as_json else text)
+
+
+@config.command()
+@entry_options
+@json_option
+def show(operators_url: str, token_file: Path, as_json: bool) -> None:
+    """Show the document in force at an entry."""
+    reply = ask(client(operators_url, token_file).get("/v1/config"))
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    click.echo(f"version {reply['version']} by {reply['author']}", err=True)
+    click.echo(json.dumps(reply["document"], indent=2))
+
+
+@config.command()
+@entry_options
+@json_option
+def history(operators_url: str, token_file: Path, as_json: bool) -> None:
+    """Show the newest published documents and what became of them."""
+    reply = ask(client(operators_url, token_file).get("/v1/config/history"))
+    if as_json:
+        click.echo(json.dumps(reply))
+        return
+    for entry in reply["entries"]:
+        click.echo(_history_line(entry))
+
+
+@config.command()
+@_document_argument
+@entry_options
+def diff(document_file: Path, operators_url: str, token_file: Path) -> None:
+    """Show what a document would change."""
+    document = _read_document(document_file)
+    reply = ask(client(operators_url, token_file).get("/v1/config"))
+    in_force = msgspec.convert(reply, ConfigReply)
+    for change in diff_documents(in_force.document, document):
+        click.echo(str(change))
+
+
+def _history_line(entry: dict[str, Any]) -> str:
+    changes = "; ".join(entry["changes"]) or "nothing changed"
+    outcome = changes if entry["result"] == "accepted" else entry["result"]
+    note = f" ({entry['note']})" if entry["note"] else ""
+    return f"version {entry['version']} by {entry['author']}: {outcome}{note}"
+
+
+def _read_document(path: Path) -> Document:
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        refuse(SettingsError(f"{path} can't be read: {error}", "check the path"))
+    decoded = decode_checked(raw, Document)
+    if isinstance(decoded, Err):
+        refuse(invalid_document_error(decoded.err_value))
+    faults = check_document(decoded.ok_value)
+    if faults:
+        refuse(invalid_document_error(faults))
+    return decoded.ok_value
+
+
+__all__ = ["config"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
@@ -9,6 +9,7 @@
 
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import AttemptOutcome, RefusalReason
+from corianderrelay.state.audit import settlement_audit
 from corianderrelay.state.claim_keys import (
     key_date,
     key_partition,
@@ -21,6 +22,7 @@
 from ..state.keyed_actions import (
     AppendRecord,
     AskTicket,
+    AuditSettlement,
     KeyedCall,
     SendDispatch,
     SendTombstone,
@@ -34,10 +36,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
+    from corianderrelay.coordination.audit_writer import AuditWriter
     from corianderrelay.coordination.clock import Clock
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.protocol.messages import Ticket, Tombstoned
     from corianderrelay.state.call import Call
+    from corianderrelay.state.claim_records import ClaimRecord, Outcome
 
     from ..state.keyed_actions import Action
     from ..state.keyed_limits import KeyedLimits
@@ -65,6 +69,7 @@
     :param agents_by_id: the connected agents; others may change it.
     :param wall_seconds: returns the wall-clock time in seconds since 1970.
     :param nonces: yields a new unique name at each step.
+    :param audit: takes the settlements of this entry.
     """
 
     def __init__(
@@ -76,7 +81,10 @@
         agents_by_id: Mapping[str, AgentPort],
         wall_seconds: Callable[[], float],
         nonces: Iterator[str],
+        audit: AuditWriter,
     ) -> None:
+        self._entry_id = entry_id
+        self._audit = audit
         self._clock = clock
         self._wall_seconds = wall_seconds
         self._agents_by_id = agents_by_id
@@ -249,6 +257,8 @@
                     self._tell_answer(action)
                 case TellError():
                     self._tell_error(action)
+                case AuditSettlement(claim, outcome):
+                    self._write_settlement(claim, outcome)
 
     def _ask_ticket(self, requests: KeyedRequests, action: AskTicket) -> None:
         agent = self._agents_by_id.get(action.runner_id)
@@ -293,6 +303,13 @@
         if opened.sink is not None:
             opened.sink.fail(action.error)
 
+    def _write_settlement(self, claim: ClaimRecord, outcome: Outcome) -> None:
+        stream = f"claims-{key_partition(claim.key, CLAIMS_PARTITIONS)}"
+        now_s = self._wall_seconds()
+        self._audit.write(
+            settlement_audit(claim, outcome, self._entry_id, stream, now_s)
+        )
+
     def _close(self, request_id: str) -> _KeyedRequest:
         opened = self._open_by_id.pop(request_id)
         call = opened.request.call
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -9,11 +9,15 @@
 
 import eliot
 
+from corianderrelay.coordination.audit_writer import AuditWriter
 from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
+from corianderrelay.state.audit import AuditKind, AuditRecord, config_audit
+from corianderrelay.state.config_records import CONFIG_STREAM
 from corianderrelay.state.incarnation import new_incarnation
+from corianderrelay.state.rendezvous import rank_by_rendezvous
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.config_in_force import ConfigInForce
@@ -38,6 +42,7 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
+_AUDITORS = 2
 
 
 class Entry:
@@ -62,6 +67,8 @@
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
         self.relay = Relay(self.new_id)
+        self.audit = AuditWriter(log, clock)
+        self.log = log
         self.keyed = KeyedRelay(
             settings.instance_id,
             keyed_limits(settings.platform.log_retention_s),
@@ -70,6 +77,7 @@
             self.relay.agents_by_id,
             time.time,
             iter(self.new_id, ""),
+            self.audit,
         )
         self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
@@ -114,6 +122,7 @@
         self.connector.start()
         self.config_follower.start()
         self.keyed.start()
+        self.audit.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
 
     def new_id(self) -> str:
@@ -157,18 +166,33 @@
         self.draining = True
         self.connector.announce_leaving()
         eliot.log_message(message_type="entry:drain", reason=reason)
+        self.audit.write(
+            AuditRecord(
+                kind=AuditKind.ENTRY_DRAINED,
+                identity=self.new_id(),
+                who=self.settings.instance_id,
+                time_s=time.time(),
+                why=reason,
+            )
+        )
 
     def _take_config(self, held: VersionInForce) -> None:
         self.config.replace(held.version, held.document)
         eliot.log_message(message_type="config:in_force", version=held.version)
 
     def _note_judged(self, verdict: Verdict) -> None:
+        record = config_audit(verdict, CONFIG_STREAM)
         eliot.log_message(
             message_type="config:judged",
             version=verdict.record.version,
             author=verdict.record.author,
-            result=verdict.reason.value if verdict.reason else "accepted",
+            result=record.kind.value,
         )
+        own_id = self.settings.instance_id
+        names = {entry.instance_id for entry in self.known_entries()} | {own_id}
+        ranked = rank_by_rendezvous(record.identity.encode(), names)
+        if own_id in ranked[:_AUDITORS]:
+            self.audit.write(record)
 
     def _poll_instances(self) -> Any:
         listed = self._instances.read()
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/operator_options.py
@@ -0,0 +1,67 @@
+"""What the operators' commands share: options, the client and refusals."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import click
+from result import Err, Result
+
+from corianderrelay.transport.settings_file import read_secret
+
+from .transport.operator_client import OperatorClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderrelay.state.errors import RelayError
+
+_EXIT_REFUSED = 1
+
+
+def entry_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that name an entry and the operators' token."""
+    token = click.option(
+        "--token-file",
+        type=click.Path(path_type=Path),
+        required=True,
+        help="File with the operators' token.",
+    )
+    url = click.option(
+        "--operators-url", required=True, help="Operator address of the entry."
+    )
+    return url(token(command))
+
+
+def json_option(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the option to print JSON."""
+    option = click.option(
+        "--json", "as_json", is_flag=True, help="Print JSON for scripts."
+    )
+    return option(command)
+
+
+def client(operators_url: str, token_file: Path) -> OperatorClient:
+    """Return a client of the entry, or exit if the token cannot be read."""
+    token = read_secret(token_file)
+    if isinstance(token, Err):
+        refuse(token.err_value)
+    return OperatorClient(operators_url, token.ok_value)
+
+
+def ask(reply: Result[Any, RelayError]) -> Any:
+    """Return the answer, or exit with the error."""
+    if isinstance(reply, Err):
+        refuse(reply.err_value)
+    return reply.ok_value
+
+
+def refuse(error: RelayError) -> NoReturn:
+    """Print the error and exit with status 1."""
+    click.echo(f"{error.kind}: {error}", err=True)
+    sys.exit(_EXIT_REFUSED)
+
+
+__all__ = ["ask", "client", "entry_options", "json_option", "refuse"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/config_api.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/config_api.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, Struct
 
+from corianderrelay.state.audit import AuditRecord
 from corianderrelay.state.document import Document
 
 if TYPE_CHECKING:
@@ -56,6 +57,12 @@
     entries: list[HistoryEntry]
 
 
+class AuditReply(Struct, frozen=True):
+    """Answer of ``GET /v1/audit``, oldest first."""
+
+    records: list[AuditRecord]
+
+
 def history_entry(verdict: Verdict) -> HistoryEntry:
     """Return how a judged record is shown."""
     record = verdict.record
@@ -71,6 +78,7 @@
 
 
 __all__ = [
+    "AuditReply",
     "ConfigReply",
     "HistoryEntry",
     "HistoryReply",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_upkeep.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_upkeep.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from corianderrelay.state.claim_records import Outcome, OutcomeRecord
+
 from .claim_settlement import ClaimSettlement, open_keys
-from .keyed_actions import Action, AppendRecord
+from .keyed_actions import Action, AppendRecord, AuditSettlement
 from .unrecorded_outcomes import OutcomeOrRelease, UnrecordedOutcomes
 
 if TYPE_CHECKING:
@@ -70,7 +72,9 @@
     def tombstoned(self, answer: Tombstoned, now: float) -> list[Action]:
         """Take an agent's answer about a claim that is being settled."""
         record = self._settlement.answered(answer, now)
-        return self.record(record, now) if record else []
+        if record is None:
+            return []
+        return [*self._settled(record, now), *self._append_unrecorded(now)]
 
     def tick(self, now: float, wall_now_s: float) -> list[Action]:
         """Do what is due while the log is up."""
@@ -89,9 +93,23 @@
             if not self._is_at_work(state) and self._settlement.is_due(state, now):
                 self._settlement.start(state, now)
         questions = self._settlement.questions(now)
-        for record in self._settlement.given_up(now):
-            self._unrecorded.add(record, now)
-        return list(questions)
+        settled = [
+            action
+            for record in self._settlement.given_up(now)
+            for action in self._settled(record, now)
+        ]
+        return [*questions, *settled]
+
+    def _settled(self, record: OutcomeOrRelease, now: float) -> list[Action]:
+        """Take the outcome of a settlement, and tell of it once."""
+        state = self._fold.get(record.key)
+        is_first = self._unrecorded.add(record, now)
+        if not is_first or state is None or state.claim is None:
+            return []
+        outcome = Outcome.NOT_RUN
+        if isinstance(record, OutcomeRecord):
+            outcome = record.outcome
+        return [AuditSettlement(state.claim, outcome)]
 
     def _append_unrecorded(self, now: float) -> list[Action]:
         if not self.log_up:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_actions.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_actions.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from corianderrelay.protocol.messages import Tombstone
-    from corianderrelay.state.claim_records import AnyClaimRecord
+    from corianderrelay.state.claim_records import AnyClaimRecord, ClaimRecord, Outcome
     from corianderrelay.state.errors import RelayError
 
 
@@ -89,14 +89,29 @@
     error: RelayError
 
 
+@dataclass(slots=True, frozen=True)
+class AuditSettlement:
+    """Write to the audit trail that this entry settled a claim."""
+
+    claim: ClaimRecord
+    outcome: Outcome
+
+
 Action = (
-    AskTicket | AppendRecord | SendDispatch | SendTombstone | TellAnswer | TellError
+    AskTicket
+    | AppendRecord
+    | SendDispatch
+    | SendTombstone
+    | TellAnswer
+    | TellError
+    | AuditSettlement
 )
 
 __all__ = [
     "Action",
     "AppendRecord",
     "AskTicket",
+    "AuditSettlement",
     "KeyedCall",
     "SendDispatch",
     "SendTombstone",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/unrecorded_outcomes.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/unrecorded_outcomes.py
@@ -34,11 +34,16 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_nonce_by_key.values()))
 
-    def add(self, record: OutcomeOrRelease, now: float) -> None:
-        """Take a record; the first for a claim counts, but an answer goes before."""
+    def add(self, record: OutcomeOrRelease, now: float) -> bool:
+        """Take a record; return whether its claim had none yet.
+
+        The first for a claim counts, but an answer goes before.
+        """
         by_nonce = self._by_nonce_by_key.setdefault(record.key, {})
-        if record.nonce not in by_nonce or _is_answer(record):
+        is_first = record.nonce not in by_nonce
+        if is_first or _is_answer(record):
             by_nonce[record.nonce] = _Unrecorded(record, now)
+        return is_first
 
     def due(self, now: float) -> list[OutcomeOrRelease]:
         """Return the records to append now."""
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/audit_route.py
@@ -0,0 +1,77 @@
+"""The operators' route for the audit trail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from corianderrelay.coordination.audit_reader import read_audit
+from corianderrelay.state.audit import AuditFilter, AuditKind, AuditRecord
+from corianderrelay.state.errors import InvalidRequestError, RelayError
+
+from ..protocol.config_api import AuditReply
+from .http_answer import write_error, write_json
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+    from twisted.web.server import Request
+
+    from corianderrelay.coordination.log_client import LogClient
+
+_MAX_RECORDS = 1000
+
+
+class AuditRoute:
+    """Shows the audit trail, filtered by kind, workspace and time."""
+
+    def __init__(self, log: LogClient) -> None:
+        self._log = log
+
+    def show(self, request: Request) -> None:
+        """Answer ``GET /v1/audit``."""
+        wanted = _filter_of(request)
+        reading = read_audit(self._log, wanted, _MAX_RECORDS)
+        records = Deferred.fromCoroutine(reading)
+        records.addCallback(_write_records, request)
+        records.addErrback(_write_refusal, request)
+
+
+def _filter_of(request: Request) -> AuditFilter:
+    kind = _argument(request, "kind")
+    try:
+        return AuditFilter(
+            kind=AuditKind(kind) if kind else None,
+            workspace=_argument(request, "workspace"),
+            since_s=_seconds(_argument(request, "since_s")),
+            until_s=_seconds(_argument(request, "until_s")),
+        )
+    except ValueError as error:
+        kinds = ", ".join(known.value for known in AuditKind)
+        raise InvalidRequestError(
+            f"the filter is malformed: {error}",
+            f"give times in seconds since 1970, and as kind one of {kinds}",
+        ) from error
+
+
+def _argument(request: Request, name: str) -> str | None:
+    values = (request.args or {}).get(name.encode())
+    return values[0].decode("utf-8", "replace") if values else None
+
+
+def _seconds(value: str | None) -> float | None:
+    return None if value is None else float(value)
+
+
+def _write_records(records: list[AuditRecord], request: Request) -> None:
+    write_json(request, msgspec.json.encode(AuditReply(records)))
+
+
+def _write_refusal(failure: Failure, request: Request) -> None:
+    failure.trap(RelayError)
+    error: Any = failure.value
+    write_error(request, error, "")
+
+
+__all__ = ["AuditRoute"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -18,6 +18,7 @@
 )
 
 from ..protocol.replies import EntryStatusReply, RunnerStatus, WorkStateReply
+from .audit_route import AuditRoute
 from .config_routes import ConfigRoutes
 from .http_answer import write_error, write_json
 
@@ -49,6 +50,7 @@
             ("/v1/config", "GET"): config.show,
             ("/v1/config", "POST"): config.publish,
             ("/v1/config/history", "GET"): config.history,
+            ("/v1/audit", "GET"): AuditRoute(entry.log).show,
         }
 
     def render(self, request: Request) -> int:
--- /dev/null
+++ b/tests/features/steps/configuration_steps.py
@@ -0,0 +1,132 @@
+"""Steps that change the configuration of a running system."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from behave import then, when
+from click.testing import CliRunner
+
+from corianderrelay_entry.cli import main
+
+from tests.waiting import wait_until
+
+
+def _run(context: Any, *words: str, entry: int = 0) -> Any:
+    operators = ["--operators-url", context.system.operators[entry]]
+    token = ["--token-file", str(context.system.folder / "operators.token")]
+    return CliRunner().invoke(main, [*words, *operators, *token])
+
+
+def _show(context: Any, entry: int = 0) -> Any:
+    return json.loads(_run(context, "config", "show", "--json", entry=entry).stdout)
+
+
+def _write_changed(context: Any, display_name: str) -> Path:
+    shown = _show(context)
+    shown["document"]["workspaces"]["kit-shop"]["display_name"] = display_name
+    path = Path(context.system.folder) / "changed.json"
+    path.write_text(json.dumps(shown["document"]))
+    return path
+
+
+def _publish(context: Any, path: Path, base: int, author: str, entry: int) -> Any:
+    words = ["config", "publish", str(path), "--base", str(base), "--author", author]
+    return _run(context, *words, entry=entry)
+
+
+@when("an operator publishes a changed document at the first entry")
+def step_publish(context: Any) -> None:
+    context.base = _show(context)["version"]
+    path = _write_changed(context, "Changed kit shop")
+    context.published = _publish(context, path, context.base, "operator-a", 0)
+
+
+@then("the publication says which version is in force")
+def step_published(context: Any) -> None:
+    assert context.published.exit_code == 0, context.published.output
+    assert f"version {context.base + 1} is in force" in context.published.output
+
+
+@then("every entry shows that version and its author")
+def step_all_show(context: Any) -> None:
+    entries = range(len(context.system.entries))
+    wait_until(
+        lambda: all(_show(context, one)["version"] > context.base for one in entries),
+        "the entries have the version",
+    )
+    shown = [_show(context, one) for one in entries]
+    expected = (context.base + 1, "operator-a")
+    assert {(one["version"], one["author"]) for one in shown} == {expected}, shown
+
+
+@then("the history and the audit trail name the change and its author")
+def step_audited(context: Any) -> None:
+    expected = "workspaces.kit-shop changed (display_name)"
+    history = _run(context, "config", "history").stdout
+    assert f"by operator-a: {expected}" in history, history
+    wait_until(
+        lambda: f"by operator-a: {expected}" in _run(context, "audit").stdout,
+        "the audit trail shows the change",
+    )
+    shown = _run(context, "audit").stdout
+    assert shown.count(f"version {context.base + 1} by operator-a") == 1, shown
+
+
+@when("two operators publish changes of the same version at two entries")
+def step_race(context: Any) -> None:
+    base = _show(context)["version"]
+    path = _write_changed(context, "First of two")
+    assert _publish(context, path, base, "operator-a", 0).exit_code == 0
+    path = _write_changed(context, "Second of two")
+    context.refused = _publish(context, path, base, "operator-b", 1)
+
+
+@then("the second is refused and told of the first one's change and author")
+def step_race_refused(context: Any) -> None:
+    output = context.refused.output
+    assert context.refused.exit_code == 1, output
+    assert "by operator-a: workspaces.kit-shop changed (display_name)" in output, output
+
+
+@when("an operator validates a document with two faults")
+def step_validate(context: Any) -> None:
+    shown = _show(context)["document"]
+    shown["workspaces"]["kit-shop"]["services"].append("absent")
+    shown["services"]["assistant"]["group"] = "absent"
+    path = Path(context.system.folder) / "faulty.json"
+    path.write_text(json.dumps(shown))
+    context.validated = CliRunner().invoke(main, ["config", "validate", str(path)])
+
+
+@then("both faults are named and the command exits with 1")
+def step_faults(context: Any) -> None:
+    output = context.validated.output
+    assert context.validated.exit_code == 1, output
+    assert "$.workspaces.kit-shop.services[" in output, output
+    assert "$.services.assistant.group" in output, output
+
+
+@when("an operator asks what a changed document would change")
+def step_diff(context: Any) -> None:
+    path = _write_changed(context, "Only looked at")
+    context.shown_diff = _run(context, "config", "diff", str(path)).stdout
+
+
+@then("the change is named")
+def step_diff_named(context: Any) -> None:
+    expected = "workspaces.kit-shop changed (display_name)"
+    assert context.shown_diff.strip() == expected, context.shown_diff
+
+
+@when("an operator asks for the audit trail of drained entries")
+def step_audit_kind(context: Any) -> None:
+    context.shown_audit = _run(context, "audit", "--kind", "entry_drained")
+
+
+@then("no configuration change is shown")
+def step_audit_filtered(context: Any) -> None:
+    assert context.shown_audit.exit_code == 0, context.shown_audit.output
+    assert "config_" not in context.shown_audit.output, context.shown_audit.output
