--- a/tests/features/steps/keyed_requests_steps.py
+++ b/tests/features/steps/keyed_requests_steps.py
@@ -2,11 +2,27 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
+from msgspec.structs import replace
+
+from corianderrelay.protocol.messages import Ticket, Tombstoned
+from corianderrelay.state.claim_keys import scoped_key
+from corianderrelay.state.claim_records import ReleaseRecord
+from corianderrelay.state.claims import ClaimFold
+from corianderrelay_entry.state.keyed_actions import (
+    AppendRecord,
+    AskTicket,
+    KeyedCall,
+    SendTombstone,
+    TellError,
+)
+from corianderrelay_entry.state.keyed_limits import KeyedLimits
+from corianderrelay_entry.state.keyed_requests import KeyedRequests
 
 from tests.machines.claims_machine import ClaimsMachine
 
@@ -30,3 +46,113 @@
 @then("the claims machine found no broken promise")
 def step_no_broken_promise(context: Any) -> None:
     assert context.machine_passed
+
+
+_KEY = scoped_key("kits", "shop", "key")
+_WALL_S = 1_800_000_000.0
+
+
+def _call(dated_s: float | None) -> KeyedCall:
+    return KeyedCall(
+        request_id="request",
+        key=_KEY,
+        digest="digest",
+        workspace="kits",
+        service="shop",
+        runner_id="runner",
+        deadline=1e6,
+        dated_s=dated_s,
+    )
+
+
+def _start(context: Any, dated_s: float | None) -> None:
+    limits = KeyedLimits(window_s=1000.0)
+    nonces = (f"nonce-{number}" for number in itertools.count())
+    context.requests = KeyedRequests("entry", limits, ClaimFold(), nonces)
+    context.requests.advance([], 0.0)
+    context.actions = context.requests.submit(_call(dated_s), 0.0, _WALL_S)
+    assert context.actions == [AskTicket("request", "runner", _KEY)], context.actions
+
+
+def _grant(context: Any, now: float) -> None:
+    ticket = Ticket(_KEY, incarnation=1, ticket_id=1, lifetime_ms=5000)
+    context.actions = context.requests.ticket_granted(
+        "request", ticket, now, _WALL_S + now
+    )
+
+
+def _read_back(context: Any, now: float, offset: int = 0) -> None:
+    context.actions = context.requests.advance([(offset, 0, context.claim)], now)
+
+
+def _told(context: Any) -> tuple[str, str]:
+    (told,) = [one for one in context.actions if isinstance(one, TellError)]
+    return told.error.kind, told.error.ran.value
+
+
+@given("an entry that asked for a ticket for a key made 10 s ago")
+def step_asked(context: Any) -> None:
+    _start(context, _WALL_S - 10)
+
+
+@when("the ticket comes after a pause of {seconds:g} s")
+def step_late_ticket(context: Any, seconds: float) -> None:
+    _grant(context, seconds)
+
+
+@then("the caller is told key_expired, ran unknown, and nothing is claimed")
+def step_expired(context: Any) -> None:
+    assert _told(context) == ("key_expired", "unknown"), context.actions
+    assert len(context.actions) == 1, context.actions
+
+
+@given("an entry whose claim of {kind} key is under way")
+def step_claiming(context: Any, kind: str) -> None:
+    _start(context, _WALL_S if kind == "a dated" else None)
+    _grant(context, 1.0)
+    (appended,) = context.actions
+    context.claim = appended.record
+
+
+@when("records are dropped unread before the claim is read back")
+def step_gap(context: Any) -> None:
+    context.requests.fold.skip_to(100)
+    _read_back(context, 2.0, offset=100)
+
+
+@when("the claim is read back after the ticket has ended")
+def step_ticket_ended(context: Any) -> None:
+    _read_back(context, 5.0)
+
+
+@then("the claim is released and its caller told unavailable, ran no")
+def step_released(context: Any) -> None:
+    assert _told(context) == ("unavailable", "no"), context.actions
+    released = [one.record for one in context.actions if isinstance(one, AppendRecord)]
+    nonce = context.claim.nonce
+    assert released == [ReleaseRecord(_KEY, nonce, "entry")], context.actions
+
+
+@given("an entry that settles the second claim of a key")
+def step_second_claim(context: Any) -> None:
+    _start(context, _WALL_S)
+    _grant(context, 1.0)
+    first = replace(context.actions[0].record, nonce="first", entry_id="other")
+    second = replace(first, nonce="second", ticket_id=2)
+    release = ReleaseRecord(_KEY, "first", "other")
+    records = [(0, 0, first), (1, 0, release), (2, 0, second)]
+    context.requests.advance(records, 2.0)
+    asked = context.requests.tick(100.0, _WALL_S)
+    orders = [one.order for one in asked if isinstance(one, SendTombstone)]
+    assert [one.ticket_id for one in orders] == [2], orders
+
+
+@when("the agent's answer about the first claim, not started, comes late")
+def step_late_answer(context: Any) -> None:
+    answer = Tombstoned(_KEY, incarnation=1, started=False, claim_offset=0)
+    context.actions = context.requests.tombstoned(answer, 101.0)
+
+
+@then("the second claim is not released")
+def step_not_released(context: Any) -> None:
+    assert context.actions == [], context.actions
