--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -0,0 +1,74 @@
+"""Command line of the agent."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+from result import Err, Ok
+
+from corianderrelay.transport.optional_tls import leave_tls_out, tls_files
+from corianderrelay.transport.settings_file import read_settings
+
+from .state.settings import AgentSettings
+
+if TYPE_CHECKING:
+    from corianderrelay.state.errors import RelayError
+    from corianderrelay.transport.tls import TlsFiles
+
+_EXIT_REFUSED = 1
+
+_settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="JSON file with this process's settings.",
+)
+
+
+@click.group()
+@click.version_option(package_name="corianderrelay-agent")
+def main() -> None:
+    """Load balancer for expert-parallel model groups: the agent process."""
+
+
+@main.command()
+@_settings_option
+def run(settings_file: Path) -> None:
+    """Run beside one engine rank or plain service until SIGTERM."""
+    settings, tls = _load(settings_file)
+    if tls is None:
+        leave_tls_out()
+    from .serve import serve_agent
+
+    sys.exit(serve_agent(settings, tls))
+
+
+@main.command("check-settings")
+@_settings_option
+def check_settings(settings_file: Path) -> None:
+    """Check the settings and name every fault."""
+    _load(settings_file)
+    click.echo("settings are valid")
+
+
+def _load(settings_file: Path) -> tuple[AgentSettings, TlsFiles | None]:
+    settings = read_settings(settings_file, AgentSettings)
+    if isinstance(settings, Err):
+        _refuse(settings.err_value)
+    tls = tls_files(settings.ok_value.streams.tls)
+    loaded = Ok(None) if tls is None else tls.load()
+    if isinstance(loaded, Err):
+        _refuse(loaded.err_value)
+    return settings.ok_value, tls
+
+
+def _refuse(error: RelayError) -> NoReturn:
+    click.echo(f"{error.kind}: {error}", err=True)
+    sys.exit(_EXIT_REFUSED)
+
+
+__all__ = ["main"]
