Append many records at once, and find an append again whose answer was lost

Cause: the log service takes some hundred appends a second for all, and answers are lost after the append took effect. An append whose answer was lost may also arrive late, after the stream was read back without finding it; so it is sent again with the same nonce, and readers leave later copies out. Ruled out: reading back alone (a late arrival would make 'not in the stream' untrue), and a marker that voids the lost nonce (another record kind for the same end).

--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/group_commit.py
@@ -0,0 +1,130 @@
+"""Appends many records at once, and tells each where it is in the stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from twisted.internet.defer import Deferred, fail
+
+from ..state.append_queue import (
+    AppendLimits,
+    AppendQueue,
+    ReadBack,
+    SendAppend,
+    Settled,
+    WaitUntil,
+)
+from ..state.errors import LogThrottledError, LogUnavailableError, RelayError
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from ..state.append_payload import RecordPosition
+    from .clock import Clock, DelayedCall
+    from .log_client import LogClient, LogPage
+
+_RETRY_AFTER_S = 1.0
+
+
+class GroupCommit:
+    """The appender of one process to one stream.
+
+    :param appender: identity that no other start of any process has.
+    """
+
+    __slots__ = ("_log", "_clock", "_stream", "_queue", "_waiting_by_ticket", "_timer")
+
+    def __init__(
+        self,
+        log: LogClient,
+        clock: Clock,
+        stream: str,
+        appender: str,
+        limits: AppendLimits | None = None,
+    ) -> None:
+        self._log = log
+        self._clock = clock
+        self._stream = stream
+        self._queue = AppendQueue(appender, limits or AppendLimits())
+        self._waiting_by_ticket: dict[int, Deferred[RecordPosition]] = {}
+        self._timer: DelayedCall | None = None
+
+    def append(self, record: bytes) -> Deferred[RecordPosition]:
+        """Append a record and return where it is.
+
+        :raises LogUnavailableError: it is not in the stream and never will be.
+        :raises OverloadedError: the same; too many records wait.
+        :raises LogAnswerLostError: it may be in the stream.
+        """
+        submitted = self._queue.submit(record, self._clock.seconds())
+        if isinstance(submitted, Err):
+            return fail(submitted.err_value)
+        waiting: Deferred[RecordPosition] = Deferred()
+        self._waiting_by_ticket[submitted.ok_value] = waiting
+        self._act()
+        return waiting
+
+    def note_end(self, next_offset: int) -> None:
+        """Note how far a reader of the stream has come."""
+        self._queue.note_end(next_offset)
+
+    def _act(self) -> None:
+        match self._queue.next_action(self._clock.seconds()):
+            case SendAppend(payload):
+                appended = self._log.append(self._stream, payload)
+                appended.addCallbacks(self._on_appended, self._on_append_failed)
+            case ReadBack(offset):
+                read = self._log.read(self._stream, offset, 0.0)
+                read.addCallbacks(self._on_page, self._on_read_failed)
+            case WaitUntil(at):
+                self._act_at(at)
+
+    def _act_at(self, at: float) -> None:
+        if self._timer is not None and self._timer.active():
+            return
+        delay_s = max(0.0, at - self._clock.seconds())
+        self._timer = self._clock.callLater(delay_s, self._act)
+
+    def _on_appended(self, offset: int) -> None:
+        self._settle(self._queue.on_appended(offset, self._clock.seconds()))
+
+    def _on_append_failed(self, failure: Failure) -> None:
+        error = failure.value
+        now = self._clock.seconds()
+        match error:
+            case LogThrottledError():
+                self._queue.on_throttled(_retry_after_s(error), now)
+                self._settle([])
+            case LogUnavailableError():
+                self._settle(self._queue.on_unavailable(_retry_after_s(error), now))
+            case _:
+                self._settle(self._queue.on_answer_lost(now))
+
+    def _on_page(self, page: LogPage) -> None:
+        entries = [(entry.offset, entry.payload) for entry in page.entries]
+        now = self._clock.seconds()
+        self._settle(self._queue.on_page(page.next_offset, entries, now))
+
+    def _on_read_failed(self, failure: Failure) -> None:
+        retry_after_s = _retry_after_s(failure.value)
+        now = self._clock.seconds()
+        self._settle(self._queue.on_unavailable(retry_after_s, now))
+
+    def _settle(self, settled: list[Settled]) -> None:
+        self._act()
+        for one in settled:
+            waiting = self._waiting_by_ticket.pop(one.ticket)
+            if isinstance(one.outcome, Err):
+                waiting.errback(one.outcome.err_value)
+            else:
+                waiting.callback(one.outcome.ok_value)
+
+
+def _retry_after_s(error: BaseException | None) -> float:
+    if isinstance(error, RelayError) and error.retry_after_s is not None:
+        return error.retry_after_s
+    return _RETRY_AFTER_S
+
+
+__all__ = ["GroupCommit"]
--- a/packages/corianderrelay-core/src/corianderrelay/state/errors.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/errors.py
@@ -147,6 +147,13 @@
     http_status = 503
 
 
+class LogThrottledError(LogUnavailableError):
+    """The log service takes no more appends just now: no effect, and it is not out."""
+
+    kind = "log_throttled"
+    http_status = 503
+
+
 class LogAnswerLostError(RelayError):
     """The log service's answer was lost: the append may have taken effect."""
 
@@ -177,6 +184,7 @@
     "InvalidRequestError",
     "KeyReusedError",
     "LogAnswerLostError",
+    "LogThrottledError",
     "LogUnavailableError",
     "MethodNotAllowedError",
     "NotFoundError",
--- a/packages/corianderrelay-core/src/corianderrelay/transport/log_http.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/log_http.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..coordination.log_client import LogEntry, LogPage
-from ..state.errors import LogAnswerLostError, LogUnavailableError
+from ..state.errors import LogAnswerLostError, LogThrottledError, LogUnavailableError
 from .http_client import HttpAnswer, HttpAnswerLostError, HttpClient, HttpNotSentError
 
 if TYPE_CHECKING:
@@ -19,6 +19,7 @@
 _TIMEOUT_S = 5.0
 _RETRY_AFTER_S = 1.0
 _OK = 200
+_TOO_MANY = 429
 _NO_EFFECT_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
 
 
@@ -48,6 +49,7 @@
     def append(self, stream: str, payload: bytes) -> Deferred[int]:
         """Append one payload and return its offset.
 
+        :raises LogThrottledError: nothing was appended, there are too many appends.
         :raises LogUnavailableError: nothing was appended.
         :raises LogAnswerLostError: it may have been appended.
         """
@@ -121,7 +123,9 @@
 
 
 def _unavailable(answer: HttpAnswer) -> LogUnavailableError:
-    return LogUnavailableError(
+    throttled = answer.status == _TOO_MANY
+    error = LogThrottledError if throttled else LogUnavailableError
+    return error(
         f"the log service refused the call with status {answer.status}",
         "retry after the given time, or check the log service and `log.url`",
         retry_after_s=answer.retry_after_s(_RETRY_AFTER_S),
--- /dev/null
+++ b/tests/features/steps/group_commit_steps.py
@@ -0,0 +1,92 @@
+"""Steps for the group-commit appender."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+from twisted.internet.defer import DeferredList
+
+from corianderrelay.coordination.group_commit import GroupCommit
+from corianderrelay.state.append_payload import RecordReader
+
+from tests.harness.reactor_loop import reactor, result_of
+from tests.machines.group_commit_machine import GroupCommitMachine
+
+_STREAM = "claims-0"
+
+
+@when("the group commit machine runs {examples:d} examples of {steps:d} steps")
+def step_machine(context: Any, examples: int, steps: int) -> None:
+    run_state_machine_as_test(
+        GroupCommitMachine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=steps,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+    context.machine_ran = True
+
+
+@when("the group commit machine lets a late copy land before the one sent again")
+def step_late_copy(context: Any) -> None:
+    machine = GroupCommitMachine()
+    machine.submit(who=0, count=1)
+    machine.lose_answer(who=0, fate="late")
+    machine.answer(who=0, late_first=False)
+    machine.answer(who=0, late_first=True)
+    machine.acknowledged_records_are_where_told()
+    machine.teardown()
+    context.machine_ran = True
+
+
+@then("the group commit machine found no fault")
+def step_machine_passed(context: Any) -> None:
+    assert context.machine_ran
+
+
+@given("a group commit on a log stand-in")
+def step_group_commit(context: Any) -> None:
+    context.execute_steps("Given a log client and a log stand-in")
+    context.commit = GroupCommit(context.log_client, reactor, _STREAM, "tester")
+
+
+@when("{count:d} records are appended at once")
+def step_append(context: Any, count: int) -> None:
+    context.sent = [f"record {index}".encode() for index in range(count)]
+    waiting = [context.commit.append(record) for record in context.sent]
+    context.results = result_of(DeferredList(waiting, consumeErrors=True))
+
+
+@then("the group commit tells each record its own place, in {count:d} appends")
+def step_places(context: Any, count: int) -> None:
+    page = context.log_store.read(_STREAM, 0, reactor.seconds()).unwrap()
+    assert len(page.entries) == count, page
+    reader = RecordReader()
+    record_by_position = {
+        read.position: read.record
+        for offset, data in page.entries
+        for read in reader.read(offset, data).unwrap()
+    }
+    told = [record_by_position[position] for _, position in context.results]
+    assert told == context.sent, told
+
+
+@when("one more record is appended")
+def step_one_more(context: Any) -> None:
+    context.refused_at_once = context.commit.append(b"one more")
+
+
+@then("the group commit refuses it before the log is asked, with a retry time")
+def step_refused(context: Any) -> None:
+    errors: list[Any] = []
+    context.refused_at_once.addErrback(errors.append)
+    assert errors, "it was not refused at once"
+    assert errors[0].value.kind == "log_unavailable"
+    assert errors[0].value.retry_after_s > 0
--- /dev/null
+++ b/tests/machines/group_commit_machine.py
@@ -0,0 +1,175 @@
+"""Group commit against a log that loses answers, is late, throttles and goes out.
+
+Two appenders share one stream. The oracle folds all that was ever appended.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err
+
+from corianderrelay.state.append_payload import RecordReader
+from corianderrelay.state.append_queue import (
+    AppendLimits,
+    AppendQueue,
+    ReadBack,
+    SendAppend,
+    Settled,
+    WaitUntil,
+)
+from corianderrelay.state.errors import LogAnswerLostError
+
+_LIMITS = AppendLimits(
+    records_per_append=3, queued_records=8, slow_after_s=1.0, give_up_s=10.0
+)
+_PAGE_ENTRIES = 2
+_RETRY_AFTER_S = 1.0
+_DRAIN_STEPS = 400
+_STEP_S = 0.02
+_APPENDERS = st.integers(0, 1)
+
+
+@dataclass
+class _Appender:
+    queue: AppendQueue
+    action: SendAppend | ReadBack | None = None
+    tickets: dict[int, bytes] = field(default_factory=dict)
+    settled: dict[int, Any] = field(default_factory=dict)
+
+
+class GroupCommitMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.log: list[bytes] = []
+        self.late: list[bytes] = []
+        self.out_until = 0.0
+        self.records = 0
+        self.appenders = [
+            _Appender(AppendQueue(name, _LIMITS)) for name in ("one", "two")
+        ]
+
+    @rule(who=_APPENDERS, count=st.integers(1, 5))
+    def submit(self, who: int, count: int) -> None:
+        appender = self.appenders[who]
+        for _ in range(count):
+            record = f"record {self.records}".encode()
+            self.records += 1
+            submitted = appender.queue.submit(record, self.now)
+            if not isinstance(submitted, Err):
+                appender.tickets[submitted.ok_value] = record
+            else:
+                assert submitted.err_value.retry_after_s is not None
+        assert len(appender.queue) <= (
+            _LIMITS.queued_records + _LIMITS.records_per_append
+        )
+
+    @rule(seconds=st.sampled_from([0.5, 1.5, 11.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(who=_APPENDERS)
+    def act(self, who: int) -> None:
+        appender = self.appenders[who]
+        if appender.action is not None:
+            return
+        self.now += _STEP_S
+        action = appender.queue.next_action(self.now)
+        if isinstance(action, WaitUntil):
+            assert action.at > self.now
+        elif action is not None:
+            appender.action = action
+
+    @rule(who=_APPENDERS, late_first=st.booleans())
+    def answer(self, who: int, late_first: bool) -> None:
+        """A call reaches the log, maybe after a late one, and its answer comes back."""
+        self.act(who)
+        if late_first:
+            self.late_append_arrives()
+        appender = self.appenders[who]
+        action, appender.action = appender.action, None
+        if action is None:
+            return
+        if self.now < self.out_until:
+            self._note(
+                appender, appender.queue.on_unavailable(_RETRY_AFTER_S, self.now)
+            )
+        elif isinstance(action, SendAppend):
+            self.log.append(action.payload)
+            offset = len(self.log) - 1
+            self._note(appender, appender.queue.on_appended(offset, self.now))
+        else:
+            page = list(enumerate(self.log))[action.offset :][:_PAGE_ENTRIES]
+            end = page[-1][0] + 1 if page else action.offset
+            self._note(appender, appender.queue.on_page(end, page, self.now))
+
+    @rule(who=_APPENDERS, fate=st.sampled_from(["kept", "gone", "late", "late"]))
+    def lose_answer(self, who: int, fate: str) -> None:
+        """An append was kept, or never arrives, or arrives at some later time."""
+        self.act(who)
+        appender = self.appenders[who]
+        if not isinstance(appender.action, SendAppend):
+            return
+        action, appender.action = appender.action, None
+        {"kept": self.log, "late": self.late, "gone": []}[fate].append(action.payload)
+        self._note(appender, appender.queue.on_answer_lost(self.now))
+
+    @rule()
+    def late_append_arrives(self) -> None:
+        if self.late:
+            self.log.append(self.late.pop(0))
+
+    @rule(who=_APPENDERS, retry_after_s=st.sampled_from([0.0, 0.003, 2.0]))
+    def throttle(self, who: int, retry_after_s: float) -> None:
+        appender = self.appenders[who]
+        if isinstance(appender.action, SendAppend):
+            appender.action = None
+            appender.queue.on_throttled(retry_after_s, self.now)
+
+    @rule(seconds=st.sampled_from([0.1, 5.0]))
+    def outage(self, seconds: float) -> None:
+        self.out_until = self.now + seconds
+
+    @invariant()
+    def acknowledged_records_are_where_told(self) -> None:
+        positions = self._folded()
+        for appender in self.appenders:
+            for ticket, outcome in appender.settled.items():
+                where = positions.get(appender.tickets[ticket])
+                if not isinstance(outcome, Err):
+                    assert where == [outcome.ok_value], (where, outcome)
+                elif not isinstance(outcome.err_value, LogAnswerLostError):
+                    assert where is None, "told not appended, yet it is there"
+
+    def teardown(self) -> None:
+        """With the faults over, each record is settled, also after late arrivals."""
+        self.out_until = 0.0
+        for _ in range(_DRAIN_STEPS):
+            self.wait(0.1)
+            for who in range(len(self.appenders)):
+                self.answer(who, late_first=False)
+        self.log += self.late
+        self.acknowledged_records_are_where_told()
+        for appender in self.appenders:
+            assert appender.settled.keys() == appender.tickets.keys(), "left over"
+        assert all(len(where) == 1 for where in self._folded().values())
+
+    def _note(self, appender: _Appender, settled: list[Settled]) -> None:
+        for one in settled:
+            assert one.ticket not in appender.settled, "settled twice"
+            appender.settled[one.ticket] = one.outcome
+
+    def _folded(self) -> dict[bytes, list[Any]]:
+        reader = RecordReader()
+        positions: dict[bytes, list[Any]] = {}
+        for offset, data in enumerate(self.log):
+            for read in reader.read(offset, data).unwrap():
+                positions.setdefault(read.record, []).append(read.position)
+        return positions
+
+
+__all__ = ["GroupCommitMachine"]
