--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+import time
 from random import SystemRandom
 from typing import TYPE_CHECKING, Any
 
@@ -11,9 +12,12 @@
 from result import Err, Ok
 
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
+from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.json_log import start_log
 
 from .coordination.attempts import Attempts
+from .coordination.keyed_attempts import KeyedAttempts
+from .state.key_guard import KeyGuard, KeyGuardLimits
 from .transport.engine_http import HttpEngine
 from .transport.entry_listener import EntryListener
 
@@ -25,7 +29,6 @@
 _EXIT_OK = 0
 _EXIT_CUT = 1
 _DRAIN_POLL_S = 0.1
-_INCARNATION_BITS = 62
 
 
 def serve_agent(settings: AgentSettings, tls: TlsFiles | None) -> int:
@@ -52,8 +55,15 @@
         self._tls = tls
         self._reactor = reactor
         engine = HttpEngine(reactor, settings.endpoint.url)
-        self._attempts = Attempts(engine, settings.endpoint, reactor.seconds)
-        self._incarnation = SystemRandom().getrandbits(_INCARNATION_BITS)
+        self._incarnation = new_incarnation(time.time(), SystemRandom())
+        limits = KeyGuardLimits(ticket_lifetime_s=settings.timing.ticket_s)
+        guard = KeyGuard(self._incarnation, limits)
+        self._attempts = Attempts(
+            engine,
+            settings.endpoint,
+            reactor.seconds,
+            KeyedAttempts(guard, reactor.seconds),
+        )
         self._listener = EntryListener(
             self._attempts, self._hello(), settings.timing, reactor
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,7 +18,9 @@
     UnauthorizedError,
 )
 
-from ..protocol.replies import EntryStatusReply, RunnerStatus, WorkStateReply
+from ..protocol.replies import WorkStateReply
+from .config_routes import ConfigRoutes
+from .entry_status import entry_status
 from .http_answer import write_error, write_json
 
 if TYPE_CHECKING:
@@ -26,6 +29,9 @@
     from twisted.web.server import Request
 
     from ..entry import Entry
+    from .console_site import ConsoleSite
+
+CONSOLE_PREFIX = "/console"
 
 
 @implementer(IResource)
@@ -41,11 +47,22 @@
         super().__init__()
         self._entry = entry
         self._token = token
-        self._routes_by_path: dict[str, tuple[str, Callable[[Any], None]]] = {
-            "/v1/status": ("GET", self._status),
-            "/v1/drain": ("POST", self._drain),
+        config = ConfigRoutes(entry.config_follower, entry.new_id)
+        self._handlers_by_route: dict[tuple[str, str], Callable[[Any], None]] = {
+            ("/v1/status", "GET"): self._status,
+            ("/v1/drain", "POST"): self._drain,
+            ("/v1/config", "GET"): config.show,
+            ("/v1/config", "POST"): config.publish,
+            ("/v1/config/history", "GET"): config.history,
         }
 
+    @cached_property
+    def _console(self) -> ConsoleSite:
+        # Imported when an operator opens it: its templates cost memory.
+        from .console_site import ConsoleSite
+
+        return ConsoleSite(self._entry, self._token)
+
     def render(self, request: Request) -> int:
         """Answer one request; called by Twisted."""
         try:
@@ -55,18 +72,23 @@
         return NOT_DONE_YET
 
     def _route(self, request: Request) -> None:
-        self._check_token(request)
         path = request.path.decode("latin-1")
-        if path not in self._routes_by_path:
+        if path.startswith(CONSOLE_PREFIX):
+            self._console.render(request)
+            return
+        self._check_token(request)
+        method = request.method.decode("latin-1")
+        allowed = [one for known, one in self._handlers_by_route if known == path]
+        if not allowed:
             raise NotFoundError(
                 f"there is no route {path!r}", "see the operators' pages"
             )
-        method, handler = self._routes_by_path[path]
-        if request.method.decode("latin-1") != method:
+        if method not in allowed:
             raise MethodNotAllowedError(
-                "the method is not allowed here", f"use {method} for this route"
+                "the method is not allowed here",
+                f"use {' or '.join(allowed)} for this route",
             )
-        handler(request)
+        self._handlers_by_route[path, method](request)
 
     def _check_token(self, request: Request) -> None:
         header = (request.getHeader(b"authorization") or b"").decode("latin-1")
@@ -78,33 +100,7 @@
             )
 
     def _status(self, request: Request) -> None:
-        entry = self._entry
-        now = entry.clock.seconds()
-        runners = [
-            RunnerStatus(
-                instance_id=agent.runner.instance_id,
-                zone=agent.runner.zone,
-                service=agent.runner.service,
-                group=agent.runner.group,
-                rank=agent.runner.rank,
-                running=agent.runner.running,
-                queued=agent.runner.queued,
-                leaving=agent.runner.leaving,
-                engine_up=agent.runner.engine_up,
-                report_age_s=round(now - agent.runner.reported_s, 3),
-            )
-            for _, agent in sorted(entry.relay.agents_by_id.items())
-        ]
-        status = EntryStatusReply(
-            instance_id=entry.settings.instance_id,
-            zone=entry.settings.zone,
-            ready=entry.ready,
-            draining=entry.draining,
-            config_version=entry.config.version,
-            open_requests=entry.relay.open_requests,
-            runners=runners,
-        )
-        write_json(request, msgspec.json.encode(status))
+        write_json(request, msgspec.json.encode(entry_status(self._entry)))
 
     def _drain(self, request: Request) -> None:
         self._entry.drain("operator")
