Decide the attempts of a repeatable request and their retry budget

Events in, typed orders out; frames of abandoned attempts are dropped by id; resume at the token the caller has; lost frames are asked for again by sequence after a silent stream was replaced.

--- /dev/null
+++ b/bench/retries.py
@@ -0,0 +1,253 @@
+"""Measures how much retries amplify the load while a third of the runners fails.
+
+Prints attempts per request and the share of requests answered before, during and after
+the failure, with the retry budget and with a budget that never ends; with the router,
+which avoids failing runners, and with a blind choice, which leaves all to the budget.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import xxhash
+
+from corianderrelay.state.attempt_orders import (
+    AttemptOrder,
+    BeginAttempt,
+    FailAnswer,
+    FinishAnswer,
+)
+from corianderrelay.state.attempts import RequestAttempts
+from corianderrelay.state.retry_budget import RetryBudget
+from corianderrelay.state.routing import Router, RouteRequest
+from corianderrelay.state.runner_load import LoadReport
+
+_RUNNERS = [f"runner-{index}" for index in range(12)]
+_ENTRIES = 6
+_REQUESTS_PER_S = 48.0
+_SERVICE_S = 0.15
+_FAILS_AFTER_S = 0.05
+_QUEUE = 20
+_FAIL_FROM_S = 30.0
+_FAIL_UNTIL_S = 90.0
+_LAST_ARRIVAL_S = 130.0
+_END_S = 150.0
+_DEADLINE_S = 10.0
+_EMPTY_DIGEST = xxhash.xxh3_64().intdigest()
+
+
+@dataclass(slots=True)
+class PhaseCounts:
+    """What happened to the requests that arrived in one phase."""
+
+    requests: int = 0
+    attempts: int = 0
+    answered: int = 0
+
+    @property
+    def amplification(self) -> float:
+        """Attempts per request."""
+        return self.attempts / self.requests
+
+    @property
+    def answered_share(self) -> float:
+        """Share of the requests that got their whole answer."""
+        return self.answered / self.requests
+
+
+@dataclass(slots=True)
+class _Entry:
+    budget: RetryBudget
+    blind: bool
+    router: Router = field(default_factory=Router)
+
+
+@dataclass(slots=True)
+class _Request:
+    phase: PhaseCounts
+    entry: _Entry
+    route: RouteRequest
+    attempts: RequestAttempts | None = None
+
+
+class _Chooser:
+    def __init__(self, entry: _Entry, route: RouteRequest, random: Random) -> None:
+        self._entry = entry
+        self._route = route
+        self._random = random
+
+    def choose(self, excluded: frozenset[str], now: float) -> str | None:
+        usable = [name for name in _RUNNERS if name not in excluded]
+        if self._entry.blind:
+            return self._random.choice(usable) if usable else None
+        return self._entry.router.pick(self._route, usable, now, self._random)
+
+
+class _Simulation:
+    def __init__(
+        self, make_budget: Callable[[], RetryBudget], blind: bool, seed: int
+    ) -> None:
+        self.random = Random(seed)
+        self.ties = itertools.count()
+        self.ids = (f"attempt-{number}" for number in itertools.count())
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.entries = [_Entry(make_budget(), blind) for _ in range(_ENTRIES)]
+        self.busy_until = dict.fromkeys(_RUNNERS, 0.0)
+        self.queued: Counter[str] = Counter()
+        self.phases = {name: PhaseCounts() for name in ("before", "during", "after")}
+
+    def run(self) -> dict[str, PhaseCounts]:
+        for index, entry in enumerate(self.entries):
+            self.at(index / _ENTRIES, self._reporter(entry))
+        self.at(0.0, self._arrive)
+        while self.events:
+            now, _, call = heapq.heappop(self.events)
+            if now > _END_S:
+                break
+            call(now)
+        return self.phases
+
+    def at(self, time: float, call: Callable[[float], None]) -> None:
+        heapq.heappush(self.events, (time, next(self.ties), call))
+
+    def _phase(self, now: float) -> PhaseCounts:
+        if now < _FAIL_FROM_S:
+            return self.phases["before"]
+        return self.phases["during" if now < _FAIL_UNTIL_S else "after"]
+
+    def _fails(self, runner_id: str, now: float) -> bool:
+        failing = _RUNNERS.index(runner_id) < len(_RUNNERS) // 3
+        return failing and _FAIL_FROM_S <= now < _FAIL_UNTIL_S
+
+    def _reporter(self, entry: _Entry) -> Callable[[float], None]:
+        def report(now: float) -> None:
+            for name in _RUNNERS:
+                tokens = 1000.0 * self.queued[name]
+                load = LoadReport(tokens, 1000.0 / _SERVICE_S)
+                entry.router.report(name, load, now)
+            self.at(now + 1.0, report)
+
+        return report
+
+    def _arrive(self, now: float) -> None:
+        if now > _LAST_ARRIVAL_S:
+            return
+        self.at(now + self.random.expovariate(_REQUESTS_PER_S), self._arrive)
+        entry = self.random.choice(self.entries)
+        key = str(self.random.randrange(120)).encode()
+        request = _Request(self._phase(now), entry, RouteRequest(key, 0, 1000))
+        request.phase.requests += 1
+        request.attempts = RequestAttempts(
+            now + _DEADLINE_S,
+            _Chooser(entry, request.route, self.random),
+            entry.budget,
+            self.ids.__next__,
+        )
+        self._carry_out(request, request.attempts.start(now), now)
+
+    def _carry_out(
+        self, request: _Request, orders: list[AttemptOrder], now: float
+    ) -> None:
+        for order in orders:
+            if isinstance(order, BeginAttempt):
+                self._dispatch(request, order, now)
+            elif isinstance(order, FinishAnswer):
+                request.phase.answered += 1
+            elif isinstance(order, FailAnswer):
+                continue
+
+    def _dispatch(self, request: _Request, order: BeginAttempt, now: float) -> None:
+        name = order.runner_id
+        request.phase.attempts += 1
+        request.entry.router.dispatched(order.attempt_id, name, request.route, now)
+        if self._fails(name, now):
+            self.at(now + _FAILS_AFTER_S, self._failed(request, order))
+        elif self.queued[name] >= _QUEUE:
+            self.at(now, self._refused(request, order))
+        else:
+            self.queued[name] += 1
+            done_at = max(now, self.busy_until[name]) + _SERVICE_S
+            self.busy_until[name] = done_at
+            self.at(done_at, self._done(request, order))
+
+    def _failed(
+        self, request: _Request, order: BeginAttempt
+    ) -> Callable[[float], None]:
+        def fail(now: float) -> None:
+            router = request.entry.router
+            router.ended(order.attempt_id, order.runner_id, now, failed=True)
+            assert request.attempts is not None
+            orders = request.attempts.failed(order.attempt_id, "its engine died", now)
+            self._carry_out(request, orders, now)
+
+        return fail
+
+    def _refused(
+        self, request: _Request, order: BeginAttempt
+    ) -> Callable[[float], None]:
+        def refuse(now: float) -> None:
+            request.entry.router.ended(order.attempt_id, order.runner_id, now)
+            assert request.attempts is not None
+            orders = request.attempts.refused(order.attempt_id, 1.0, now)
+            self._carry_out(request, orders, now)
+
+        return refuse
+
+    def _done(self, request: _Request, order: BeginAttempt) -> Callable[[float], None]:
+        def done(now: float) -> None:
+            self.queued[order.runner_id] -= 1
+            router = request.entry.router
+            router.first_token(order.attempt_id, order.runner_id, now)
+            router.ended(order.attempt_id, order.runner_id, now)
+            assert request.attempts is not None
+            orders = request.attempts.ended(order.attempt_id, 0, _EMPTY_DIGEST, now)
+            self._carry_out(request, orders, now)
+
+        return done
+
+
+def simulate_failure(
+    make_budget: Callable[[], RetryBudget], *, blind: bool, seed: int = 1
+) -> dict[str, PhaseCounts]:
+    """Return the counts of each phase of a run in which 4 of 12 runners fail.
+
+    :param blind: choose at random in place of the router.
+    """
+    return _Simulation(make_budget, blind, seed).run()
+
+
+def endless_budget() -> RetryBudget:
+    """Return a budget that never denies a retry in a measurement."""
+    return RetryBudget(share=1000.0, burst_retries=1e9)
+
+
+def _print_run(title: str, *, blind: bool) -> None:
+    runs = {
+        "with budget": simulate_failure(RetryBudget, blind=blind),
+        "without": simulate_failure(endless_budget, blind=blind),
+    }
+    print(f"{title}: attempts per request (share answered)")
+    for name, phases in runs.items():
+        cells = ", ".join(
+            f"{phase} {counts.amplification:.3f} ({counts.answered_share:.4f})"
+            for phase, counts in phases.items()
+        )
+        print(f"  {name:<12} {cells}")
+    amplified = [phases["during"].amplification for phases in runs.values()]
+    print(f"  ratio during the failure: {amplified[0] / amplified[1]:.3f}")
+
+
+def main() -> None:
+    """Print the runs with the router and with a blind choice."""
+    print("4 of 12 runners fail from 30 s to 90 s")
+    _print_run("router", blind=False)
+    _print_run("blind choice", blind=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/features/steps/attempts_steps.py
@@ -0,0 +1,120 @@
+"""Steps for the attempts of a repeatable request."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+from behave import then, when
+from hypothesis.stateful import run_state_machine_as_test
+
+from corianderrelay.state.answer_assembly import AnswerHead
+from corianderrelay.state.attempt_orders import (
+    AttachAttempt,
+    BeginAttempt,
+    FailAnswer,
+    FinishAnswer,
+)
+from corianderrelay.state.attempts import RequestAttempts
+from corianderrelay.state.errors import Ran
+from corianderrelay.state.retry_budget import RetryBudget
+
+from bench.retries import simulate_failure
+from tests.machines.attempts_machine import AttemptsMachine
+from tests.machines.settings import machine_settings
+
+
+class _InOrder:
+    def choose(self, excluded: frozenset[str], now: float) -> str | None:
+        names = ("runner-0", "runner-1", "runner-2")
+        return next((name for name in names if name not in excluded), None)
+
+
+def _attempts(budget: RetryBudget) -> RequestAttempts:
+    ids = (f"attempt-{number}" for number in itertools.count())
+    return RequestAttempts(30.0, _InOrder(), budget, ids.__next__)
+
+
+@then("attempts survive {examples:d} runs of {steps:d} steps")
+def step_machine(context: Any, examples: int, steps: int) -> None:
+    run_state_machine_as_test(
+        AttemptsMachine, settings=machine_settings(examples, steps)
+    )
+
+
+@when("attempts get a chunk and an end frame with another digest")
+def step_damaged(context: Any) -> None:
+    attempts = _attempts(RetryBudget())
+    attempts.start(0.0)
+    head = AnswerHead(200, "text/event-stream")
+    context.orders = attempts.chunk("attempt-0", 0, b"token", 1, head)
+    context.orders += attempts.ended("attempt-0", 1, 12345, 1.0)
+
+
+@when("attempts get an end frame of 2 chunks after only the first")
+def step_gap(context: Any) -> None:
+    attempts = _attempts(RetryBudget())
+    attempts.start(0.0)
+    head = AnswerHead(200, "text/event-stream")
+    context.orders = attempts.chunk("attempt-0", 0, b"token", 1, head)
+    context.orders += attempts.ended("attempt-0", 2, 12345, 1.0)
+    context.orders += attempts.ended("attempt-0", 2, 12345, 1.1)
+
+
+@then("attempts ask once for the frames after sequence {sequence:d}")
+def step_attach(context: Any, sequence: int) -> None:
+    attached = [order for order in context.orders if isinstance(order, AttachAttempt)]
+    assert [order.after_sequence for order in attached] == [sequence]
+
+
+@when("attempts are refused by every runner")
+def step_refused(context: Any) -> None:
+    attempts = _attempts(RetryBudget())
+    context.orders = attempts.start(0.0)
+    for number in range(3):
+        context.orders += attempts.refused(f"attempt-{number}", 3.0, 0.0)
+    begun = [order for order in context.orders if isinstance(order, BeginAttempt)]
+    assert len({order.runner_id for order in begun}) == 3
+
+
+@when("attempts fail with an empty retry budget")
+def step_no_budget(context: Any) -> None:
+    attempts = _attempts(RetryBudget(burst_retries=0.5))
+    attempts.start(0.0)
+    context.orders = attempts.failed("attempt-0", "its engine died", 1.0)
+
+
+def _error(context: Any) -> Any:
+    assert not any(isinstance(order, FinishAnswer) for order in context.orders)
+    failures = [order for order in context.orders if isinstance(order, FailAnswer)]
+    assert len(failures) == 1, context.orders
+    return failures[0].error
+
+
+@then("attempts fail with {kind} and nothing is finished")
+def step_fail(context: Any, kind: str) -> None:
+    assert _error(context).kind == kind
+
+
+@then("attempts fail with overloaded, Retry-After {seconds:d} s and not run")
+def step_fail_overloaded(context: Any, seconds: int) -> None:
+    error = _error(context)
+    assert error.kind == "overloaded"
+    assert error.retry_after_s == seconds
+    assert error.ran is Ran.NO
+
+
+@when("attempts are measured with 4 of 12 runners failing and a {choice} choice")
+def step_measure(context: Any, choice: str) -> None:
+    context.phases = simulate_failure(RetryBudget, blind=choice == "blind")
+
+
+@then("attempts per request stay at most {most:f} in each phase")
+def step_amplification(context: Any, most: float) -> None:
+    for name, counts in context.phases.items():
+        assert counts.amplification <= most, (name, counts.amplification)
+
+
+@then("attempts per request are {value:f} to two digits after the runners return")
+def step_no_storm(context: Any, value: float) -> None:
+    assert round(context.phases["after"].amplification, 2) == value
--- /dev/null
+++ b/tests/machines/attempts_machine.py
@@ -0,0 +1,255 @@
+"""Whole answers against runners that die and a network that loses and doubles."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from corianderrelay.state.answer_assembly import AnswerHead
+from corianderrelay.state.attempt_orders import (
+    AcknowledgeAttempt,
+    AttachAttempt,
+    AttemptOrder,
+    BeginAttempt,
+    CancelAttempt,
+    FailAnswer,
+    FinishAnswer,
+    StartAnswer,
+    WriteAnswer,
+)
+from corianderrelay.state.attempts import RequestAttempts
+from corianderrelay.state.errors import Ran, RelayError
+from corianderrelay.state.retry_budget import RetryBudget
+
+from tests.machines.model_runner import (
+    ChunkFrame,
+    EndFrame,
+    Frame,
+    ModelRunner,
+    RefusedFrame,
+    whole_answer,
+)
+
+_DEADLINE_S = 30.0
+_RUNNERS = ("runner-0", "runner-1", "runner-2")
+
+
+@dataclass
+class _Caller:
+    prompt: str
+    attempts: RequestAttempts
+    received: bytes = b""
+    starts: int = 0
+    whole: bool = False
+    error: RelayError | None = None
+    told_not_run_at: list[str] = field(default_factory=list)
+
+
+class _Rotation:
+    def __init__(self) -> None:
+        self.turn = 0
+
+    def choose(self, excluded: frozenset[str], now: float) -> str | None:
+        self.turn += 1
+        order = _RUNNERS[self.turn % 3 :] + _RUNNERS[: self.turn % 3]
+        return next((name for name in order if name not in excluded), None)
+
+
+class AttemptsMachine(RuleBasedStateMachine):
+    """Two callers, three runners, any interleaving of frames and faults."""
+
+    @initialize(retries=st.sampled_from([1.0, 10.0]))
+    def start(self, retries: float) -> None:
+        """Send two requests."""
+        self.now = 0.0
+        self.ids = (f"attempt-{number}" for number in itertools.count())
+        self.runners = {name: ModelRunner(name) for name in _RUNNERS}
+        self.frames: list[Frame] = []
+        self.orders: list[tuple[_Caller, AttemptOrder]] = []
+        budget = RetryBudget(burst_retries=retries)
+        chooser = _Rotation()
+        self.callers = [
+            _Caller(
+                prompt,
+                RequestAttempts(_DEADLINE_S, chooser, budget, self.ids.__next__),
+            )
+            for prompt in ("kit", "wax")
+        ]
+        for caller in self.callers:
+            self._take(caller, caller.attempts.start(self.now))
+
+    def _take(self, caller: _Caller, orders: list[AttemptOrder]) -> None:
+        for order in orders:
+            match order:
+                case StartAnswer():
+                    caller.starts += 1
+                case WriteAnswer():
+                    assert caller.starts == 1, "data before the start"
+                    caller.received += order.data
+                case FinishAnswer():
+                    assert not caller.whole and caller.error is None, "told twice"
+                    caller.whole = True
+                case FailAnswer():
+                    assert not caller.whole and caller.error is None, "told twice"
+                    caller.error = order.error
+                case _:
+                    self.orders.append((caller, order))
+
+    def _run_order(self, caller: _Caller, order: AttemptOrder) -> None:
+        match order:
+            case BeginAttempt():
+                runner = self.runners[order.runner_id]
+                self.frames += runner.dispatch(
+                    order.attempt_id, caller.prompt, order.resume_from
+                )
+            case AttachAttempt():
+                runner = self.runners[order.runner_id]
+                self.frames += runner.attach(order.attempt_id, order.after_sequence)
+            case CancelAttempt():
+                self.runners[order.runner_id].cancel(order.attempt_id)
+            case AcknowledgeAttempt():
+                runner = self.runners[order.runner_id]
+                runner.acknowledge(order.attempt_id, order.sequence)
+
+    def _receive(self, frame: Frame) -> None:
+        for caller in self.callers:
+            attempts = caller.attempts
+            match frame:
+                case RefusedFrame():
+                    orders = attempts.refused(frame.attempt_id, 1.0, self.now)
+                case ChunkFrame():
+                    chunk = frame.chunk
+                    orders = attempts.chunk(
+                        frame.attempt_id,
+                        chunk.sequence,
+                        chunk.data,
+                        chunk.tokens,
+                        AnswerHead(chunk.status, chunk.content_type),
+                    )
+                case EndFrame(died=True):
+                    orders = attempts.failed(frame.attempt_id, "it died", self.now)
+                case EndFrame():
+                    orders = attempts.ended(
+                        frame.attempt_id, frame.chunks, frame.digest, self.now
+                    )
+            self._take(caller, orders)
+
+    @rule(index=st.integers(0, 20), keep=st.booleans())
+    def order_arrives(self, index: int, keep: bool) -> None:
+        """Any order arrives at its runner; a kept one arrives again."""
+        if self.orders:
+            item = self.orders[index % len(self.orders)]
+            if not keep:
+                self.orders.remove(item)
+            self._run_order(*item)
+
+    @rule(index=st.integers(0, 20), keep=st.booleans())
+    def frame_arrives(self, index: int, keep: bool) -> None:
+        """Any frame arrives at the entry; a kept one arrives again."""
+        if self.frames:
+            frame = self.frames[index % len(self.frames)]
+            if not keep:
+                self.frames.remove(frame)
+            self._receive(frame)
+
+    @rule(index=st.integers(0, 20), of_frames=st.booleans())
+    def lost(self, index: int, of_frames: bool) -> None:
+        """Lose one frame or order."""
+        if of_frames and self.frames:
+            del self.frames[index % len(self.frames)]
+        elif not of_frames and self.orders:
+            del self.orders[index % len(self.orders)]
+
+    @rule(index=st.integers(0, 20), pieces=st.integers(1, 5))
+    def runner_computes(self, index: int, pieces: int) -> None:
+        """A runner produces a chunk, or the end, of one attempt."""
+        running = [
+            (runner, attempt_id)
+            for runner in self.runners.values()
+            for attempt_id in runner.runs_by_attempt
+        ]
+        if running:
+            runner, attempt_id = running[index % len(running)]
+            self.frames += runner.advance(attempt_id, pieces)
+
+    @rule(pieces=st.integers(0, 3))
+    def all_arrive(self, pieces: int) -> None:
+        """All in flight arrives in order; running attempts produce some more."""
+        for item in list(self.orders):
+            self.orders.remove(item)
+            self._run_order(*item)
+        for runner in self.runners.values():
+            for attempt_id in list(runner.runs_by_attempt) if pieces else []:
+                self.frames += runner.advance(attempt_id, pieces)
+        for frame in list(self.frames):
+            self.frames.remove(frame)
+            self._receive(frame)
+
+    @rule()
+    def calm(self) -> None:
+        """Nothing fails for a while."""
+        for _ in range(6):
+            self.all_arrive(3)
+
+    @rule(name=st.sampled_from(_RUNNERS))
+    def engine_dies(self, name: str) -> None:
+        """An engine dies and its agent tells."""
+        self.frames += self.runners[name].die()
+
+    @rule(name=st.sampled_from(_RUNNERS))
+    def agent_restarts(self, name: str) -> None:
+        """An agent forgets all and comes back before the entry misses it."""
+        self.runners[name].die()
+        self.silent_stream_is_replaced(name)
+
+    @rule(name=st.sampled_from(_RUNNERS))
+    def instance_dies(self, name: str) -> None:
+        """An instance dies; the entry sees that its stream is gone."""
+        self.runners[name].die()
+        for caller in self.callers:
+            self._take(caller, caller.attempts.runner_lost(name, self.now))
+
+    @rule(name=st.sampled_from(_RUNNERS), refuses=st.booleans())
+    def runner_refuses(self, name: str, refuses: bool) -> None:
+        """A runner begins or stops to refuse new work."""
+        self.runners[name].refuses = refuses
+
+    @rule(name=st.sampled_from(_RUNNERS))
+    def silent_stream_is_replaced(self, name: str) -> None:
+        """All on a silent stream is lost; a new stream takes its place."""
+        self.frames = [frame for frame in self.frames if frame.runner_id != name]
+        self.orders = [
+            item for item in self.orders if getattr(item[1], "runner_id", "") != name
+        ]
+        for caller in self.callers:
+            self._take(caller, caller.attempts.stream_replaced(name))
+
+    @rule()
+    def deadline(self) -> None:
+        """Pass the deadline: each caller then has its answer or an error."""
+        self.now = _DEADLINE_S
+        for caller in self.callers:
+            self._take(caller, caller.attempts.deadline_passed(self.now))
+            assert caller.whole or caller.error is not None, "no final answer"
+
+    @invariant()
+    def answers_are_own_and_whole(self) -> None:
+        """What a caller has is the model's answer, as far as it goes, and once."""
+        for caller in self.callers:
+            expected = whole_answer(caller.prompt)
+            assert expected.startswith(caller.received), caller.received
+            assert not caller.whole or caller.received == expected, "a part as whole"
+
+    @invariant()
+    def not_run_is_not_run(self) -> None:
+        """A request that its caller was told was not run is run by no runner."""
+        started = [name for r in self.runners.values() for name in r.started]
+        for caller in self.callers:
+            if caller.error is not None and caller.error.ran is Ran.NO:
+                assert caller.prompt not in started, "told not run, but it ran"
+
+
+__all__ = ["AttemptsMachine"]
--- /dev/null
+++ b/tests/machines/model_runner.py
@@ -0,0 +1,154 @@
+"""A runner for machines: answers from a model, keeps frames until acknowledged."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from corianderrelay_agent.state.attempt import AnswerChunk, Attempt, AttemptOrder
+
+ANSWER_TOKENS = 6
+_STATUS = 200
+_CONTENT_TYPE = "text/event-stream"
+
+
+@dataclass(frozen=True)
+class ChunkFrame:
+    """A chunk on its way to the entry."""
+
+    runner_id: str
+    attempt_id: str
+    chunk: AnswerChunk
+
+
+@dataclass(frozen=True)
+class EndFrame:
+    """An end frame on its way to the entry; ``died`` for a failed attempt."""
+
+    runner_id: str
+    attempt_id: str
+    chunks: int
+    digest: int
+    died: bool = False
+
+
+@dataclass(frozen=True)
+class RefusedFrame:
+    """A refusal on its way to the entry."""
+
+    runner_id: str
+    attempt_id: str
+
+
+Frame = ChunkFrame | EndFrame | RefusedFrame
+
+
+def answer_bytes(prompt: str, first_token: int = 0) -> list[tuple[bytes, int]]:
+    """Return the model's answer as pieces of data and tokens, from a token on."""
+    pieces = [] if first_token else [(b"<", 0)]
+    for token in range(first_token, ANSWER_TOKENS):
+        pieces += [(b"~", 0), (f"{prompt}{token}".encode(), 1)]
+    return [*pieces, (b">", 0)]
+
+
+def whole_answer(prompt: str) -> bytes:
+    """Return the model's whole answer."""
+    return b"".join(data for data, _ in answer_bytes(prompt))
+
+
+@dataclass
+class _Run:
+    attempt: Attempt
+    rest: list[tuple[bytes, int]]
+    ended: bool = False
+
+
+@dataclass
+class ModelRunner:
+    """One runner; its owner carries its frames."""
+
+    runner_id: str
+    refuses: bool = False
+    runs_by_attempt: dict[str, _Run] = field(default_factory=dict)
+    seen: set[str] = field(default_factory=set)
+    started: list[str] = field(default_factory=list)
+
+    def dispatch(self, attempt_id: str, prompt: str, resume_from: int) -> list[Frame]:
+        """Take or refuse an attempt; a doubled or tombstoned one does nothing."""
+        if attempt_id in self.seen:
+            return []
+        self.seen.add(attempt_id)
+        if self.refuses:
+            return [RefusedFrame(self.runner_id, attempt_id)]
+        order = AttemptOrder(attempt_id, prompt, "", "", "", "", "", b"", 0.0)
+        attempt = Attempt(order, "entry")
+        attempt.status = _STATUS
+        attempt.content_type = _CONTENT_TYPE
+        run = _Run(attempt, answer_bytes(prompt, resume_from))
+        self.runs_by_attempt[attempt_id] = run
+        self.started.append(prompt)
+        return []
+
+    def advance(self, attempt_id: str, pieces: int) -> list[Frame]:
+        """Produce the next chunk, which ends with a token or has none."""
+        run = self.runs_by_attempt.get(attempt_id)
+        if run is None or run.ended:
+            return []
+        if not run.rest:
+            run.ended = True
+            return [self._end(run)]
+        taken = run.rest[:pieces]
+        while any(tokens for _, tokens in taken) and not taken[-1][1]:
+            taken.pop()
+        run.rest = run.rest[len(taken) :]
+        chunk = run.attempt.add_chunk(
+            b"".join(data for data, _ in taken), sum(tokens for _, tokens in taken)
+        )
+        return [ChunkFrame(self.runner_id, attempt_id, chunk)]
+
+    def attach(self, attempt_id: str, after_sequence: int) -> list[Frame]:
+        """Send kept frames again; an unknown attempt will never run here."""
+        self.seen.add(attempt_id)
+        run = self.runs_by_attempt.get(attempt_id)
+        if run is None:
+            return [RefusedFrame(self.runner_id, attempt_id)]
+        chunks = run.attempt.chunks_after(after_sequence)
+        frames: list[Frame] = [
+            ChunkFrame(self.runner_id, attempt_id, chunk) for chunk in chunks
+        ]
+        return [*frames, self._end(run)] if run.ended else frames
+
+    def acknowledge(self, attempt_id: str, sequence: int) -> None:
+        """Forget frames that the entry has."""
+        run = self.runs_by_attempt.get(attempt_id)
+        if run is not None:
+            run.attempt.acknowledge(sequence)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt."""
+        self.seen.add(attempt_id)
+        self.runs_by_attempt.pop(attempt_id, None)
+
+    def die(self) -> list[Frame]:
+        """Lose all attempts; the agent tells of each."""
+        lost = list(self.runs_by_attempt)
+        self.runs_by_attempt.clear()
+        return [EndFrame(self.runner_id, name, 0, 0, died=True) for name in lost]
+
+    def _end(self, run: _Run) -> EndFrame:
+        attempt = run.attempt
+        return EndFrame(
+            self.runner_id,
+            attempt.order.attempt_id,
+            attempt.next_sequence,
+            attempt.digest,
+        )
+
+
+__all__ = [
+    "ChunkFrame",
+    "EndFrame",
+    "Frame",
+    "ModelRunner",
+    "RefusedFrame",
+    "whole_answer",
+]
