--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -66,6 +66,7 @@
     ``echo`` is the sequence of the newest heartbeat that the sender has received from
     this peer: the receiver counts freshness from when it sent that one, so that a
     heartbeat which was delayed on its way proves nothing about the present.
+    ``leaving_entries`` are the entries that have told this agent that they leave.
     """
 
     sequence: Natural
@@ -79,6 +80,7 @@
     news: bytes = b""
     echo: Natural = 0
     period_ms: Natural = 1000
+    leaving_entries: list[Identifier] = []
 
 
 class Dispatch(Message, tag="dispatch", frozen=True):
@@ -108,6 +110,7 @@
     ticket_remaining_ms: Natural = 0
     alone: bool = False
     trace: bytes = b""
+    ticket_id: Natural = 0
 
 
 class Cancel(Message, tag="cancel", frozen=True):
@@ -150,10 +153,16 @@
 
     key: Identifier
     claim_offset: int
+    ticket_id: Natural = 0
+    incarnation: Natural = 0
 
 
 class Tombstoned(Message, tag="tombstoned", frozen=True):
-    """Agent to entry: whether the key had been started by this incarnation."""
+    """Agent to entry: whether this incarnation had started the claim with this key.
+
+    ``forgotten`` says that it cannot tell any more, or never could because the claim
+    names another incarnation; it then counts as started.
+    """
 
     key: Identifier
     incarnation: Natural
@@ -162,6 +171,9 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    claim_offset: int = -1
+    forgotten: bool = False
+    body_kept: bool = True
 
 
 class Accepted(Message, tag="accepted", frozen=True):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
 import eliot
 
-from corianderrelay.coordination.config_reader import ConfigReader
+from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
+from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.config_in_force import ConfigInForce
+from .coordination.keyed_relay import KeyedRelay
 from .coordination.observed_answer import ObservedAnswer
 from .coordination.relay import Relay
 from .coordination.request_metrics import RequestMetrics
-from .state.entry_directory import EntryAddress
+from .state.entry_directory import EntryAddress, EntryDirectory
+from .state.keyed_limits import keyed_limits
 from .state.request_register import RequestRegister
 from .transport.agent_connector import AgentConnector
 
@@ -26,6 +30,7 @@
     from corianderrelay.coordination.instance_list import Instance, InstanceList
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.state.call import Call
+    from corianderrelay.state.config_fold import Verdict, VersionInForce
     from corianderrelay.transport.tls import TlsFiles
 
     from .coordination.answer_sink import AnswerSink
@@ -33,7 +38,6 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
-_INCARNATION_BITS = 62
 
 
 class Entry:
@@ -54,17 +58,34 @@
         self.settings = settings
         self.clock = clock
         self.random: Random = SystemRandom()
-        self.incarnation = self.random.getrandbits(_INCARNATION_BITS)
+        self.incarnation = new_incarnation(time.time(), self.random)
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
         self.relay = Relay(self.new_id)
+        self.keyed = KeyedRelay(
+            settings.instance_id,
+            keyed_limits(settings.platform.log_retention_s),
+            log,
+            clock,
+            self.relay.agents_by_id,
+            time.time,
+            iter(self.new_id, ""),
+        )
         self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
+        self.directory = EntryDirectory()
         self.draining = False
         self.address = settings.callers.address
-        self._config_reader = ConfigReader(log, clock, self.config.replace)
+        self.config_follower = ConfigFollower(
+            log,
+            clock,
+            settings.instance_id,
+            settings.platform.log_retention_s,
+            time.time,
+            self._take_config,
+            self._note_judged,
+        )
         self._instances = instances
-        self._entries: list[EntryAddress] = []
         hello = Hello(
             PROTOCOL_VERSION,
             settings.instance_id,
@@ -72,7 +93,15 @@
             settings.zone,
             "entry",
         )
-        self.connector = AgentConnector(self.relay, hello, settings.timing, clock, tls)
+        self.connector = AgentConnector(
+            self.relay,
+            self.keyed,
+            self.directory,
+            hello,
+            settings.timing,
+            clock,
+            tls,
+        )
         self._list_poll = Periodic(clock, self._poll_instances)
 
     @property
@@ -83,7 +112,8 @@
     def start(self) -> None:
         """Connect to the platform and to the agents."""
         self.connector.start()
-        self._config_reader.start()
+        self.config_follower.start()
+        self.keyed.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
 
     def new_id(self) -> str:
@@ -93,10 +123,7 @@
     def known_entries(self) -> list[EntryAddress]:
         """Return the live entries, this one included while it takes new callers."""
         own = EntryAddress(self.settings.instance_id, self.address, self.settings.zone)
-        others = [
-            entry for entry in self._entries if entry.instance_id != own.instance_id
-        ]
-        return others if self.draining else [*others, own]
+        return self.directory.entries(own, self.draining, self.clock.seconds())
 
     def submit(self, call: Call, sink: AnswerSink) -> OpenRequest:
         """Run a call and send its answer to ``sink``."""
@@ -110,15 +137,39 @@
         observed = ObservedAnswer(
             sink, action, self.request_metrics, call.service, self.clock.seconds
         )
-        request = self.relay.submit(traced, observed, self.clock.seconds())
+        relay = self.keyed if call.idempotency_key else self.relay
+        request = relay.submit(traced, observed, self.clock.seconds())
         self.register.add(request)
         return request
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have no final answer yet."""
+        return self.relay.open_requests + self.keyed.open_requests
+
+    def abandon(self, request: OpenRequest) -> None:
+        """The caller of a request is gone."""
+        self.relay.abandon(request)
+        self.keyed.abandon(request)
+
     def drain(self, reason: str) -> None:
         """Take no new callers; serve those that still come until their list expires."""
         self.draining = True
+        self.connector.announce_leaving()
         eliot.log_message(message_type="entry:drain", reason=reason)
 
+    def _take_config(self, held: VersionInForce) -> None:
+        self.config.replace(held.version, held.document)
+        eliot.log_message(message_type="config:in_force", version=held.version)
+
+    def _note_judged(self, verdict: Verdict) -> None:
+        eliot.log_message(
+            message_type="config:judged",
+            version=verdict.record.version,
+            author=verdict.record.author,
+            result=verdict.reason.value if verdict.reason else "accepted",
+        )
+
     def _poll_instances(self) -> Any:
         listed = self._instances.read()
         listed.addCallbacks(self._follow_instances, _log_list_failure)
@@ -126,7 +177,7 @@
 
     def _follow_instances(self, instances_by_id: dict[str, Instance]) -> None:
         instances = instances_by_id.values()
-        self._entries = [
+        self.directory.replace(
             EntryAddress(
                 instance.instance_id,
                 f"{instance.host}:{instance.port}",
@@ -135,7 +186,7 @@
             for instance in instances
             if instance.role is InstanceRole.ENTRY
             and instance.state is InstanceState.LIVE
-        ]
+        )
         self.connector.follow(
             {
                 instance.instance_id: (instance.host, instance.port)
