Name at most 16 entries to a caller, with one of another zone

Cause: with 330 entries each answer of GET /v1/entries would be 26 KB and every caller would hold a list that it never uses. Ruled out: naming only the caller's zone (a caller would be stuck when its zone is lost). Seen failing first: without the place kept for another zone, 'at least one entry of another zone' fails at 330 and at 9 entries.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/entry_directory.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/entry_directory.py
@@ -58,17 +58,24 @@
         ]
 
 
-def ordered_entries(
-    entries: Iterable[EntryAddress], zone: str, random: Random
+def named_entries(
+    entries: Iterable[EntryAddress], zone: str, limit: int, random: Random
 ) -> list[EntryAddress]:
-    """Return the entries, those of the caller's zone first, each part shuffled.
+    """Return the entries for one caller: those of its zone first, each part shuffled.
+
+    At least one of another zone is among them if there is any, so that a caller can go
+    on when its own zone is lost.
 
     :param zone: the caller's availability zone; empty if it named none.
+    :param limit: how many are named; 2 or more.
     :param random: shuffles, so that callers spread evenly over the entries.
     """
     shuffled = sorted(entries, key=lambda entry: entry.instance_id)
     random.shuffle(shuffled)
-    return sorted(shuffled, key=lambda entry: entry.zone != zone)
+    local = [entry for entry in shuffled if entry.zone == zone]
+    remote = [entry for entry in shuffled if entry.zone != zone]
+    local_limit = limit - 1 if remote else limit
+    return (local[:local_limit] + remote)[:limit]
 
 
-__all__ = ["EntryAddress", "EntryDirectory", "ordered_entries"]
+__all__ = ["EntryAddress", "EntryDirectory", "named_entries"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
@@ -49,6 +49,7 @@
     caller_idle_s: Seconds = 60.0
     receive_body_s: Seconds = 30.0
     remembered_requests: Count = 20_000
+    named_entries: Annotated[int, Meta(ge=2)] = 16
 
 
 class TimingSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
@@ -36,7 +36,7 @@
     RequestStatusReply,
     WorkStateReply,
 )
-from ..state.entry_directory import ordered_entries
+from ..state.entry_directory import named_entries
 from .http_answer import StreamedAnswer, WholeAnswer, write_error, write_json
 
 if TYPE_CHECKING:
@@ -154,9 +154,10 @@
 
     def _entries(self, request: Request) -> None:
         zones = request.args.get(b"zone", [b""])
-        entries = ordered_entries(
+        entries = named_entries(
             self._entry.known_entries(),
             zones[0].decode("latin-1"),
+            self._entry.settings.limits.named_entries,
             self._entry.random,
         )
         ttl_s = self._entry.settings.timing.entries_ttl_s
--- /dev/null
+++ b/tests/features/steps/entry_directory_steps.py
@@ -0,0 +1,74 @@
+"""Steps that ask for the entries a caller is told of."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+
+from corianderrelay_entry.state.entry_directory import (
+    EntryAddress,
+    EntryDirectory,
+    named_entries,
+)
+
+_SEED = 1
+
+
+@given("{count:d} entries spread over 3 zones")
+def step_entries(context: Any, count: int) -> None:
+    context.entries = [
+        EntryAddress(f"entry-{number}", f"10.0.0.{number}:8080", "abc"[number % 3])
+        for number in range(count)
+    ]
+    context.directory = EntryDirectory()
+    context.directory.replace(context.entries)
+
+
+@when('{callers:d} callers of zone "{zone}" ask for up to {limit:d} entries')
+def step_callers_ask(context: Any, callers: int, zone: str, limit: int) -> None:
+    random = Random(_SEED)
+    context.zone = zone
+    context.told = [
+        named_entries(context.entries, zone, limit, random) for _ in range(callers)
+    ]
+
+
+@then("each is told of {named:d} entries, those of its zone first")
+def step_zone_first(context: Any, named: int) -> None:
+    for told in context.told:
+        local = [entry.zone == context.zone for entry in told]
+        assert len(told) == named, told
+        assert local == sorted(local, reverse=True), told
+
+
+@then("each is told of at least one entry of another zone")
+def step_other_zone(context: Any) -> None:
+    for told in context.told:
+        assert any(entry.zone != context.zone for entry in told), told
+
+
+@then("every entry of the zone is named first to some caller")
+def step_spread(context: Any) -> None:
+    first = {told[0].instance_id for told in context.told}
+    local = {e.instance_id for e in context.entries if e.zone == context.zone}
+    # 200 callers cannot reach all of 110 entries; the spread must still be wide.
+    assert first <= local and len(first) >= min(len(local), 60), first
+
+
+@when('the entry "{entry_id}" is reported leaving at {now:d} s')
+def step_leaving(context: Any, entry_id: str, now: int) -> None:
+    context.leaving = entry_id
+    context.directory.mark_leaving([entry_id], float(now))
+
+
+@then("it is not named at {early:g} s and is named at {late:g} s")
+def step_named_again(context: Any, early: float, late: float) -> None:
+    own = context.entries[0]
+    named = [
+        {entry.instance_id for entry in context.directory.entries(own, False, now)}
+        for now in (early, late)
+    ]
+    assert context.leaving not in named[0]
+    assert context.leaving in named[1]
