--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -14,6 +14,8 @@
     AttemptOutcome,
     Cancel,
     Chunk,
+    ConfigRequest,
+    ConfigSnapshot,
     Dispatch,
     End,
     Heartbeat,
@@ -38,6 +40,7 @@
     from collections.abc import Callable
     from typing import Protocol
 
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.errors import RelayError
     from corianderrelay.state.recent_marks import RecentMarks
@@ -70,12 +73,14 @@
         incarnation: int,
         seconds: Callable[[], float],
         leaving_entries: RecentMarks,
+        config: ConfigExchange,
     ) -> None:
         self._attempts = attempts
         self._stream = stream
         self._incarnation = incarnation
         self._seconds = seconds
         self._leaving_entries = leaving_entries
+        self._config = config
         self.entry_id = ""
         self._handlers_by_type: dict[type, Callable[[Any], None]] = {
             Hello: self._on_hello,
@@ -86,6 +91,8 @@
             Attach: self._on_attach,
             TicketRequest: self._on_ticket_request,
             Tombstone: self._on_tombstone,
+            ConfigRequest: self._on_config_request,
+            ConfigSnapshot: self._on_config_snapshot,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -157,6 +164,17 @@
             self._leaving_entries.mark([self.entry_id], self._seconds())
         else:
             self._leaving_entries.clear(self.entry_id)
+        question = self._config.question(message.config_version, self._seconds())
+        if question is not None:
+            self._stream.send(question)
+
+    def _on_config_request(self, message: ConfigRequest) -> None:
+        answer = self._config.answer(message)
+        if answer is not None:
+            self._stream.send(answer)
+
+    def _on_config_snapshot(self, message: ConfigSnapshot) -> None:
+        self._config.take(message)
 
     def _on_dispatch(self, message: Dispatch) -> None:
         order = AttemptOrder(
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -11,6 +11,8 @@
 import eliot
 from result import Err, Ok
 
+from corianderrelay.coordination.held_config import HeldConfig
+from corianderrelay.protocol.config_exchange import ConfigExchange
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
 from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.json_log import start_log
@@ -22,6 +24,7 @@
 from .transport.entry_listener import EntryListener
 
 if TYPE_CHECKING:
+    from corianderrelay.state.config_fold import VersionInForce
     from corianderrelay.transport.tls import TlsFiles
 
     from .state.settings import AgentSettings
@@ -65,7 +68,11 @@
             KeyedAttempts(guard, reactor.seconds),
         )
         self._listener = EntryListener(
-            self._attempts, self._hello(), settings.timing, reactor
+            self._attempts,
+            self._hello(),
+            ConfigExchange(HeldConfig(_log_version)),
+            settings.timing,
+            reactor,
         )
         self._drain_started_s: float | None = None
         self.exit_code = _EXIT_OK
@@ -142,4 +149,8 @@
         self._reactor.callLater(_DRAIN_POLL_S, self._reactor.stop)
 
 
+def _log_version(held: VersionInForce) -> None:
+    eliot.log_message(message_type="config:in_force", version=held.version)
+
+
 __all__ = ["serve_agent"]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -20,6 +20,7 @@
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempts import Attempts
@@ -40,11 +41,13 @@
         self,
         attempts: Attempts,
         hello: Hello,
+        config: ConfigExchange,
         timing: TimingSettings,
         clock: Clock,
     ) -> None:
         self._attempts = attempts
         self._hello = hello
+        self._config = config
         self._timing = timing
         self._clock = clock
         self._sessions_by_stream: dict[FramedStream, EntrySession] = {}
@@ -72,6 +75,7 @@
             self._hello.incarnation,
             self._clock.seconds,
             self._leaving_entries,
+            self._config,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -112,6 +116,7 @@
     def _load_report(self) -> Heartbeat:
         return Heartbeat(
             self._sequence,
+            config_version=self._config.version,
             running=self._attempts.running,
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
--- a/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
@@ -94,6 +94,11 @@
         """The stream as this process has judged it."""
         return self._fold
 
+    @property
+    def in_force(self) -> VersionInForce | None:
+        """The version in force; ``None`` before the first is known."""
+        return self._fold.in_force
+
     def start(self) -> None:
         """Read the stream from its first record that is kept, and never stop."""
         if self._stopped:
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -244,6 +244,25 @@
     detail: str
 
 
+class ConfigRequest(Message, tag="config_request", frozen=True):
+    """Either way: send the configuration in force if it is newer than this version."""
+
+    known_version: Natural
+
+
+class ConfigSnapshot(Message, tag="config_snapshot", frozen=True):
+    """Answer to a config request: the version in force, its document as JSON.
+
+    ``as_of`` is the last offset of the ``config`` stream that it takes account of.
+    """
+
+    version: Natural
+    document: bytes
+    author: str
+    time_s: float
+    as_of: int
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -262,6 +281,8 @@
     | Leaving
     | Ping
     | Pong
+    | ConfigRequest
+    | ConfigSnapshot
     | Closing
 )
 
@@ -273,6 +294,8 @@
     "AttemptOutcome",
     "Cancel",
     "Chunk",
+    "ConfigRequest",
+    "ConfigSnapshot",
     "Closing",
     "Dispatch",
     "End",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -13,6 +13,7 @@
 from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.config_exchange import ConfigExchange
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
 from corianderrelay.state.audit import AuditKind, AuditRecord, config_audit
 from corianderrelay.state.config_records import CONFIG_STREAM
@@ -105,6 +106,7 @@
             self.relay,
             self.keyed,
             self.directory,
+            ConfigExchange(self.config_follower),
             hello,
             settings.timing,
             clock,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -13,6 +13,8 @@
     AttemptOutcome,
     Cancel,
     Chunk,
+    ConfigRequest,
+    ConfigSnapshot,
     Dispatch,
     End,
     Heartbeat,
@@ -33,6 +35,7 @@
     from collections.abc import Callable
     from typing import Protocol
 
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Tombstone
     from corianderrelay.state.call import Call
 
@@ -63,12 +66,14 @@
         relay: Relay,
         keyed: KeyedRelay,
         directory: EntryDirectory,
+        config: ConfigExchange,
         stream: MessageStream,
         seconds: Callable[[], float],
     ) -> None:
         self._relay = relay
         self._keyed = keyed
         self._directory = directory
+        self._config = config
         self._stream = stream
         self._seconds = seconds
         self._runner: Runner | None = None
@@ -82,6 +87,8 @@
             End: self._on_end,
             Ticket: self._on_ticket,
             Tombstoned: self._on_tombstoned,
+            ConfigRequest: self._on_config_request,
+            ConfigSnapshot: self._on_config_snapshot,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -195,6 +202,17 @@
         runner.reported_s = self._seconds()
         runner.dispatched = 0
         self._directory.mark_leaving(message.leaving_entries, runner.reported_s)
+        question = self._config.question(message.config_version, runner.reported_s)
+        if question is not None:
+            self._stream.send(question)
+
+    def _on_config_request(self, message: ConfigRequest) -> None:
+        answer = self._config.answer(message)
+        if answer is not None:
+            self._stream.send(answer)
+
+    def _on_config_snapshot(self, message: ConfigSnapshot) -> None:
+        self._config.take(message)
 
     def _on_leaving(self, message: Leaving) -> None:
         self.runner.leaving = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -19,6 +19,7 @@
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Hello
     from corianderrelay.transport.tls import TlsFiles
 
@@ -43,6 +44,7 @@
         relay: Relay,
         keyed: KeyedRelay,
         directory: EntryDirectory,
+        config: ConfigExchange,
         hello: Hello,
         timing: TimingSettings,
         clock: Clock,
@@ -51,6 +53,7 @@
         self._relay = relay
         self._keyed = keyed
         self._directory = directory
+        self._config = config
         self._leaving = False
         self._hello = hello
         self._timing = timing
@@ -103,7 +106,12 @@
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the agent."""
         session = AgentSession(
-            self._relay, self._keyed, self._directory, stream, self._clock.seconds
+            self._relay,
+            self._keyed,
+            self._directory,
+            self._config,
+            stream,
+            self._clock.seconds,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -137,11 +145,14 @@
     def _heartbeat(self) -> None:
         silent_since = self._clock.seconds() - self._timing.silent_after_s
         self._sequence += 1
+        heartbeat = Heartbeat(
+            self._sequence, config_version=self._config.version, leaving=self._leaving
+        )
         for stream in list(self._sessions_by_stream):
             if stream.last_received_s < silent_since:
                 stream.close("the agent has been silent for too long")
             else:
-                stream.send(Heartbeat(self._sequence, leaving=self._leaving))
+                stream.send(heartbeat)
 
 
 class _StreamFactory(protocol.Factory):
--- a/tests/features/processes/configuration.feature
+++ b/tests/features/processes/configuration.feature
@@ -22,3 +22,7 @@
   Scenario: The audit trail is filtered by kind
     When an operator asks for the audit trail of drained entries
     Then no configuration change is shown
+
+  Scenario: An entry that starts while the log is out takes the newest its peers hold
+    When the log goes out and an entry is killed and started again
+    Then the started entry comes to hold the version that all others hold
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -11,6 +11,7 @@
 
 from corianderrelay_entry.cli import main
 
+from demo.processes import Process, fetch
 from tests.waiting import wait_until
 
 
@@ -130,3 +131,45 @@
 def step_audit_filtered(context: Any) -> None:
     assert context.shown_audit.exit_code == 0, context.shown_audit.output
     assert "config_" not in context.shown_audit.output, context.shown_audit.output
+
+
+@when("the log goes out and an entry is killed and started again")
+def step_start_in_outage(context: Any) -> None:
+    system = context.system
+    context.base = _show(context)["version"]
+    wait_until(
+        lambda: {one["version"] for one in _agents_hold(context)} == {context.base},
+        "the agents hold the version",
+    )
+    fetch(f"{system.log_url}/control", "POST", b'{"outage": true}')
+    system.processes_named("entry-1")[0].kill()
+    command = ["-m", "corianderrelay_entry.run", "serve", "--settings"]
+    settings = str(Path(system.folder) / "entry-1.json")
+    log_path = Path(system.folder) / "entry-1-again.log"
+    process = Process("entry-1", [*command, settings], log_path)
+    context.cleanup.callback(process.kill)
+    port = process.wait_for_line("operators_port")["operators_port"]
+    system.operators[1] = f"http://127.0.0.1:{port}"
+
+
+@then("the started entry comes to hold the version that all others hold")
+def step_holds_in_outage(context: Any) -> None:
+    wait_until(
+        lambda: context.system.status(context.system.operators[1])["config_version"]
+        == context.base,
+        "the started entry holds the version",
+    )
+    assert _show(context, 1) == _show(context, 0)
+
+
+def _agents_hold(context: Any) -> list[dict[str, Any]]:
+    """Return the newest version that each agent has logged."""
+    logs = [
+        process.log_path.read_text()
+        for process in context.system.processes_named("agent")
+    ]
+    lines = [
+        [json.loads(line) for line in log.splitlines() if "config:in_force" in line]
+        for log in logs
+    ]
+    return [one[-1] if one else {"version": 0} for one in lines]
