--- a/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/config_follower.py
@@ -163,7 +163,6 @@
 
     def _on_page(self, page: LogPage) -> None:
         self.log_up = True
-        before = self._fold.version
         if page.first_offset > self._fold.next_offset:
             self._fold.skip_to(page.first_offset)
             for publication, _ in self._publications.values():
@@ -171,7 +170,7 @@
         for entry in page.entries:
             self._on_record(entry.offset, entry.payload)
         self._fold.pass_over(page.next_offset)
-        self._note([], before)
+        self._answer_publications()
         self._refresh_if_due()
         self._clock.callLater(0, self.start)
 
--- a/packages/corianderrelay-core/src/corianderrelay/state/config_fold.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/config_fold.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from .config_records import AnyConfigRecord, ConfigRecord, RefreshRecord
+from .config_records import AnyConfigRecord, ConfigRecord, RecordHead, RefreshRecord
 from .document import Document
 from .document_check import check_document
 from .document_diff import diff_documents
@@ -55,7 +55,7 @@
     """
 
     offset: int
-    record: ConfigRecord
+    record: RecordHead
     reason: RejectReason | None
     changes: tuple[DocumentChange, ...] = ()
 
@@ -190,7 +190,7 @@
 
     def _judge(self, offset: int, record: ConfigRecord) -> Verdict:
         reason = self._reject_reason(record)
-        verdict = Verdict(offset, record, reason, self._changes(record, reason))
+        verdict = Verdict(offset, record.head, reason, self._changes(record, reason))
         self._recent.append(verdict)
         if reason is None:
             self._judged = VersionInForce(
--- a/tests/features/core/coordination/config_follower.feature
+++ b/tests/features/core/coordination/config_follower.feature
@@ -5,6 +5,7 @@
     When follower 1 publishes a document based on version 0
     Then the publication ends as version 1
     And all followers hold version 1
+    And each follower took version 1 once
 
   Scenario: A lost answer is read back before anything is told
     Given 2 configuration followers of one log
--- a/tests/features/core/state/config_fold.feature
+++ b/tests/features/core/state/config_fold.feature
@@ -18,3 +18,18 @@
     Given a configuration reader that holds version 3
     When a peer tells that reader of version 2
     Then that reader still holds version 3
+
+  Scenario Outline: A record that is no record is passed over by all readers
+    Then a configuration record of <bytes> is malformed
+
+    Examples:
+      | bytes                  |
+      | nothing                |
+      | text that is no JSON   |
+      | compressed text        |
+      | a cut-off record       |
+      | 17 compressed MB       |
+      | a document with faults |
+
+  Scenario: A record survives its encoding, and plain JSON is read as well
+    Then a configuration record is the same after its encoding and as plain JSON
--- a/tests/features/steps/config_fold_steps.py
+++ b/tests/features/steps/config_fold_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
+import msgspec
 from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -13,6 +15,8 @@
     AnyConfigRecord,
     ConfigRecord,
     RefreshRecord,
+    decode_config_record,
+    encode_config_record,
 )
 from corianderrelay.state.document import Document
 
@@ -113,3 +117,26 @@
 @then("that reader still holds version {version:d}")
 def step_still_holds(context: Any, version: int) -> None:
     assert context.fold.version == version, context.fold.version
+
+
+@then("a configuration record of {words} is malformed")
+def step_malformed(context: Any, words: str) -> None:
+    encoded = encode_config_record(_edit(1, 0))
+    text = msgspec.json.encode(_edit(1, 0))
+    payloads = {
+        "nothing": b"",
+        "text that is no JSON": b"{no",
+        "compressed text": zlib.compress(b"no"),
+        "a cut-off record": encoded[:-5],
+        "17 compressed MB": zlib.compress(b" " * 17 * 1024 * 1024 + text),
+        "a document with faults": text.replace(b'"document":{}', b'"document":{"x":1}'),
+    }
+    error = decode_config_record(payloads[words]).unwrap_err()
+    assert error.kind == "bad_frame" and error.remedy, error
+
+
+@then("a configuration record is the same after its encoding and as plain JSON")
+def step_encoded(context: Any) -> None:
+    record = _edit(1, 0)
+    assert decode_config_record(encode_config_record(record)).unwrap() == record
+    assert decode_config_record(msgspec.json.encode(record)).unwrap() == record
--- a/tests/features/steps/config_follower_steps.py
+++ b/tests/features/steps/config_follower_steps.py
@@ -34,7 +34,7 @@
         f"process-{len(context.followers)}",
         _RETENTION_S,
         lambda: _WALL_START_S + float(context.clock.seconds()),
-        lambda held: None,
+        lambda held: context.taken.append(held.version),
         lambda verdict: None,
     )
     follower.start()
@@ -58,6 +58,7 @@
     context.faults = LogFaults(retention_s=_RETENTION_S)
     context.log = VirtualLog(context.clock, context.faults)
     context.followers = []
+    context.taken = []
     context.outcomes = []
     for _ in range(number):
         _start_follower(context)
@@ -138,3 +139,8 @@
 def step_all_hold(context: Any, version: int) -> None:
     held = [follower.fold.version for follower in context.followers]
     assert held == [version] * len(held), held
+
+
+@then("each follower took version {version:d} once")
+def step_taken_once(context: Any, version: int) -> None:
+    assert context.taken == [version] * len(context.followers), context.taken
--- a/tests/virtual_log.py
+++ b/tests/virtual_log.py
@@ -14,7 +14,16 @@
 if TYPE_CHECKING:
     from twisted.internet.task import Clock
 
-_POLL_S = 0.05
+
+class _Wait:
+    """A read that waits for an entry."""
+
+    __slots__ = ("offset", "until", "told")
+
+    def __init__(self, offset: int, until: float) -> None:
+        self.offset = offset
+        self.until = until
+        self.told: Deferred[LogPage] = Deferred()
 
 
 class VirtualLog:
@@ -31,6 +40,7 @@
         self._clock = clock
         self._store = LogStore(faults)
         self._answer_s = answer_s
+        self._waiting_by_stream: dict[str, list[_Wait]] = {}
 
     def append(self, stream: str, payload: bytes) -> Deferred[int]:
         """Append one payload; see ``LogClient``."""
@@ -38,6 +48,8 @@
         if answer.is_err():
             return fail(LogUnavailableError("the log is out", "wait"))
         self.appends += 1
+        for wait in self._waiting_by_stream.pop(stream, []):
+            self._clock.callLater(self._answer_s, self._answer, wait, stream)
         told: Deferred[int] = Deferred()
         if self._store.answer_is_lost():
             error = LogAnswerLostError("the answer is lost", "read it back")
@@ -48,25 +60,25 @@
 
     def read(self, stream: str, offset: int, wait_s: float) -> Deferred[LogPage]:
         """Read a page; see ``LogClient``."""
-        told: Deferred[LogPage] = Deferred()
-        until = self._clock.seconds() + wait_s
-        self._clock.callLater(self._answer_s, self._answer, told, stream, offset, until)
-        return told
+        wait = _Wait(offset, self._clock.seconds() + wait_s)
+        self._clock.callLater(self._answer_s, self._answer, wait, stream)
+        return wait.told
 
-    def _answer(
-        self, told: Deferred[LogPage], stream: str, offset: int, until: float
-    ) -> None:
+    def _answer(self, wait: _Wait, stream: str) -> None:
         now = self._clock.seconds()
-        answer = self._store.read(stream, offset, now)
+        if wait.told.called:
+            return
+        answer = self._store.read(stream, wait.offset, now)
         if answer.is_err():
-            told.errback(LogUnavailableError("the log is out", "wait"))
+            wait.told.errback(LogUnavailableError("the log is out", "wait"))
             return
         page = answer.unwrap()
-        if not page.entries and now < until:
-            self._clock.callLater(_POLL_S, self._answer, told, stream, offset, until)
+        if not page.entries and now < wait.until:
+            self._waiting_by_stream.setdefault(stream, []).append(wait)
+            self._clock.callLater(wait.until - now, self._answer, wait, stream)
             return
         entries = tuple(LogEntry(place, payload) for place, payload in page.entries)
-        told.callback(LogPage(page.first, page.next, entries))
+        wait.told.callback(LogPage(page.first, page.next, entries))
 
 
 __all__ = ["VirtualLog"]
