Wire routing, attempts, the retry budget, echoes and drain into both binaries

The relay now carries out the orders of RequestAttempts and Router. Heartbeats are echoed, and an agent is used only while an echo is fresh. Agents answer an entry's heartbeat at once in place of their own period: with both periods an echo was up to 2 s old and left one second of slack until it is unusable. Agents keep frames until acknowledged and cut chunks behind the last token.

A request may end at most two engines at its entry, because suspects are not wired between entries yet.

New metrics: entry_attempts_total (first, further), entry_attaches_total.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
@@ -15,7 +15,12 @@
 )
 
 from ..state.attempt import Attempt, AttemptPhase
-from ..state.server_sent_events import EventSplitter, count_tokens, without_done
+from ..state.server_sent_events import (
+    EventSplitter,
+    count_tokens,
+    split_after_last_token,
+    without_done,
+)
 from .engine import EngineCall
 
 if TYPE_CHECKING:
@@ -53,6 +58,8 @@
         self._queue: deque[Attempt] = deque()
         self._calls_by_attempt: dict[str, RunningCall] = {}
         self.attempts_by_id: dict[str, Attempt] = {}
+        self.kept_by_id: dict[str, Attempt] = {}
+        self._orphaned_at_by_entry: dict[str, float] = {}
         self.entries_by_id: dict[str, EntryPort] = {}
         self.leaving = False
 
@@ -84,11 +91,17 @@
         entry.accepted(attempt)
         self._start_queued()
 
+    @property
+    def unfinished(self) -> int:
+        """Number of attempts that run, wait, or have an end that may be lost."""
+        return len(self.attempts_by_id) + len(self.kept_by_id)
+
     def cancel(self, attempt_id: str) -> None:
         """Stop an attempt whose answer is no longer wanted.
 
         One that must not be repeated runs to its end once the endpoint has seen it.
         """
+        self.kept_by_id.pop(attempt_id, None)
         attempt = self.attempts_by_id.get(attempt_id)
         if attempt is None or (
             attempt.order.key and attempt_id in self._calls_by_attempt
@@ -106,21 +119,61 @@
         self._start_queued()
 
     def acknowledge(self, attempt_id: str, sequence: int) -> None:
-        """Forget chunks that the entry has."""
+        """Forget chunks that the entry has; past the last one, the end too."""
+        attempt = self.find(attempt_id)
+        if attempt is None:
+            return
+        attempt.acknowledge(sequence)
+        if attempt.ended_at_s is not None and sequence >= attempt.next_sequence:
+            self.kept_by_id.pop(attempt_id, None)
+
+    def find(self, attempt_id: str) -> Attempt | None:
+        """Return an attempt that runs, waits or is kept for its entry."""
         attempt = self.attempts_by_id.get(attempt_id)
-        if attempt is not None:
-            attempt.acknowledge(sequence)
+        return attempt if attempt is not None else self.kept_by_id.get(attempt_id)
+
+    def entry_joined(self, entry: EntryPort, entry_id: str) -> None:
+        """An entry has said hello, perhaps on a stream that replaces a silent one."""
+        self.entries_by_id[entry_id] = entry
+        self._orphaned_at_by_entry.pop(entry_id, None)
+
+    def expire(self, keep_s: float) -> None:
+        """Let go of what no entry has come back for.
+
+        :param keep_s: for how long an entry may be away, in seconds.
+        """
+        before = self._seconds() - keep_s
+        gone = [name for name, at in self._orphaned_at_by_entry.items() if at <= before]
+        for entry_id in gone:
+            del self._orphaned_at_by_entry[entry_id]
+            for attempt_id in self._attempts_of(entry_id):
+                self.cancel(attempt_id)
+        late = [
+            attempt_id
+            for attempt_id, attempt in self.kept_by_id.items()
+            if attempt.ended_at_s is not None and attempt.ended_at_s <= before
+        ]
+        for attempt_id in late:
+            del self.kept_by_id[attempt_id]
 
     def entry_lost(self, entry_id: str) -> None:
-        """The entry's stream is gone for good: cancel what it had asked for."""
+        """The entry's stream is gone; it may attach to what it had asked for.
+
+        Attempts that must not be repeated are withdrawn unless they run: their claims
+        are settled by asking for a tombstone.
+        """
         self.entries_by_id.pop(entry_id, None)
-        orphans = [
+        self._orphaned_at_by_entry[entry_id] = self._seconds()
+        for attempt_id in self._attempts_of(entry_id):
+            if self.attempts_by_id[attempt_id].order.key:
+                self.cancel(attempt_id)
+
+    def _attempts_of(self, entry_id: str) -> list[str]:
+        return [
             attempt_id
             for attempt_id, attempt in self.attempts_by_id.items()
             if attempt.entry_id == entry_id
         ]
-        for attempt_id in orphans:
-            self.cancel(attempt_id)
 
     def on_head(self, attempt: Attempt, status: int, content_type: str) -> None:
         """The engine has begun to answer."""
@@ -150,6 +203,7 @@
         """The engine gave no whole answer."""
         if attempt.order.key:
             self.keyed.on_failure(attempt, error)
+        attempt.failure = error
         entry = self._end(attempt)
         if entry is not None:
             entry.failed(attempt, error)
@@ -208,8 +262,11 @@
 
     def _end(self, attempt: Attempt) -> EntryPort | None:
         attempt.phase = AttemptPhase.ENDED
+        attempt.ended_at_s = self._seconds()
         self._calls_by_attempt.pop(attempt.order.attempt_id, None)
         self.attempts_by_id.pop(attempt.order.attempt_id, None)
+        if not attempt.order.key and attempt.failure is None:
+            self.kept_by_id[attempt.order.attempt_id] = attempt
         self._start_queued()
         return self.entries_by_id.get(attempt.entry_id)
 
@@ -234,8 +291,9 @@
             self._attempts.on_data(self._attempt, data, 0)
             return
         events = without_done(self._splitter.feed(data))
-        if events:
-            self._attempts.on_data(self._attempt, events, count_tokens(events))
+        for part in split_after_last_token(events):
+            if part:
+                self._attempts.on_data(self._attempt, part, count_tokens(part))
 
     def on_end(self) -> None:
         self._attempts.on_done(self._attempt)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -61,6 +61,7 @@
     :param incarnation: number of this agent's process.
     :param seconds: returns the monotonic time.
     :param leaving_entries: marks the entries that say they leave.
+    :param report: makes the heartbeat that echoes the entry's heartbeat.
     """
 
     def __init__(
@@ -70,13 +71,17 @@
         incarnation: int,
         seconds: Callable[[], float],
         leaving_entries: RecentMarks,
+        report: Callable[[int], Heartbeat],
     ) -> None:
+        self._report = report
         self._attempts = attempts
         self._stream = stream
         self._incarnation = incarnation
         self._seconds = seconds
         self._leaving_entries = leaving_entries
         self.entry_id = ""
+        self.echo = 0
+        self.replied = False
         self._handlers_by_type: dict[type, Callable[[Any], None]] = {
             Hello: self._on_hello,
             Heartbeat: self._on_heartbeat,
@@ -150,9 +155,12 @@
                 f"run a release that speaks version {PROTOCOL_VERSION} on both sides",
             )
         self.entry_id = message.instance_id
-        self._attempts.entries_by_id[self.entry_id] = self
+        self._attempts.entry_joined(self, self.entry_id)
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
+        self.echo = max(self.echo, message.sequence)
+        self.replied = True
+        self._stream.send(self._report(self.echo))
         if message.leaving:
             self._leaving_entries.mark([self.entry_id], self._seconds())
         else:
@@ -213,13 +221,17 @@
         self._attempts.acknowledge(message.attempt_id, message.sequence)
 
     def _on_attach(self, message: Attach) -> None:
-        attempt = self._attempts.attempts_by_id.get(message.attempt_id)
+        attempt = self._attempts.find(message.attempt_id)
         if attempt is None:
             reason = RefusalReason.STALE_INCARNATION
             self._stream.send(Refused(message.attempt_id, reason))
             return
         for chunk in attempt.chunks_after(message.after_sequence):
             self.chunk(attempt, chunk)
+        if attempt.failure is not None:
+            self.failed(attempt, attempt.failure)
+        elif attempt.ended_at_s is not None:
+            self.done(attempt)
 
     def _on_ping(self, message: Ping) -> None:
         self._stream.send(Pong(message.sequence))
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello, Leaving
+from corianderrelay.state.drain import Drain, StopProcess
 from corianderrelay.state.incarnation import new_incarnation
 from corianderrelay.transport.json_log import start_log
 
@@ -67,7 +68,7 @@
         self._listener = EntryListener(
             self._attempts, self._hello(), settings.timing, reactor
         )
-        self._drain_started_s: float | None = None
+        self._drain = Drain(0.0, settings.timing.drain_deadline_s)
         self.exit_code = _EXIT_OK
 
     def start(self) -> None:
@@ -113,30 +114,29 @@
         self._reactor.callFromThread(self._drain_or_stop, signal.Signals(number).name)
 
     def _drain_or_stop(self, name: str) -> None:
-        if self._drain_started_s is not None:
-            self._stop(f"a second signal ({name})")
+        running = len(self._attempts.attempts_by_id)
+        order = self._drain.signal(name, running, self._reactor.seconds())
+        if isinstance(order, StopProcess):
+            self._stop(order)
             return
-        self._drain_started_s = self._reactor.seconds()
         self._attempts.leaving = True
         self._listener.broadcast(lambda: Leaving(self._incarnation))
         eliot.log_message(message_type="agent:leaving", reason=name)
         self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
 
     def _stop_when_drained(self) -> None:
-        assert self._drain_started_s is not None
-        waited_s = self._reactor.seconds() - self._drain_started_s
-        if not self._attempts.attempts_by_id:
-            self._stop("drained")
-        elif waited_s >= self._settings.timing.drain_deadline_s:
-            self._stop("the drain deadline")
-        else:
+        now = self._reactor.seconds()
+        order = self._drain.check(self._attempts.unfinished, now)
+        if order is None:
             self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
+        else:
+            self._stop(order)
 
-    def _stop(self, reason: str) -> None:
+    def _stop(self, order: StopProcess) -> None:
         cut = len(self._attempts.attempts_by_id)
         self.exit_code = _EXIT_CUT if cut else _EXIT_OK
         eliot.log_message(
-            message_type="agent:stopped", reason=reason, cut_off_attempts=cut
+            message_type="agent:stopped", reason=order.reason, cut_off_attempts=cut
         )
         # Frames of the last answers leave before the process ends.
         self._reactor.callLater(_DRAIN_POLL_S, self._reactor.stop)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
@@ -5,9 +5,13 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import xxhash
 
+if TYPE_CHECKING:
+    from corianderrelay.state.errors import RelayError
+
 
 class AttemptPhase(Enum):
     """How far an attempt has come."""
@@ -71,6 +75,8 @@
         "next_sequence",
         "tokens",
         "unacknowledged",
+        "ended_at_s",
+        "failure",
         "_digest",
     )
 
@@ -83,6 +89,8 @@
         self.next_sequence = 0
         self.tokens = 0
         self.unacknowledged: deque[AnswerChunk] = deque()
+        self.ended_at_s: float | None = None
+        self.failure: RelayError | None = None
         self._digest = xxhash.xxh3_64()
 
     @property
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/server_sent_events.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/server_sent_events.py
@@ -39,9 +39,26 @@
     return events.count(_TOKEN_MARK)
 
 
+def split_after_last_token(events: bytes) -> tuple[bytes, bytes]:
+    """Return the events up to the last one with a token, and those after it.
+
+    An answer is resumed at a token, so that no chunk may go beyond its last token.
+    """
+    mark = events.rfind(_TOKEN_MARK)
+    if mark < 0:
+        return b"", events
+    end = events.index(_EVENT_END, mark) + len(_EVENT_END)
+    return events[:end], events[end:]
+
+
 def without_done(events: bytes) -> bytes:
     """Return the events less the final one: the entry sends that when all is whole."""
     return events.removesuffix(_DONE_EVENT)
 
 
-__all__ = ["EventSplitter", "count_tokens", "without_done"]
+__all__ = [
+    "EventSplitter",
+    "count_tokens",
+    "split_after_last_token",
+    "without_done",
+]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -72,6 +72,7 @@
             self._hello.incarnation,
             self._clock.seconds,
             self._leaving_entries,
+            self._load_report,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -106,16 +107,21 @@
         ]
         for stream in silent:
             stream.close("the entry has been silent for too long")
+        self._attempts.expire(self._timing.reattach_s)
         self._sequence += 1
-        self.broadcast(self._load_report)
+        for stream, session in self._sessions_by_stream.items():
+            if not session.replied:
+                stream.send(self._load_report(session.echo))
+            session.replied = False
 
-    def _load_report(self) -> Heartbeat:
+    def _load_report(self, echo: int = 0) -> Heartbeat:
         return Heartbeat(
             self._sequence,
             running=self._attempts.running,
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
             leaving=self._attempts.leaving,
+            echo=echo,
             leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
 
--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -35,7 +35,7 @@
 
     from .retry_budget import RetryBudget
 
-_MAX_ATTEMPTS = 4
+_MAX_ATTEMPTS = 2
 _MAX_REFUSALS = 4
 _ACKNOWLEDGE_EVERY = 32
 _RETRY_AFTER_S = 1.0
--- a/packages/corianderrelay-core/src/corianderrelay/state/runner_load.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/runner_load.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-_DEFAULT_TOKENS_PER_S = 4000.0
+DEFAULT_TOKENS_PER_S = 4000.0
 _REPORT_DECAY_S = 4.0
 _SAMPLES = 2
 _SAMPLE_LIFE_S = 20.0
@@ -72,7 +72,7 @@
     @property
     def tokens_per_s(self) -> float:
         """Reported pace, or a default before the first report."""
-        return self.report.tokens_per_s if self.report else _DEFAULT_TOKENS_PER_S
+        return self.report.tokens_per_s if self.report else DEFAULT_TOKENS_PER_S
 
     def take_report(self, report: LoadReport, measured_at: float) -> None:
         """Take a report unless a newer one is known."""
@@ -178,4 +178,4 @@
         return self.failures * math.exp((self.failures_at - now) / _FAILURE_DECAY_S)
 
 
-__all__ = ["LoadReport", "RunnerLoad"]
+__all__ = ["DEFAULT_TOKENS_PER_S", "LoadReport", "RunnerLoad"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
@@ -28,6 +28,9 @@
     def cancel(self, attempt_id: str) -> None:
         """Tell the agent that the attempt's answer is no longer wanted."""
 
+    def attach(self, attempt_id: str, after_sequence: int) -> None:
+        """Ask the agent for the attempt's frames after this sequence again."""
+
     def acknowledge(self, attempt_id: str, sequence: int) -> None:
         """Tell the agent that chunks up to ``sequence`` need not be kept."""
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -1,182 +1,244 @@
-"""Relays calls to runners and answers back to callers."""
+"""Relays repeatable calls to runners and answers back to callers.
+
+The decisions are those of :class:`RequestAttempts` and :class:`Router`; this module
+carries their orders out on the agents' streams and the callers' sinks.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from corianderrelay.state.errors import (
-    EndpointFailedError,
-    OverloadedError,
-    Ran,
-    RelayError,
-    UnavailableError,
+from corianderrelay.state.answer_assembly import AnswerHead
+from corianderrelay.state.attempt_orders import (
+    AcknowledgeAttempt,
+    AttachAttempt,
+    AttemptOrder,
+    BeginAttempt,
+    CancelAttempt,
+    FailAnswer,
+    FinishAnswer,
+    StartAnswer,
+    WriteAnswer,
 )
+from corianderrelay.state.attempts import RequestAttempts
+from corianderrelay.state.retry_budget import RetryBudget
 
 from ..state.open_request import OpenRequest, RequestPhase
+from .runner_choice import RunnerChoice, ServiceRouters
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
+    from random import Random
 
     from corianderrelay.state.call import Call
 
     from .agent_port import AgentPort
     from .answer_sink import AnswerSink
+    from .request_metrics import RequestMetrics
+
+_REATTACH_S = 1.0
+
 
-_RETRY_AFTER_S = 1.0
-_ACKNOWLEDGE_EVERY = 32
+class _Open:
+    """An open request with what carries it."""
+
+    __slots__ = ("request", "sink", "choice", "attempts")
+
+    def __init__(
+        self,
+        request: OpenRequest,
+        sink: AnswerSink,
+        choice: RunnerChoice,
+        attempts: RequestAttempts,
+    ) -> None:
+        self.request = request
+        self.sink = sink
+        self.choice = choice
+        self.attempts = attempts
 
 
 class Relay:
     """Keeps the open requests of this entry and the agents that run them.
 
     :param new_id: returns a new unique identifier at each call.
+    :param seconds: returns the monotonic time.
+    :param random: draws candidates.
+    :param zone: this entry's availability zone.
     """
 
-    def __init__(self, new_id: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        new_id: Callable[[], str],
+        seconds: Callable[[], float],
+        random: Random,
+        zone: str,
+        metrics: RequestMetrics,
+    ) -> None:
         self._new_id = new_id
+        self._seconds = seconds
+        self._metrics = metrics
         self.agents_by_id: dict[str, AgentPort] = {}
-        self._open_by_attempt: dict[str, OpenRequest] = {}
-        self._sinks_by_attempt: dict[str, AnswerSink] = {}
+        self.routers = ServiceRouters(self.agents_by_id, zone, random)
+        self._budget = RetryBudget()
+        self._open_by_id: dict[str, _Open] = {}
+        self._open_by_attempt: dict[str, _Open] = {}
+        self._lost_since_by_agent: dict[str, float] = {}
 
     @property
     def open_requests(self) -> int:
         """Number of requests that have no final answer yet."""
-        return len(self._open_by_attempt)
+        return len(self._open_by_id)
 
     def submit(self, call: Call, sink: AnswerSink, now: float) -> OpenRequest:
         """Run the call on a runner and send its answer to ``sink``."""
         request = OpenRequest(call, now)
-        self._try_next(request, sink)
+        choice = self.routers.choice(call)
+        attempts = RequestAttempts(call.deadline_s, choice, self._budget, self._new_id)
+        opened = _Open(request, sink, choice, attempts)
+        self._open_by_id[call.request_id] = opened
+        self._carry_out(opened, attempts.start(now))
         return request
 
     def abandon(self, request: OpenRequest) -> None:
         """The caller is gone: stop the request's attempt."""
-        attempt_id = request.attempt_id
-        if attempt_id not in self._open_by_attempt:
+        opened = self._open_by_id.get(request.call.request_id)
+        if opened is None:
             return
-        self._forget(attempt_id)
         request.phase = RequestPhase.ABANDONED
-        agent = self.agents_by_id.get(request.runner_id)
-        if agent is not None:
-            agent.cancel(attempt_id)
+        self._carry_out(opened, opened.attempts.caller_gone())
+        self._close(opened)
 
     def on_refused(self, attempt_id: str, retry_after_s: float) -> None:
-        """The agent did not take the attempt: nothing was run, try another."""
-        request = self._open_by_attempt.get(attempt_id)
-        if request is None:
-            return
-        sink = self._forget(attempt_id)
-        request.refused_by.add(request.runner_id)
-        request.retry_after_s = max(request.retry_after_s, retry_after_s)
-        self._try_next(request, sink)
+        """The agent did not take the attempt, or has lost it."""
+        opened = self._open_by_attempt.get(attempt_id)
+        if opened is not None:
+            opened.choice.ended(self._seconds(), failed=False)
+            orders = opened.attempts.refused(attempt_id, retry_after_s, self._seconds())
+            self._carry_out(opened, orders)
 
     def on_chunk(
-        self,
-        attempt_id: str,
-        sequence: int,
-        data: bytes,
-        tokens: int,
-        status: int,
-        content_type: str,
+        self, attempt_id: str, sequence: int, data: bytes, tokens: int, head: AnswerHead
     ) -> None:
         """A piece of an answer has arrived; a late or doubled one is dropped."""
-        request = self._open_by_attempt.get(attempt_id)
-        if request is None or sequence != request.next_sequence:
+        opened = self._open_by_attempt.get(attempt_id)
+        if opened is None:
             return
-        sink = self._sinks_by_attempt[attempt_id]
-        if sequence == 0 and request.phase is RequestPhase.WAITING:
-            request.phase = RequestPhase.STREAMING
-            sink.start(status, content_type)
-        request.add_chunk(data, tokens)
-        sink.write(data)
-        if request.next_sequence % _ACKNOWLEDGE_EVERY == 0:
-            self.agents_by_id[request.runner_id].acknowledge(attempt_id, sequence)
+        orders = opened.attempts.chunk(attempt_id, sequence, data, tokens, head)
+        opened.choice.progress(tokens, self._seconds())
+        opened.request.tokens = opened.attempts.tokens
+        self._carry_out(opened, orders)
 
     def on_end(self, attempt_id: str, chunks: int, digest: int) -> None:
         """The attempt is over: the answer is whole if count and digest agree."""
-        request = self._open_by_attempt.get(attempt_id)
-        if request is None:
-            return
-        sink = self._forget(attempt_id)
-        if not request.is_whole(chunks, digest):
-            self._fail(request, sink, _endpoint_failed("its answer arrived damaged"))
-            return
-        request.phase = RequestPhase.DONE
-        sink.finish()
+        opened = self._open_by_attempt.get(attempt_id)
+        if opened is not None:
+            now = self._seconds()
+            orders = opened.attempts.ended(attempt_id, chunks, digest, now)
+            self._carry_out(opened, orders)
 
     def on_failed(self, attempt_id: str, detail: str) -> None:
         """The attempt was started and failed."""
-        request = self._open_by_attempt.get(attempt_id)
-        if request is not None:
-            sink = self._forget(attempt_id)
-            self._fail(request, sink, _endpoint_failed(detail))
+        opened = self._open_by_attempt.get(attempt_id)
+        if opened is not None:
+            opened.choice.ended(self._seconds(), failed=True)
+            orders = opened.attempts.failed(attempt_id, detail, self._seconds())
+            self._carry_out(opened, orders)
+
+    def on_agent_ready(self, agent: AgentPort) -> None:
+        """An agent has said hello on a new stream: ask for what the old one lost."""
+        runner = agent.runner
+        known = self.agents_by_id.get(runner.instance_id)
+        self.agents_by_id[runner.instance_id] = agent
+        self.routers.add(runner)
+        lost = self._lost_since_by_agent.pop(runner.instance_id, None)
+        if known is None and lost is None:
+            return
+        for opened in self._running_at(runner.instance_id):
+            orders = opened.attempts.stream_replaced(runner.instance_id)
+            self._carry_out(opened, orders)
 
     def on_agent_lost(self, runner_id: str) -> None:
-        """The stream to an agent is gone: fail what ran there."""
+        """The stream to an agent is gone; it may come back within a moment."""
         self.agents_by_id.pop(runner_id, None)
+        self._lost_since_by_agent[runner_id] = self._seconds()
+
+    def tick(self) -> None:
+        """Give up agents that did not come back, and requests that are too late."""
+        now = self._seconds()
         lost = [
-            attempt_id
-            for attempt_id, request in self._open_by_attempt.items()
-            if request.runner_id == runner_id
+            agent_id
+            for agent_id, since in self._lost_since_by_agent.items()
+            if now - since >= _REATTACH_S
         ]
-        for attempt_id in lost:
-            self.on_failed(attempt_id, "the connection to its instance was lost")
-
-    def _try_next(self, request: OpenRequest, sink: AnswerSink) -> None:
-        agent = _least_loaded(self._candidates(request))
-        if agent is None:
-            self._fail(request, sink, self._nobody_available(request))
-            return
-        attempt_id = self._new_id()
-        request.begin_attempt(attempt_id, agent.runner.instance_id)
-        self._open_by_attempt[attempt_id] = request
-        self._sinks_by_attempt[attempt_id] = sink
-        agent.runner.dispatched += 1
-        agent.dispatch(attempt_id, request.call, request.tokens)
-
-    def _candidates(self, request: OpenRequest) -> list[AgentPort]:
+        for agent_id in lost:
+            del self._lost_since_by_agent[agent_id]
+            for opened in self._running_at(agent_id):
+                opened.choice.ended(now, failed=True)
+                self._carry_out(opened, opened.attempts.runner_lost(agent_id, now))
+        for opened in list(self._open_by_id.values()):
+            self._carry_out(opened, opened.attempts.deadline_passed(now))
+
+    def _running_at(self, runner_id: str) -> list[_Open]:
         return [
-            agent
-            for runner_id, agent in self.agents_by_id.items()
-            if agent.runner.usable
-            and agent.runner.service == request.call.service
-            and runner_id not in request.refused_by
+            opened
+            for opened in self._open_by_id.values()
+            if opened.attempts.runner_id == runner_id
         ]
 
-    def _nobody_available(self, request: OpenRequest) -> RelayError:
-        retry_after_s = max(request.retry_after_s, _RETRY_AFTER_S)
-        if request.refused_by:
-            return OverloadedError(
-                "every endpoint of the service is busy",
-                f"send the request again after {retry_after_s:.0f} s",
-                retry_after_s=retry_after_s,
-            )
-        return UnavailableError(
-            f"no endpoint of service {request.call.service!r} is reachable",
-            f"send the request again after {retry_after_s:.0f} s",
-            retry_after_s=retry_after_s,
-        )
-
-    def _forget(self, attempt_id: str) -> AnswerSink:
-        del self._open_by_attempt[attempt_id]
-        return self._sinks_by_attempt.pop(attempt_id)
-
-    def _fail(self, request: OpenRequest, sink: AnswerSink, error: RelayError) -> None:
-        request.phase = RequestPhase.FAILED
-        sink.fail(error)
-
-
-def _least_loaded(agents: Iterable[AgentPort]) -> AgentPort | None:
-    return min(agents, key=lambda agent: agent.runner.load, default=None)
-
-
-def _endpoint_failed(detail: str) -> EndpointFailedError:
-    return EndpointFailedError(
-        f"the endpoint failed: {detail}",
-        "send the request again if it may be repeated",
-        ran=Ran.UNKNOWN,
-        retry_after_s=_RETRY_AFTER_S,
-    )
+    def _carry_out(self, opened: _Open, orders: list[AttemptOrder]) -> None:
+        for order in orders:
+            match order:
+                case StartAnswer():
+                    opened.request.phase = RequestPhase.STREAMING
+                    opened.sink.start(order.status, order.content_type)
+                case WriteAnswer():
+                    opened.sink.write(order.data)
+                case FinishAnswer():
+                    opened.request.phase = RequestPhase.DONE
+                    self._close(opened)
+                    opened.sink.finish()
+                case FailAnswer():
+                    opened.request.phase = RequestPhase.FAILED
+                    self._close(opened)
+                    opened.sink.fail(order.error)
+                case _:
+                    self._tell_agent(opened, order)
+
+    def _tell_agent(self, opened: _Open, order: AttemptOrder) -> None:
+        match order:
+            case BeginAttempt():
+                self._begin(opened, order)
+            case AttachAttempt():
+                agent = self.agents_by_id.get(order.runner_id)
+                if agent is not None:
+                    self._metrics.attaches.inc({})
+                    agent.attach(order.attempt_id, order.after_sequence)
+            case AcknowledgeAttempt():
+                agent = self.agents_by_id.get(order.runner_id)
+                if agent is not None:
+                    agent.acknowledge(order.attempt_id, order.sequence)
+            case CancelAttempt():
+                agent = self.agents_by_id.get(order.runner_id)
+                if agent is not None:
+                    agent.cancel(order.attempt_id)
+
+    def _begin(self, opened: _Open, order: BeginAttempt) -> None:
+        request = opened.request
+        self._open_by_attempt.pop(request.attempt_id, None)
+        kind = "first" if opened.attempts.attempts == 1 else "further"
+        labels = {"service": request.call.service, "kind": kind}
+        self._metrics.attempts.inc(labels)
+        request.begin_attempt(order.attempt_id, order.runner_id)
+        self._open_by_attempt[order.attempt_id] = opened
+        opened.choice.dispatched(order.attempt_id, order.runner_id, self._seconds())
+        agent = self.agents_by_id[order.runner_id]
+        agent.runner.dispatched += 1
+        agent.dispatch(order.attempt_id, request.call, order.resume_from)
+
+    def _close(self, opened: _Open) -> None:
+        opened.choice.ended(self._seconds(), failed=False)
+        self._open_by_attempt.pop(opened.request.attempt_id, None)
+        self._open_by_id.pop(opened.request.call.request_id, None)
 
 
 __all__ = ["Relay"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
@@ -10,7 +10,15 @@
 class RequestMetrics:
     """Collectors that each request passes through."""
 
-    __slots__ = ("answers", "failures", "first_byte_s", "open_requests", "agents")
+    __slots__ = (
+        "answers",
+        "failures",
+        "first_byte_s",
+        "open_requests",
+        "agents",
+        "attempts",
+        "attaches",
+    )
 
     def __init__(self) -> None:
         self.answers = Counter("entry_answers_total", "Whole answers by service.")
@@ -21,6 +29,12 @@
             buckets=_FIRST_BYTE_BUCKETS_S,
         )
         self.open_requests = Gauge("entry_open_requests", "Requests without an end.")
+        self.attempts = Counter(
+            "entry_attempts_total", "Attempts by service; first or further ones."
+        )
+        self.attaches = Counter(
+            "entry_attaches_total", "Attempts whose frames were asked for again."
+        )
         self.agents = Gauge("entry_connected_agents", "Agents with an open stream.")
 
     def collectors(self) -> list[Collector]:
@@ -31,6 +45,8 @@
             self.first_byte_s,
             self.open_requests,
             self.agents,
+            self.attempts,
+            self.attaches,
         ]
 
 
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -0,0 +1,125 @@
+"""Chooses the runners of requests by their service's router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from corianderrelay.state.routing import Router, RouteRequest, prefix_key
+from corianderrelay.state.runner_load import DEFAULT_TOKENS_PER_S, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
+    from corianderrelay.state.call import Call
+
+    from ..state.runner import Runner
+    from .agent_port import AgentPort
+
+_BYTES_PER_TOKEN = 4
+
+
+class ServiceRouters:
+    """One router for each service.
+
+    :param agents_by_id: the agents with an open stream; kept up to date by its owner.
+    """
+
+    def __init__(
+        self, agents_by_id: Mapping[str, AgentPort], zone: str, random: Random
+    ) -> None:
+        self._agents_by_id = agents_by_id
+        self._zone = zone
+        self._random = random
+        self._routers_by_service: dict[str, Router] = {}
+
+    def add(self, runner: Runner) -> None:
+        """Learn of a runner and its zone."""
+        self._router(runner.service).add_runner(runner.instance_id, runner.zone)
+
+    def report(self, runner: Runner) -> None:
+        """Take a runner's load from its heartbeat."""
+        report = LoadReport(float(runner.queued_tokens), DEFAULT_TOKENS_PER_S)
+        router = self._router(runner.service)
+        router.report(runner.instance_id, report, runner.reported_s)
+
+    def choice(self, call: Call) -> RunnerChoice:
+        """Return the choice of runners for one call."""
+        return RunnerChoice(self, self._router(call.service), call)
+
+    def pick(
+        self,
+        router: Router,
+        service: str,
+        route: RouteRequest,
+        excluded: frozenset[str],
+        now: float,
+    ) -> str | None:
+        """Return a usable runner of the service."""
+        usable = [
+            runner_id
+            for runner_id, agent in self._agents_by_id.items()
+            if agent.runner.service == service
+            and agent.runner.usable_at(now)
+            and runner_id not in excluded
+        ]
+        return router.pick(route, usable, now, self._random)
+
+    def _router(self, service: str) -> Router:
+        router = self._routers_by_service.get(service)
+        if router is None:
+            router = self._routers_by_service[service] = Router(self._zone)
+        return router
+
+
+class RunnerChoice:
+    """Chooses for one call, and tells the router how its attempts fare."""
+
+    __slots__ = ("_routers", "_router", "_service", "_route", "_attempt", "_waiting")
+
+    def __init__(self, routers: ServiceRouters, router: Router, call: Call) -> None:
+        self._routers = routers
+        self._router = router
+        self._service = call.service
+        self._route = _route_of(call)
+        self._attempt: tuple[str, str] | None = None
+        self._waiting = False
+
+    def choose(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a runner for the next attempt; see ``RunnerChooser``."""
+        return self._routers.pick(
+            self._router, self._service, self._route, excluded, now
+        )
+
+    def dispatched(self, attempt_id: str, runner_id: str, now: float) -> None:
+        """Note that an attempt was sent."""
+        self._attempt = (attempt_id, runner_id)
+        self._waiting = True
+        self._router.dispatched(attempt_id, runner_id, self._route, now)
+
+    def progress(self, tokens: int, now: float) -> None:
+        """Note a piece of the attempt's answer."""
+        if self._attempt is None:
+            return
+        if self._waiting:
+            self._waiting = False
+            self._router.first_token(*self._attempt, now)
+        self._router.progress(*self._attempt, tokens, now)
+
+    def ended(self, now: float, *, failed: bool) -> None:
+        """Note that the attempt is over."""
+        if self._attempt is not None:
+            self._router.ended(*self._attempt, now, failed=failed)
+            self._attempt = None
+
+
+def _route_of(call: Call) -> RouteRequest:
+    prompt_tokens = max(1, len(call.body) // _BYTES_PER_TOKEN)
+    prefix = call.prompt_prefix
+    if not prefix:
+        return RouteRequest(call.request_id.encode(), 0, prompt_tokens)
+    key = prefix_key(call.workspace, call.service, prefix)
+    return RouteRequest(key, len(prefix) // _BYTES_PER_TOKEN, prompt_tokens)
+
+
+__all__ = ["RunnerChoice", "ServiceRouters"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -38,6 +38,7 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
+_RELAY_TICK_S = 0.25
 
 
 class Entry:
@@ -61,7 +62,14 @@
         self.incarnation = new_incarnation(time.time(), self.random)
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
-        self.relay = Relay(self.new_id)
+        self.request_metrics = RequestMetrics()
+        self.relay = Relay(
+            self.new_id,
+            clock.seconds,
+            self.random,
+            settings.zone,
+            self.request_metrics,
+        )
         self.keyed = KeyedRelay(
             settings.instance_id,
             keyed_limits(settings.platform.log_retention_s),
@@ -71,7 +79,6 @@
             time.time,
             iter(self.new_id, ""),
         )
-        self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
         self.directory = EntryDirectory()
         self.draining = False
@@ -103,6 +110,7 @@
             tls,
         )
         self._list_poll = Periodic(clock, self._poll_instances)
+        self._relay_tick = Periodic(clock, self.relay.tick)
 
     @property
     def ready(self) -> bool:
@@ -112,6 +120,7 @@
     def start(self) -> None:
         """Connect to the platform and to the agents."""
         self.connector.start()
+        self._relay_tick.start(_RELAY_TICK_S)
         self.config_follower.start()
         self.keyed.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -10,6 +10,7 @@
     PROTOCOL_VERSION,
     Accepted,
     Acknowledge,
+    Attach,
     AttemptOutcome,
     Cancel,
     Chunk,
@@ -25,6 +26,7 @@
     TicketRequest,
     Tombstoned,
 )
+from corianderrelay.state.answer_assembly import AnswerHead
 from corianderrelay.state.errors import FrameError
 
 from ..state.runner import Runner
@@ -51,11 +53,15 @@
             """Drop the connection."""
 
 
+_REMEMBERED_HEARTBEATS = 8
+
+
 class AgentSession:
     """The conversation with one agent over one stream.
 
     :param directory: learns which entries leave.
     :param seconds: returns the monotonic time.
+    :param fresh_s: for how long an echoed heartbeat proves that the agent is there.
     """
 
     def __init__(
@@ -65,7 +71,11 @@
         directory: EntryDirectory,
         stream: MessageStream,
         seconds: Callable[[], float],
+        fresh_s: float,
     ) -> None:
+        self._fresh_s = fresh_s
+        self._sent_at_by_sequence: dict[int, float] = {}
+        self.echo = 0
         self._relay = relay
         self._keyed = keyed
         self._directory = directory
@@ -110,6 +120,12 @@
             )
         handler(message)
 
+    def heartbeat(self, sequence: int, *, leaving: bool) -> None:
+        """Send a heartbeat and remember when, for the agent's echo."""
+        self._sent_at_by_sequence[sequence] = self._seconds()
+        self._sent_at_by_sequence.pop(sequence - _REMEMBERED_HEARTBEATS, None)
+        self._stream.send(Heartbeat(sequence, leaving=leaving, echo=self.echo))
+
     def closed(self) -> None:
         """The stream is gone."""
         if self._relay.agents_by_id.get(self.agent_id) is self:
@@ -161,6 +177,10 @@
         """Cancel an attempt; see ``AgentPort``."""
         self._stream.send(Cancel(attempt_id))
 
+    def attach(self, attempt_id: str, after_sequence: int) -> None:
+        """Ask for frames again; see ``AgentPort``."""
+        self._stream.send(Attach(attempt_id, after_sequence))
+
     def acknowledge(self, attempt_id: str, sequence: int) -> None:
         """Acknowledge chunks; see ``AgentPort``."""
         self._stream.send(Acknowledge(attempt_id, sequence))
@@ -182,7 +202,8 @@
             slots=message.slots,
             reported_s=self._seconds(),
         )
-        self._relay.agents_by_id[message.instance_id] = self
+        self._runner.fresh_until_s = self._seconds() + self._fresh_s
+        self._relay.on_agent_ready(self)
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
         runner = self.runner
@@ -194,6 +215,12 @@
         runner.engine_up = message.engine_up
         runner.reported_s = self._seconds()
         runner.dispatched = 0
+        self.echo = max(self.echo, message.sequence)
+        sent_at = self._sent_at_by_sequence.get(message.echo)
+        if sent_at is not None:
+            fresh_until_s = sent_at + self._fresh_s
+            runner.fresh_until_s = max(runner.fresh_until_s, fresh_until_s)
+        self._relay.routers.report(runner)
         self._directory.mark_leaving(message.leaving_entries, runner.reported_s)
 
     def _on_leaving(self, message: Leaving) -> None:
@@ -229,8 +256,7 @@
             message.sequence,
             message.data,
             message.tokens,
-            message.status,
-            message.content_type,
+            AnswerHead(message.status, message.content_type),
         )
 
     def _on_end(self, message: End) -> None:
@@ -241,6 +267,8 @@
             return
         if message.outcome is AttemptOutcome.DONE:
             self._relay.on_end(message.attempt_id, message.chunks, message.digest)
+        elif message.outcome is AttemptOutcome.NOT_STARTED:
+            self._relay.on_refused(message.attempt_id, 0.0)
         else:
             self._relay.on_failed(
                 message.attempt_id, message.detail or message.outcome.value
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
@@ -8,6 +8,7 @@
 
 import eliot
 
+from corianderrelay.state.drain import Drain, StopProcess
 from corianderrelay.transport.instance_list_http import HttpInstanceList
 from corianderrelay.transport.json_log import start_log
 from corianderrelay.transport.log_http import HttpLogClient
@@ -57,7 +58,9 @@
         log = HttpLogClient(reactor, settings.platform.log_url)
         instances = HttpInstanceList(reactor, settings.platform.instances_url)
         self._entry = Entry(settings, log, instances, reactor, tls.own_streams)
-        self._drain_started_s: float | None = None
+        timing = settings.timing
+        stay_s = timing.entries_ttl_s + timing.silent_after_s
+        self._drain = Drain(stay_s, timing.drain_deadline_s)
         self.exit_code = _EXIT_OK
 
     def start(self) -> None:
@@ -109,29 +112,29 @@
         self._reactor.callFromThread(self._tls.reload)
 
     def _drain_or_stop(self, name: str) -> None:
-        if self._drain_started_s is not None:
-            self._stop(f"a second signal ({name})")
+        order = self._drain.signal(
+            name, self._entry.open_requests, self._reactor.seconds()
+        )
+        if isinstance(order, StopProcess):
+            self._stop(order)
             return
-        self._drain_started_s = self._reactor.seconds()
         self._entry.drain(name)
         self._stop_when_drained()
 
     def _stop_when_drained(self) -> None:
-        assert self._drain_started_s is not None
-        waited_s = self._reactor.seconds() - self._drain_started_s
-        ttl_over = waited_s >= self._settings.timing.entries_ttl_s
-        if ttl_over and self._entry.open_requests == 0:
-            self._stop("drained")
-        elif waited_s >= self._settings.timing.drain_deadline_s:
-            self._stop("the drain deadline")
-        else:
+        now = self._reactor.seconds()
+        order = self._drain.check(self._entry.open_requests, now)
+        if order is None:
             self._reactor.callLater(_DRAIN_POLL_S, self._stop_when_drained)
+        else:
+            self._stop(order)
 
-    def _stop(self, reason: str) -> None:
-        cut = self._entry.open_requests
-        self.exit_code = _EXIT_CUT if cut else _EXIT_OK
+    def _stop(self, order: StopProcess) -> None:
+        self.exit_code = _EXIT_CUT if order.cut_off else _EXIT_OK
         eliot.log_message(
-            message_type="entry:stopped", reason=reason, cut_off_requests=cut
+            message_type="entry:stopped",
+            reason=order.reason,
+            cut_off_requests=order.cut_off,
         )
         self._entry.connector.stop()
         self._reactor.stop()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner.py
@@ -10,6 +10,7 @@
     """A runner behind an agent, as its last heartbeat described it.
 
     :param reported_s: monotonic time of that heartbeat.
+    :param fresh_until_s: monotonic time until which its last word counts.
     :param dispatched: attempts sent since that heartbeat.
     """
 
@@ -26,6 +27,7 @@
     queued_tokens: int = 0
     tokens_per_s: float = 0.0
     reported_s: float = 0.0
+    fresh_until_s: float = 0.0
     dispatched: int = 0
     leaving: bool = False
     engine_up: bool = True
@@ -35,6 +37,10 @@
         """Whether new work may be sent to it."""
         return self.engine_up and not self.leaving
 
+    def usable_at(self, now: float) -> bool:
+        """Whether new work may be sent to it at this monotonic time."""
+        return self.usable and now < self.fresh_until_s
+
     @property
     def load(self) -> float:
         """Work per slot, counting what was sent since the last report."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
@@ -55,7 +55,7 @@
     """Periods and time limits, in seconds."""
 
     heartbeat_s: Seconds = 1.0
-    silent_after_s: Seconds = 3.5
+    silent_after_s: Seconds = 3.0
     entries_ttl_s: Seconds = 15.0
     instance_list_s: Seconds = 2.0
     keep_alive_s: Seconds = 10.0
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -10,7 +10,6 @@
 from twisted.internet.endpoints import HostnameEndpoint
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import Heartbeat
 from corianderrelay.transport.framed_stream import FramedStream
 
 from ..protocol.agent_session import AgentSession
@@ -103,7 +102,12 @@
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the agent."""
         session = AgentSession(
-            self._relay, self._keyed, self._directory, stream, self._clock.seconds
+            self._relay,
+            self._keyed,
+            self._directory,
+            stream,
+            self._clock.seconds,
+            self._timing.silent_after_s,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -137,11 +141,11 @@
     def _heartbeat(self) -> None:
         silent_since = self._clock.seconds() - self._timing.silent_after_s
         self._sequence += 1
-        for stream in list(self._sessions_by_stream):
+        for stream, session in list(self._sessions_by_stream.items()):
             if stream.last_received_s < silent_since:
                 stream.close("the agent has been silent for too long")
             else:
-                stream.send(Heartbeat(self._sequence, leaving=self._leaving))
+                session.heartbeat(self._sequence, leaving=self._leaving)
 
 
 class _StreamFactory(protocol.Factory):
--- /dev/null
+++ b/tests/features/steps/whole_answers_steps.py
@@ -0,0 +1,140 @@
+"""Steps for whole answers while processes fail."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+
+from demo.processes import fetch
+from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
+from tests.standins.engine_model import model_answer
+from tests.waiting import wait_until
+
+_RUNNERS = 4
+_STEP_S = "0.03"
+_TOKENS = 90
+_UNDER_WAY_S = 1.0
+_FROZEN_S = 5.0
+_FURTHER_CALLERS = 12
+
+
+def _body(number: int) -> bytes:
+    prompt = f"{number}: which frames fit?"
+    chat = {
+        "model": "kit-model",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": _TOKENS,
+        "min_tokens": _TOKENS,
+        "stream": True,
+    }
+    return json.dumps(chat).encode()
+
+
+def _ask(entry: str, number: int) -> tuple[int, bytes]:
+    url = f"{entry}/v1/chat/completions"
+    status, _, body = fetch(
+        url, "POST", _body(number), Authorization=f"Bearer {KIT_SHOP_KEY}"
+    )
+    return status, body
+
+
+def _text_of(answer: bytes) -> str:
+    events = [line[6:] for line in answer.decode().splitlines() if line[:6] == "data: "]
+    assert events and events[-1] == "[DONE]", events[-1:]
+    choices = [json.loads(event)["choices"][0] for event in events[:-1]]
+    stops = [choice for choice in choices if choice["finish_reason"]]
+    assert len(stops) == 1, f"{len(stops)} events that end the answer"
+    return "".join(choice["delta"].get("content", "") for choice in choices)
+
+
+@given("whole answers of {callers:d} callers that stream through both entries")
+def step_callers(context: Any, callers: int) -> None:
+    folder = context.cleanup.enter_context(temporary_folder())
+    system = context.system = DemoSystem(Path(folder))
+    context.cleanup.callback(system.kill)
+    system.engine_options = ["--step-s", _STEP_S]
+    system.start()
+    wait_until(lambda: system.ready(_RUNNERS), "the entries know all runners")
+    pool = context.cleanup.enter_context(ThreadPoolExecutor(callers))
+    entries = system.entries
+    context.answers = [
+        pool.submit(_ask, entries[number % len(entries)], number)
+        for number in range(callers)
+    ]
+
+
+@when("whole answers are under way and {name} is {verb}")
+def step_fails(context: Any, name: str, verb: str) -> None:
+    time.sleep(_UNDER_WAY_S)
+    process = context.process = context.system.processes_named(name)[0]
+    if verb == "killed":
+        process.kill()
+    elif verb == "frozen":
+        process.signal(signal.SIGSTOP)
+        time.sleep(_FROZEN_S)
+        process.signal(signal.SIGCONT)
+    else:
+        process.signal(signal.SIGTERM)
+        context.executions = _executions(context)
+
+
+def _executions(context: Any) -> int:
+    time.sleep(0.3)
+    url = f"{context.system.engine_urls[1]}/executions"
+    return len(json.loads(fetch(url)[2])["executions"])
+
+
+@then("whole answers have all arrived, each the model's own")
+def step_whole(context: Any) -> None:
+    for number, answer in enumerate(context.answers):
+        status, body = answer.result(timeout=60)
+        assert status == 200, (number, status, body)
+        expected = "".join(model_answer(json.loads(_body(number))))
+        assert _text_of(body) == expected, number
+
+
+def _counted(context: Any, name: str, label: str = "") -> float:
+    lines = [
+        line
+        for entry in context.system.entries
+        for line in fetch(f"{entry}/metrics")[2].decode().splitlines()
+        if line.startswith(name) and label in line
+    ]
+    return sum(float(line.split()[-1]) for line in lines)
+
+
+def _recoveries(context: Any) -> float:
+    further = _counted(context, "entry_attempts_total", 'kind="further"')
+    return further + _counted(context, "entry_attaches_total")
+
+
+@then("whole answers have needed further attempts or lost frames again")
+def step_further(context: Any) -> None:
+    assert _recoveries(context) > 0
+
+
+@then("whole answers have needed no further attempts")
+def step_no_further(context: Any) -> None:
+    assert _recoveries(context) == 0
+
+
+@then("whole answers have let {name} exit with code {code:d}")
+def step_exit(context: Any, name: str, code: int) -> None:
+    assert context.process.wait(20) == code
+
+
+@then("whole answers have sent {name} no new work")
+def step_no_new_work(context: Any, name: str) -> None:
+    before = context.executions
+    entry = context.system.entries[0]
+    with ThreadPoolExecutor(_FURTHER_CALLERS) as pool:
+        numbers = range(100, 100 + _FURTHER_CALLERS)
+        answers = list(pool.map(lambda number: _ask(entry, number), numbers))
+    assert {status for status, _ in answers} == {200}
+    assert _executions(context) == before
