--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -76,6 +76,7 @@
             self._clock.seconds,
             self._leaving_entries,
             self._config,
+            self._load_report,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -110,10 +111,14 @@
         ]
         for stream in silent:
             stream.close("the entry has been silent for too long")
+        self._attempts.expire(self._timing.reattach_s)
         self._sequence += 1
-        self.broadcast(self._load_report)
+        for stream, session in self._sessions_by_stream.items():
+            if not session.replied:
+                stream.send(self._load_report(session.echo))
+            session.replied = False
 
-    def _load_report(self) -> Heartbeat:
+    def _load_report(self, echo: int = 0) -> Heartbeat:
         return Heartbeat(
             self._sequence,
             config_version=self._config.version,
@@ -121,6 +126,7 @@
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
             leaving=self._attempts.leaving,
+            echo=echo,
             leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -10,7 +10,6 @@
 from twisted.internet.endpoints import HostnameEndpoint
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import Heartbeat
 from corianderrelay.transport.framed_stream import FramedStream
 
 from ..protocol.agent_session import AgentSession
@@ -112,6 +111,7 @@
             self._config,
             stream,
             self._clock.seconds,
+            self._timing.silent_after_s,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -145,14 +145,11 @@
     def _heartbeat(self) -> None:
         silent_since = self._clock.seconds() - self._timing.silent_after_s
         self._sequence += 1
-        heartbeat = Heartbeat(
-            self._sequence, config_version=self._config.version, leaving=self._leaving
-        )
-        for stream in list(self._sessions_by_stream):
+        for stream, session in list(self._sessions_by_stream.items()):
             if stream.last_received_s < silent_since:
                 stream.close("the agent has been silent for too long")
             else:
-                stream.send(heartbeat)
+                session.heartbeat(self._sequence, leaving=self._leaving)
 
 
 class _StreamFactory(protocol.Factory):
