Ask all ranks again before an engine that started anew gets a map

Now such an engine gets a map only after a new round of questions, in which the peers refuse the old agent or tell it the map in force.

The lead before a switch adapts: it doubles when the group came to the step before the outcome.

--- a/packages/corianderrelay-core/src/corianderrelay/state/map_switch.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/map_switch.py
@@ -53,16 +53,20 @@
 class SwitchRules:
     """Times and steps of a switch.
 
-    :param lead_steps: how far ahead of the group the step of an attempt lies.
-    :param max_lead_steps: bound of the lead, which doubles when a rank was too late.
+    :param lead_steps: how far ahead of the group the step of the first attempt lies.
+        The lead doubles when the group came to that step before the outcome, and else
+        shrinks by one: a longer lead delays the switch, a shorter one the steps.
+    :param max_lead_steps: bound of the lead.
     :param resend_s: period after which an unanswered message is sent again.
+    :param stage_resend_s: the same for the message that has weights loaded.
     :param stage_timeout_s: longest wait for the weights on all ranks.
     :param arm_timeout_s: longest wait for all ranks to hold.
     """
 
-    lead_steps: int = 4
+    lead_steps: int = 8
     max_lead_steps: int = 256
     resend_s: float = 0.2
+    stage_resend_s: float = 2.0
     stage_timeout_s: float = 120.0
     arm_timeout_s: float = 1.0
 
@@ -113,6 +117,7 @@
         "_armed_by_rank",
         "_newest_by_rank",
         "_settled",
+        "_settled_at_step",
         "_outcomes",
         "_reason",
     )
@@ -133,6 +138,7 @@
         self._armed_by_rank: dict[int, int] = {}
         self._newest_by_rank: dict[int, int] = {}
         self._settled: set[int] = set()
+        self._settled_at_step = -1
         self._outcomes: dict[AttemptId, bool] = {}
         self._reason = ""
 
@@ -175,6 +181,7 @@
         self._incarnation_by_rank.clear()
         self._armed_by_rank.clear()
         self._settled.clear()
+        self._settled_at_step = -1
         self._enter(Phase.STAGING, now)
         return self._current_messages(range(self._ranks))
 
@@ -229,7 +236,10 @@
         }.get(self.phase)
         if timeout_s is not None and now - self._phase_since >= timeout_s:
             return self._end(False, f"{self.phase.value} timed out", now)
-        if now - self._sent_at < self._rules.resend_s:
+        rules = self._rules
+        staging = self.phase is Phase.STAGING
+        resend_s = rules.stage_resend_s if staging else rules.resend_s
+        if now - self._sent_at < resend_s:
             return []
         self._sent_at = now
         return self._current_messages(self._missing_ranks())
@@ -287,7 +297,7 @@
         if message.unsettled is not None:
             return self._answer_outcome(rank, message.unsettled)
         if message.next_step > self._step_of_attempt():
-            self._lead_steps = min(self._lead_steps * 2, self._rules.max_lead_steps)
+            self._lengthen_lead()
             return self._end(False, f"rank {rank} had passed the step", now)
         return self._end(False, f"rank {rank} has not staged the map", now)
 
@@ -299,11 +309,22 @@
     ) -> list[CoordinatorOrder]:
         if self._is_current(message.attempt, Phase.SETTLING):
             self._settled.add(rank)
+            self._settled_at_step = max(self._settled_at_step, message.next_step)
             if len(self._settled) == self._ranks:
+                self._adapt_lead()
                 self._attempt = None
                 self._enter(Phase.IDLE, now)
         return []
 
+    def _adapt_lead(self) -> None:
+        if self._settled_at_step >= self._step_of_attempt():
+            self._lengthen_lead()
+        else:
+            self._lead_steps = max(self._lead_steps - 1, 1)
+
+    def _lengthen_lead(self) -> None:
+        self._lead_steps = min(self._lead_steps * 2, self._rules.max_lead_steps)
+
     def _refuse_stale(self, rank: int, incarnation: int) -> list[CoordinatorOrder]:
         newest = self._newest_by_rank.get(rank, -1)
         if incarnation < newest:
--- a/packages/corianderrelay-core/src/corianderrelay/state/rank_engine.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_engine.py
@@ -28,6 +28,11 @@
         self._under_way = False
         self._tried: MapOrder | None = None
 
+    @property
+    def incarnation(self) -> int | None:
+        """The engine's incarnation as last heard of."""
+        return self.status.incarnation if self.status is not None else None
+
     def start(self, status: EngineMapStatus | None) -> None:
         """Take the status read at the agent's start, before it asks its peers."""
         self.status = status
--- a/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
@@ -85,6 +85,8 @@
         "_asked_at",
         "_asked_peer",
         "_unknown_since",
+        "_asked_for_engine",
+        "_known_for_engine",
     )
 
     def __init__(
@@ -108,6 +110,8 @@
         self._asked_at = 0.0
         self._asked_peer = rank
         self._unknown_since: float | None = None
+        self._asked_for_engine: int | None = None
+        self._known_for_engine: int | None = None
 
     @property
     def incarnation(self) -> int:
@@ -123,6 +127,7 @@
         """Join the group; ``status`` was read from the engine after this start."""
         self._asked_at = now
         self._engine.start(status)
+        self._asked_for_engine = self._engine.incarnation
         return [*self._join.start()]
 
     def found(self, state: GroupState) -> list[RankOrder]:
@@ -132,9 +137,10 @@
         """
         queries: list[RankOrder] = []
         if self.superseded_by is not None:
-            queries += self._join.restart_above(self.superseded_by)
+            queries += self._ask_anew(self.superseded_by)
             self.superseded_by = None
         self.joined = True
+        self._known_for_engine = self._engine.incarnation
         self._engine.release_unknown()
         return queries + self.on_fold(state)
 
@@ -159,7 +165,23 @@
         :param polled: whether it was read without an order before it.
         """
         self._engine.take(status, polled)
-        return self._act()
+        return [*self._ask_for_new_engine(), *self._act()]
+
+    def _ask_for_new_engine(self) -> list[RankOrder]:
+        """Ask the peers when the engine has started anew.
+
+        This agent may have been paused while the group went on under another one, so
+        what it remembers must not be given to an engine that knows nothing.
+        """
+        engine = self._engine.incarnation
+        known = engine is None or engine == self._known_for_engine
+        if known or not self.joined or self.superseded or self._join.asking:
+            return []
+        return self._ask_anew(self.incarnation)
+
+    def _ask_anew(self, newest: int) -> list[RankOrder]:
+        self._asked_for_engine = self._engine.incarnation
+        return [*self._join.restart_above(newest)]
 
     def on_message(self, rank: int, message: AnySwitchMessage) -> list[RankOrder]:
         """Take a message of the agent of ``rank``."""
@@ -219,7 +241,7 @@
         self._unknown_since = None
         self._asked_at = now
         self._engine.suspect_holds()
-        return [*self._join.restart_above(self.incarnation)]
+        return self._ask_anew(self.incarnation)
 
     def _answer_join(self, rank: int, query: JoinQuery) -> list[RankOrder]:
         refusal = self._join.refusal(rank, query.incarnation)
@@ -253,6 +275,7 @@
         self.joined = self.joined or self._join.heard_joined
         if self.joined:
             self._join.finish()
+            self._known_for_engine = self._asked_for_engine
             self._engine.release_unknown()
         else:
             self._join.start()
@@ -263,7 +286,7 @@
         if self.joined:
             self.superseded_by = refused.newest
             return []
-        return [*self._join.restart_above(refused.newest)]
+        return self._ask_anew(refused.newest)
 
     def _on_stage(self, message: Stage) -> None:
         if message.attempt.epoch < self.epoch:
@@ -309,7 +332,7 @@
         is_known = message.attempt in self._unsettled_by_id
         is_known = is_known or self._outcome_of(message.attempt) is True
         if message.committed and not is_known:
-            return [*self._join.restart_above(self.incarnation)]
+            return self._ask_anew(self.incarnation)
         self._settle(message.attempt, message.committed)
         self._settling = message.attempt
         self._forget_told(message.attempt, Settled)
@@ -351,7 +374,9 @@
         if not self.joined or self.superseded:
             return []
         staging = self._staging[1] if self._staging is not None else None
-        order = self._engine.next_order(self._held_for(), self.maps, staging)
+        is_known = self._engine.incarnation == self._known_for_engine
+        maps = self.maps if is_known else ()
+        order = self._engine.next_order(self._held_for(), maps, staging)
         orders: list[RankOrder] = [
             Send(COORDINATOR_RANK, report)
             for report in self._reports()
@@ -417,9 +442,11 @@
         attempt_id = self._settling
         if attempt_id is None or attempt_id not in self._outcome_by_id:
             return []
+        if self._join.asking:
+            return []
         if not self._engine.has_settled(self._held_for(), self.maps):
             return []
-        return [Settled(attempt_id, self.incarnation)]
+        return [Settled(attempt_id, self.incarnation, status.next_step)]
 
     def _forget_told(self, attempt_id: AttemptId, *kinds: type) -> None:
         self._told_by_attempt.get(attempt_id, set()).difference_update(kinds)
--- a/packages/corianderrelay-core/src/corianderrelay/state/switch_types.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/switch_types.py
@@ -142,6 +142,7 @@
 
     attempt: AttemptId
     incarnation: Count
+    next_step: Count
 
 
 class JoinQuery(SwitchMessage, tag="join_query", frozen=True):
