--- a/tests/machines/claims_machine.py
+++ b/tests/machines/claims_machine.py
@@ -21,6 +21,12 @@
     Tombstone,
 )
 from corianderrelay.state.claim_keys import request_digest, scoped_key
+from corianderrelay.state.claim_records import (
+    ClaimRecord,
+    OutcomeRecord,
+    ReleaseRecord,
+    RememberedKeysRecord,
+)
 from corianderrelay.state.claims import ClaimFold
 from corianderrelay.state.errors import Ran
 from corianderrelay_agent.state.key_guard import KeyGuard, KeyGuardLimits
@@ -42,6 +48,7 @@
     from collections.abc import Callable
 
     from corianderrelay.protocol.messages import Ticket
+    from corianderrelay.state.claim_records import AnyClaimRecord
 
 RETENTION_S = 600.0
 ENTRIES = 3
@@ -51,10 +58,23 @@
     window_s=RETENTION_S / 2,
     remember_again_s=RETENTION_S / 4,
     settlement=SettlementLimits(
-        after_s=8.0, spread_s=2.0, every_s=2.0, unreachable_after_s=10.0
+        after_s=1.0, spread_s=1.0, every_s=2.0, unreachable_after_s=10.0
     ),
 )
-GUARD_LIMITS = KeyGuardLimits(ticket_lifetime_s=4.0, max_finished=1, max_tickets=64)
+GUARD_LIMITS = KeyGuardLimits(ticket_lifetime_s=6.0, max_finished=1, max_tickets=64)
+KINDS = (
+    "ask_ticket",
+    "ticket",
+    "claim",
+    "release",
+    "outcome",
+    "remembered",
+    "dispatch",
+    "refused",
+    "ended",
+    "tombstone",
+    "tombstoned",
+)
 FAULTS = (
     "kill_entry",
     "freeze_entry",
@@ -62,6 +82,8 @@
     "restart_agent",
     "freeze_agent",
     "wake_agent",
+    "fill_agent",
+    "empty_agent",
     "log_out",
     "log_back",
     "lose",
@@ -76,6 +98,7 @@
 class Mail:
     """A message under way; ``arrive`` is called when the receiver takes it."""
 
+    kind: str
     receiver: Any
     arrive: Callable[[], None]
 
@@ -115,6 +138,7 @@
 
     runner_id: str = ""
     guard: KeyGuard = None  # type: ignore[assignment]
+    full: bool = False
     running: list[Callable[[], None]] = field(default_factory=list)
 
 
@@ -145,12 +169,15 @@
         self.log = Log()
         self.mails: list[Mail] = []
         self.held: list[Mail] = []
+        self.copied_kind = ""
+        self.delayed_kind = ""
         self.numbers = count(1)
         self.keys: list[tuple[str, float | None]] = []
         self.starts: Counter[str] = Counter()
         self.started_requests: set[str] = set()
         self.told_not_run: set[str] = set()
         self.submitted: dict[str, Entry] = {}
+        self.calls: dict[str, KeyedCall] = {}
         self.told: set[str] = set()
 
     @initialize(skews=st.tuples(*[st.sampled_from([-100.0, 0.0, 100.0])] * ENTRIES))
@@ -192,6 +219,7 @@
             dated_s=dated_s,
         )
         self.submitted[call.request_id] = node
+        self.calls[call.request_id] = call
         node.take(lambda: self._submit(node, call))
 
     @rule(which=st.integers(0, KEYS - 1), agent=st.integers(0, AGENTS - 1))
@@ -232,6 +260,8 @@
         self.log.up = True
         for node in (*self.entries, *self.agents):
             node.wake()
+        for agent in self.agents:
+            agent.full = False
 
     @rule(entry=st.integers(0, ENTRIES - 1))
     def read(self, entry: int) -> None:
@@ -257,6 +287,7 @@
         progress=st.integers(0, 8),
         faults=st.tuples(st.sampled_from(FAULTS), st.sampled_from(FAULTS)),
         places=st.tuples(st.integers(0, 30), st.integers(0, 30)),
+        kinds=st.tuples(st.sampled_from(KINDS), st.sampled_from(KINDS)),
         seconds=st.sampled_from([0.0, 1.0, 5.0, 30.0]),
         healed=st.booleans(),
     )
@@ -267,10 +298,15 @@
         progress: int,
         faults: tuple[str, str],
         places: tuple[int, int],
+        kinds: tuple[str, str],
         seconds: float,
         healed: bool,
     ) -> None:
-        """Let two faults strike a call at any step of its way; then it is repeated."""
+        """Let two faults strike a call at any step of its way; then it is repeated.
+
+        Meanwhile the network copies one kind of message and delays another.
+        """
+        self.copied_kind, self.delayed_kind = kinds
         self.call(which, node % ENTRIES, node % AGENTS, False)
         if progress:
             self.run_smoothly(progress, finish=False)
@@ -280,8 +316,43 @@
             self.pass_time(seconds)
         if healed:
             self.heal()
+        self.delayed_kind = ""
         self.call_everywhere(which, (node + 1) % AGENTS)
         self.run_smoothly(12, finish=healed)
+        self.copied_kind = ""
+        if healed:
+            self.mails += self.held
+            self.held = []
+            self.run_smoothly(12, finish=True)
+            self.call(which, (node + 1) % ENTRIES, node % AGENTS, False)
+            self.run_smoothly(8, finish=True)
+
+    @rule(
+        which=st.integers(0, KEYS - 1),
+        node=st.integers(0, 30),
+        out=st.booleans(),
+        replaced=st.booleans(),
+        refreshed=st.booleans(),
+    )
+    def outlast_retention(
+        self, which: int, node: int, out: bool, replaced: bool, refreshed: bool
+    ) -> None:
+        """Repeat a key that has run after its claim is gone from the log."""
+        self.heal()
+        self.call(which, node % ENTRIES, node % AGENTS, False)
+        self.run_smoothly(12, finish=True)
+        if refreshed:
+            self._pass_retention(0)
+        self.log.up = not out
+        self._pass(RETENTION_S * 1.25)
+        self.heal()
+        self._restart_agent(node)
+        if replaced:
+            self._kill_entry(node + 1)
+        if refreshed:
+            self.pass_time(1.0)
+        self.call(which, (node + 1) % ENTRIES, node % AGENTS, False)
+        self.run_smoothly(12, finish=True)
 
     # The faults.
 
@@ -306,6 +377,12 @@
     def _wake_agent(self, place: int) -> None:
         self.agents[place % AGENTS].wake()
 
+    def _fill_agent(self, place: int) -> None:
+        self.agents[place % AGENTS].full = True
+
+    def _empty_agent(self, place: int) -> None:
+        self.agents[place % AGENTS].full = False
+
     def _log_out(self, place: int) -> None:
         self.log.up = False
 
@@ -381,8 +458,14 @@
         if entry.alive and not entry.frozen:
             self._act(entry, entry.core.tick(self.now, self._wall(entry)))
 
-    def _post(self, node: Node, arrive: Callable[[], None]) -> None:
-        self.mails.append(Mail(node.take, arrive))
+    def _post(self, kind: str, node: Node, arrive: Callable[[], None]) -> None:
+        self._send(Mail(kind, node.take, arrive))
+
+    def _send(self, mail: Mail) -> None:
+        if mail.kind == self.copied_kind:
+            self.held.append(mail)
+        to = self.held if mail.kind == self.delayed_kind else self.mails
+        to.append(mail)
 
     def _act(self, entry: Entry, actions: list[Action]) -> None:
         for action in actions:
@@ -407,11 +490,12 @@
                 self.log.records.append((self.now, action.record))
                 return
             self._post(
+                "append_failed",
                 entry,
                 lambda: self._act(entry, entry.core.append_failed(action.record)),
             )
 
-        self.mails.append(Mail(arrive, append))
+        self._send(Mail(_kind_of(action.record), arrive, append))
 
     def _agent(self, runner_id: str) -> Agent:
         return next(one for one in self.agents if one.runner_id == runner_id)
@@ -422,9 +506,11 @@
         def grant() -> None:
             answer = agent.guard.grant_ticket(action.key, self.now)
             ticket = answer.ok()
-            self._post(entry, lambda: self._granted(entry, action.request_id, ticket))
+            self._post(
+                "ticket", entry, lambda: self._granted(entry, action.request_id, ticket)
+            )
 
-        self._post(agent, grant)
+        self._post("ask_ticket", agent, grant)
 
     def _granted(self, entry: Entry, request_id: str, ticket: Ticket | None) -> None:
         if ticket is None:
@@ -451,14 +537,15 @@
             ticket_incarnation=action.incarnation,
             ticket_id=action.ticket_id,
         )
-        self._post(agent, lambda: self._admit(entry, agent, order))
+        self._post("dispatch", agent, lambda: self._admit(entry, agent, order))
 
     def _admit(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
-        busy = RefusalReason.OVERLOADED if len(agent.running) > 1 else None
+        busy = RefusalReason.OVERLOADED if agent.full else None
         admitted = agent.guard.admit(order, self.now, busy)
         if admitted.is_err():
             reason = admitted.unwrap_err()
             self._post(
+                "refused",
                 entry,
                 lambda: self._act(
                     entry, entry.core.refused(order.attempt_id, reason, self.now)
@@ -470,9 +557,10 @@
         agent.running.append(lambda: self._finish(entry, agent, order))
 
     def _finish(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
-        body = order.key.encode()
+        body = _answer_to(self.calls[order.request_id])
         agent.guard.finish(order.key, 200, "text/plain", body)
         self._post(
+            "ended",
             entry,
             lambda: self._act(
                 entry,
@@ -493,15 +581,19 @@
         def ask() -> None:
             answer = agent.guard.tombstone(order, self.now)
             self._post(
+                "tombstoned",
                 entry,
                 lambda: self._act(entry, entry.core.tombstoned(answer, self.now)),
             )
 
-        self._post(agent, ask)
+        self._post("tombstone", agent, ask)
 
     def _tell(self, action: TellAnswer | TellError) -> None:
         assert action.request_id not in self.told, "a caller was answered twice"
         self.told.add(action.request_id)
+        if isinstance(action, TellAnswer):
+            expected = _answer_to(self.calls[action.request_id])
+            assert action.body == expected, "a caller got the answer to another request"
         if isinstance(action, TellError) and action.error.ran is Ran.NO:
             self.told_not_run.add(action.request_id)
 
@@ -549,4 +641,18 @@
         assert not waiting, f"callers without an answer: {waiting}"
 
 
+def _answer_to(call: KeyedCall) -> bytes:
+    return f"{call.key} {call.digest}".encode()
+
+
+def _kind_of(record: AnyClaimRecord) -> str:
+    kinds_by_type: dict[type, str] = {
+        ClaimRecord: "claim",
+        ReleaseRecord: "release",
+        OutcomeRecord: "outcome",
+        RememberedKeysRecord: "remembered",
+    }
+    return kinds_by_type[type(record)]
+
+
 __all__ = ["ClaimsMachine"]
