Wire the switch of expert maps into the agent

Agents of a group hold a stream to the agent of rank 0, which coordinates, plans from the ranks' reports of popularity and writes an audit record for each attempt. The wire messages gain GroupFrame. Not covered: a group whose engine, rather than agent, starts anew, since the stand-in engine does not learn the group's step.

--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/group_planning.py
@@ -0,0 +1,71 @@
+"""Plans the expert map at rank 0 from the ranks' reports of popularity."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from corianderrelay.state.expert_placement import plan_placement
+from corianderrelay.state.expert_planner import ChangeMap, ExpertPlanner, PlannerRules
+from corianderrelay.state.expert_popularity import ExpertPopularity
+from corianderrelay.state.group_map import expert_map_of, group_map_of
+
+if TYPE_CHECKING:
+    from corianderrelay.coordination.map_coordinator import MapCoordinator
+    from corianderrelay.state.switch_types import PopularityReport
+
+    from ..state.settings import GroupSettings
+
+_MS_PER_S = 1000
+
+
+class GroupPlanning:
+    """Proposes maps to the coordinator.
+
+    :param coordinator: carries a proposal out, or refuses while it is busy.
+    """
+
+    def __init__(self, group: GroupSettings, coordinator: MapCoordinator) -> None:
+        self._group = group
+        self._coordinator = coordinator
+        self._popularity = ExpertPopularity(group.experts, group.half_life_s)
+        self._planner = ExpertPlanner(
+            PlannerRules(
+                slots_per_rank=group.slots_per_rank,
+                skew_weight=group.skew_weight,
+                move_cost=group.move_cost,
+                expert_bytes=group.expert_bytes,
+                store_bytes_per_s=group.store_bytes_per_s,
+            )
+        )
+
+    def on_report(self, report: PopularityReport, now: float) -> None:
+        """Take a rank's report."""
+        if len(report.tokens_by_expert) == self._group.experts:
+            interval_s = report.interval_ms / _MS_PER_S
+            self._popularity.record(now, interval_s, report.tokens_by_expert)
+
+    def plan(self, now: float) -> None:
+        """Propose a map if there is none, or if another one pays."""
+        switch = self._coordinator.switch
+        if not switch.idle or switch.state is None:
+            return
+        if not switch.state.maps:
+            self._propose_first()
+            return
+        present = expert_map_of(switch.state.maps[0].group_map)
+        age_s = self._popularity.age_s(now)
+        if age_s is None:
+            return
+        tokens = self._popularity.tokens_per_s_by_expert()
+        decision = self._planner.decide(present, tokens, age_s, now)
+        if isinstance(decision, ChangeMap):
+            self._coordinator.propose(group_map_of(decision.expert_map))
+
+    def _propose_first(self) -> None:
+        evenly = [1.0] * self._group.experts
+        ranks, slots = self._group.ranks, self._group.slots_per_rank
+        first = plan_placement(evenly, ranks, slots)
+        self._coordinator.propose(group_map_of(first))
+
+
+__all__ = ["GroupPlanning"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/group_routes.py
@@ -0,0 +1,88 @@
+"""Which stream leads to which rank of the group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from corianderrelay.protocol.group_messages import (
+    decode_switch_message,
+    encode_switch_message,
+)
+from corianderrelay.protocol.messages import GroupFrame
+from corianderrelay.state.rank_switch import COORDINATOR_RANK
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.state.switch_types import AnySwitchMessage
+
+    class MessageStream(Protocol):
+        """What the routes need of a stream."""
+
+        def send(self, message: AnyMessage) -> None:
+            """Send a message."""
+
+
+class GroupRoutes:
+    """Implements :class:`~corianderrelay.coordination.group_link.GroupLink`.
+
+    Ranks other than 0 have one stream, to rank 0. Rank 0 learns the others' streams
+    from their frames and passes on what is meant for another rank. A message to a rank
+    without a stream is dropped: the switch sends again what was not answered.
+
+    :param deliver: takes a message for this rank, with its sender.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        rank: int,
+        clock: Clock,
+        deliver: Callable[[int, AnySwitchMessage], None],
+    ) -> None:
+        self._group = group
+        self._rank = rank
+        self._clock = clock
+        self._deliver = deliver
+        self._stream_by_rank: dict[int, MessageStream] = {}
+
+    def send(self, rank: int, message: AnySwitchMessage) -> None:
+        """Send a message to the agent of ``rank``."""
+        if rank == self._rank:
+            self._clock.callLater(0, self._deliver, rank, message)
+            return
+        body = encode_switch_message(message)
+        self._forward(GroupFrame(self._group, self._rank, rank, body))
+
+    def receive(self, stream: MessageStream, frame: GroupFrame) -> None:
+        """Take a frame that came on ``stream``."""
+        if frame.group != self._group:
+            return
+        if self._rank == COORDINATOR_RANK:
+            self._stream_by_rank[frame.source] = stream
+        if frame.target == self._rank:
+            self._deliver(frame.source, decode_switch_message(frame.body))
+        elif self._rank == COORDINATOR_RANK:
+            self._forward(frame)
+
+    def use(self, stream: MessageStream) -> None:
+        """Take the stream to rank 0."""
+        self._stream_by_rank[COORDINATOR_RANK] = stream
+
+    def drop(self, stream: MessageStream) -> None:
+        """Forget a stream that is closed."""
+        ranks = [rank for rank, held in self._stream_by_rank.items() if held is stream]
+        for rank in ranks:
+            del self._stream_by_rank[rank]
+
+    def _forward(self, frame: GroupFrame) -> None:
+        at_coordinator = self._rank == COORDINATOR_RANK
+        hop = frame.target if at_coordinator else COORDINATOR_RANK
+        stream = self._stream_by_rank.get(hop)
+        if stream is not None:
+            stream.send(frame)
+
+
+__all__ = ["GroupRoutes"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
@@ -0,0 +1,150 @@
+"""Puts together what keeps this agent's rank on its group's expert map."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+from corianderrelay.coordination.group_agent import GroupAgent
+from corianderrelay.coordination.group_log import GroupLog
+from corianderrelay.coordination.map_coordinator import CoordinatorPeriods
+from corianderrelay.coordination.map_rank import RankPeriods
+from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.coordination.tasks import spawn
+from corianderrelay.state.audit import AUDIT_STREAM, encode_audit_record, switch_audit
+from corianderrelay.state.errors import LogAnswerLostError, LogUnavailableError
+from corianderrelay.state.map_switch import SwitchRules
+from corianderrelay.state.rank_switch import COORDINATOR_RANK, RankRules
+from corianderrelay.state.switch_types import PopularityReport
+from corianderrelay.transport.log_http import HttpLogClient
+
+from .coordination.group_planning import GroupPlanning
+from .coordination.group_routes import GroupRoutes
+from .transport.group_client import GroupClient
+from .transport.map_engine_http import HttpMapEngine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderrelay.protocol.messages import Hello
+    from corianderrelay.state.map_switch import SwitchReport
+    from corianderrelay.state.switch_types import AnySwitchMessage
+    from corianderrelay.transport.tls import TlsFiles
+
+    from .state.settings import AgentSettings, GroupSettings
+
+_MS_PER_S = 1000
+
+
+class GroupService:
+    """One rank's part in its group, on the real log, engine and streams.
+
+    :param wall_clock: returns the seconds since 1970, for the audit trail.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        group: GroupSettings,
+        hello: Hello,
+        tls: TlsFiles | None,
+        reactor: Any,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        endpoint = settings.endpoint
+        self._settings = settings
+        self._group = group
+        self._reactor = reactor
+        self._wall_clock = wall_clock
+        self._log = HttpLogClient(reactor, settings.platform.log_url)
+        self._engine = HttpMapEngine(reactor, endpoint.url, endpoint.rank)
+        self.routes = GroupRoutes(
+            endpoint.group, endpoint.rank, reactor, self._on_message
+        )
+        log = GroupLog(self._log, endpoint.group, lambda: uuid.uuid4().hex)
+        self._part = GroupAgent(
+            endpoint.group,
+            endpoint.rank,
+            group.ranks,
+            settings.instance_id,
+            hello.incarnation,
+            log,
+            self.routes,
+            self._engine,
+            reactor,
+            self,
+            SwitchRules(),
+            RankRules(),
+            CoordinatorPeriods(refresh_s=settings.platform.log_retention_s / 3),
+            RankPeriods(),
+        )
+        self._client: GroupClient | None = None
+        if endpoint.rank != COORDINATOR_RANK:
+            self._client = GroupClient(
+                self.routes, hello, group, settings.timing, reactor, tls
+            )
+        self._planning: GroupPlanning | None = None
+        if self._part.coordinator is not None:
+            self._planning = GroupPlanning(group, self._part.coordinator)
+        self._reporting = Periodic(reactor, self._report)
+        self._plan_call = Periodic(reactor, self._plan)
+
+    def start(self) -> None:
+        """Join the group."""
+        if self._client is not None:
+            self._client.start()
+        self._part.start()
+        self._reporting.start(self._group.report_s)
+        if self._planning is not None:
+            self._plan_call.start(self._group.plan_s)
+
+    def on_switch(self, report: SwitchReport) -> None:
+        """Log how an attempt has ended and append it to the audit trail."""
+        eliot.log_message(
+            message_type="agent:map_switch",
+            epoch=report.attempt.epoch,
+            number=report.attempt.number,
+            version=report.group_map.version,
+            digest=report.group_map.digest,
+            step=report.step,
+            committed=report.committed,
+            reason=report.reason,
+        )
+        record = switch_audit(
+            report,
+            self._settings.endpoint.group,
+            self._settings.instance_id,
+            self._wall_clock(),
+        )
+        spawn(self._audit(encode_audit_record(record)))
+
+    async def _audit(self, payload: bytes) -> None:
+        try:
+            await self._log.append(AUDIT_STREAM, payload)
+        except (LogUnavailableError, LogAnswerLostError) as error:
+            eliot.log_message(message_type="agent:audit_lost", error=error.message)
+
+    def _on_message(self, rank: int, message: AnySwitchMessage) -> None:
+        if not isinstance(message, PopularityReport):
+            self._part.on_message(rank, message)
+        elif self._planning is not None:
+            self._planning.on_report(message, self._reactor.seconds())
+
+    def _report(self) -> None:
+        spawn(self._report_popularity())
+
+    async def _report_popularity(self) -> None:
+        tokens_by_expert = await self._engine.popularity()
+        if tokens_by_expert:
+            interval_ms = int(self._group.report_s * _MS_PER_S)
+            report = PopularityReport(interval_ms, tokens_by_expert)
+            self.routes.send(COORDINATOR_RANK, report)
+
+    def _plan(self) -> None:
+        if self._planning is not None:
+            self._planning.plan(self._reactor.seconds())
+
+
+__all__ = ["GroupService"]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -17,6 +17,7 @@
 
 from .coordination.attempts import Attempts
 from .coordination.keyed_attempts import KeyedAttempts
+from .group_service import GroupService
 from .state.key_guard import KeyGuard, KeyGuardLimits
 from .transport.engine_http import HttpEngine
 from .transport.entry_listener import EntryListener
@@ -64,8 +65,17 @@
             reactor.seconds,
             KeyedAttempts(guard, reactor.seconds),
         )
+        self._group: GroupService | None = None
+        if settings.group is not None:
+            self._group = GroupService(
+                settings, settings.group, self._hello(), tls, reactor, time.time
+            )
         self._listener = EntryListener(
-            self._attempts, self._hello(), settings.timing, reactor
+            self._attempts,
+            self._hello(),
+            settings.timing,
+            reactor,
+            self._group.routes if self._group is not None else None,
         )
         self._drain_started_s: float | None = None
         self.exit_code = _EXIT_OK
@@ -74,6 +84,8 @@
         """Listen for entries."""
         streams = self._settings.streams
         listening = self._listen(streams.host, streams.port)
+        if self._group is not None:
+            self._group.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/settings.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/settings.py
@@ -35,6 +35,28 @@
     queue: Annotated[int, Meta(ge=0)] = 128
 
 
+class GroupSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The group of ranks that the engine belongs to.
+
+    ``coordinator_host`` and ``coordinator_port`` are where rank 0's agent listens.
+    ``report_s`` and ``plan_s`` are periods, ``half_life_s`` the age at which a report
+    of popularity counts half, all in seconds.
+    """
+
+    ranks: Count
+    experts: Count
+    slots_per_rank: Count
+    coordinator_host: Host = "127.0.0.1"
+    coordinator_port: Port = 8090
+    expert_bytes: Count = 50_000_000
+    store_bytes_per_s: Annotated[int, Meta(ge=1)] = 1_000_000_000
+    skew_weight: Annotated[float, Meta(ge=0.0)] = 1.0
+    move_cost: Annotated[float, Meta(ge=0.0)] = 1.0
+    report_s: Seconds = 1.0
+    plan_s: Seconds = 5.0
+    half_life_s: Seconds = 30.0
+
+
 class StreamSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Where entries connect."""
 
@@ -59,9 +81,16 @@
     instance_id: Identifier
     zone: Identifier
     endpoint: EndpointSettings
+    group: GroupSettings | None = None
     platform: PlatformSettings
     streams: StreamSettings = field(default_factory=StreamSettings)
     timing: TimingSettings = field(default_factory=TimingSettings)
 
 
-__all__ = ["AgentSettings", "EndpointSettings", "StreamSettings", "TimingSettings"]
+__all__ = [
+    "AgentSettings",
+    "EndpointSettings",
+    "GroupSettings",
+    "StreamSettings",
+    "TimingSettings",
+]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -8,7 +8,7 @@
 from twisted.internet import protocol
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import Heartbeat
+from corianderrelay.protocol.messages import GroupFrame, Heartbeat
 from corianderrelay.state.recent_marks import RecentMarks
 from corianderrelay.transport.framed_stream import FramedStream
 
@@ -23,6 +23,7 @@
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempts import Attempts
+    from ..coordination.group_routes import GroupRoutes
     from ..state.settings import TimingSettings
 
 _LEAVING_ENTRY_REMEMBERED_S = 60.0
@@ -32,6 +33,7 @@
     """Makes a session for each entry that connects.
 
     :param hello: what this agent says first on each stream.
+    :param routes: takes the frames of the group's other agents; ``None`` without one.
     """
 
     noisy = False
@@ -42,8 +44,10 @@
         hello: Hello,
         timing: TimingSettings,
         clock: Clock,
+        routes: GroupRoutes | None = None,
     ) -> None:
         self._attempts = attempts
+        self._routes = routes
         self._hello = hello
         self._timing = timing
         self._clock = clock
@@ -78,12 +82,18 @@
         stream.send(self._load_report())
 
     def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
-        """Hand the message to the stream's session."""
+        """Hand the message to the stream's session, or to the group's routes."""
+        if isinstance(message, GroupFrame):
+            if self._routes is not None:
+                self._routes.receive(stream, message)
+            return
         self._sessions_by_stream[stream].receive(message)
 
     def stream_closed(self, stream: FramedStream, reason: str) -> None:
         """End the stream's session."""
         session = self._sessions_by_stream.pop(stream)
+        if self._routes is not None:
+            self._routes.drop(stream)
         eliot.log_message(
             message_type="agent:stream_closed",
             entry_id=session.entry_id,
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/group_client.py
@@ -0,0 +1,104 @@
+"""The stream from the agent of a rank to the agent of rank 0."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import eliot
+from twisted.application.internet import ClientService, backoffPolicy
+from twisted.internet import protocol
+from twisted.internet.endpoints import HostnameEndpoint
+
+from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.messages import GroupFrame, Heartbeat
+from corianderrelay.transport.framed_stream import FramedStream
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IAddress
+
+    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.messages import AnyMessage, Hello
+    from corianderrelay.transport.tls import TlsFiles
+
+    from ..coordination.group_routes import GroupRoutes
+    from ..state.settings import GroupSettings, TimingSettings
+
+_RECONNECT = backoffPolicy(initialDelay=0.2, maxDelay=2.0, factor=1.5)
+_CONNECT_TIMEOUT_S = 3
+
+
+class GroupClient(protocol.Factory):
+    """Keeps one stream to the agent of rank 0.
+
+    :param hello: what this agent says first.
+    :param tls: certificates of the streams; ``None`` for plain ones.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        routes: GroupRoutes,
+        hello: Hello,
+        group: GroupSettings,
+        timing: TimingSettings,
+        clock: Clock,
+        tls: TlsFiles | None,
+    ) -> None:
+        self._routes = routes
+        self._hello = hello
+        self._group = group
+        self._timing = timing
+        self._clock = clock
+        self._tls = tls
+        self._stream: FramedStream | None = None
+        self._sequence = 0
+        self._beat = Periodic(clock, self._heartbeat)
+
+    def start(self) -> None:
+        """Connect, and connect again whenever the stream is lost."""
+        reactor: Any = self._clock
+        host, port = self._group.coordinator_host, self._group.coordinator_port
+        endpoint: Any = HostnameEndpoint(
+            reactor, host, port, timeout=_CONNECT_TIMEOUT_S
+        )
+        if self._tls is not None:
+            endpoint = self._tls.wrap_client(endpoint, host)
+        factory: Any = self
+        ClientService(endpoint, factory, _RECONNECT, clock=reactor).startService()
+        self._beat.start(self._timing.heartbeat_s)
+
+    def buildProtocol(self, addr: IAddress | None) -> FramedStream:
+        """Return the stream of a new connection; called by Twisted."""
+        return FramedStream(self, self._clock)
+
+    def stream_opened(self, stream: FramedStream) -> None:
+        """Greet rank 0's agent."""
+        self._stream = stream
+        self._routes.use(stream)
+        stream.send(self._hello)
+
+    def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
+        """Take what concerns the group; the rest is meant for entries."""
+        if isinstance(message, GroupFrame):
+            self._routes.receive(stream, message)
+
+    def stream_closed(self, stream: FramedStream, reason: str) -> None:
+        """Forget the stream."""
+        eliot.log_message(message_type="agent:group_stream_closed", reason=reason)
+        self._routes.drop(stream)
+        if self._stream is stream:
+            self._stream = None
+
+    def _heartbeat(self) -> None:
+        if self._stream is None:
+            return
+        self._sequence += 1
+        silent_s = self._clock.seconds() - self._stream.last_received_s
+        if silent_s > self._timing.silent_after_s:
+            self._stream.close("rank 0's agent has been silent for too long")
+        else:
+            self._stream.send(Heartbeat(self._sequence))
+
+
+__all__ = ["GroupClient"]
--- /dev/null
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/map_engine_http.py
@@ -0,0 +1,163 @@
+"""The expert-map orders of an engine over HTTP: the one module that knows them.
+
+Engines name a map by the number that its digest spells in hexadecimal.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from corianderrelay.state.errors import FencedError, UnavailableError
+from corianderrelay.state.group_map import expert_map_of
+from corianderrelay.state.switch_types import (
+    EngineMapStatus,
+    HoldOrder,
+    ReleaseOrder,
+    StageOrder,
+    SwitchOrder,
+)
+from corianderrelay.transport.http_client import HttpClient
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.defer import Deferred
+    from twisted.python.failure import Failure
+
+    from corianderrelay.state.switch_types import MapOrder
+    from corianderrelay.transport.http_client import HttpAnswer
+
+_TIMEOUT_S = 2.0
+_OK = 200
+_FENCED = 409
+_DIGEST_FORMAT = "016x"
+
+
+class _Status(msgspec.Struct):
+    incarnation: int
+    next_step: int
+    holds: list[int]
+    staged: list[int]
+    map_by_step: list[tuple[int, int]]
+
+
+class _Popularity(msgspec.Struct):
+    tokens_by_expert: tuple[int, ...]
+
+
+class _Order(msgspec.Struct, omit_defaults=True):
+    map: int = -1
+    hold_at: int = -1
+    step: int = -1
+    experts: list[tuple[int, int]] = msgspec.field(default_factory=list)
+
+
+_Body = TypeVar("_Body", bound=msgspec.Struct)
+
+
+class HttpMapEngine:
+    """Implements :class:`~corianderrelay.coordination.group_link.MapEngine`.
+
+    :param rank: the rank whose experts are to be loaded.
+    :param base_url: such as ``http://127.0.0.1:8000``.
+    """
+
+    def __init__(self, reactor: ReactorBase, base_url: str, rank: int) -> None:
+        self._client = HttpClient(reactor, base_url)
+        self._rank = rank
+
+    def map_status(self) -> Deferred[EngineMapStatus]:
+        """Return the engine's status."""
+        answer = self._client.fetch("GET", "/group/status", timeout_s=_TIMEOUT_S)
+        return answer.addCallbacks(_status_of, _unavailable)
+
+    def order_map(self, order: MapOrder, fence: int) -> Deferred[EngineMapStatus]:
+        """Give an order and return the status after it."""
+        action, body = self._request(order)
+        answer = self._client.fetch(
+            "POST",
+            f"/group/{action}",
+            timeout_s=_TIMEOUT_S,
+            headers={
+                "Content-Type": "application/json",
+                "X-Fencing-Token": str(fence),
+            },
+            body=msgspec.json.encode(body),
+        )
+        return answer.addCallbacks(_status_of, _unavailable)
+
+    def popularity(self) -> Deferred[tuple[int, ...]]:
+        """Return the tokens that each expert received since the last call."""
+        answer = self._client.fetch("GET", "/group/popularity", timeout_s=_TIMEOUT_S)
+        return answer.addCallbacks(_popularity_of, _no_popularity)
+
+    def _request(self, order: MapOrder) -> tuple[str, _Order]:
+        match order:
+            case StageOrder():
+                held = expert_map_of(order.group_map).experts_by_rank[self._rank]
+                number = _number_of(order.group_map.digest)
+                experts = [(0, expert) for expert in held]
+                return "stage", _Order(map=number, experts=experts)
+            case HoldOrder():
+                return "arm", _Order(hold_at=order.step)
+            case ReleaseOrder():
+                return "release", _Order(hold_at=order.step)
+            case SwitchOrder():
+                number = _number_of(order.digest)
+                return "activate", _Order(map=number, step=order.step)
+
+
+def _number_of(digest: str) -> int:
+    return int(digest, 16)
+
+
+def _digest_of(number: int) -> str:
+    return format(number, _DIGEST_FORMAT)
+
+
+def _status_of(answer: HttpAnswer) -> EngineMapStatus:
+    if answer.status == _FENCED:
+        raise FencedError(
+            "the engine obeyed a higher fencing token before",
+            "read the groups stream: another coordinator has taken over",
+        )
+    status = _decode(answer, _Status)
+    return EngineMapStatus(
+        status.incarnation,
+        status.next_step,
+        frozenset(status.holds),
+        frozenset(map(_digest_of, status.staged)),
+        {step: _digest_of(number) for step, number in status.map_by_step},
+    )
+
+
+def _popularity_of(answer: HttpAnswer) -> tuple[int, ...]:
+    if answer.status != _OK:
+        return ()
+    return _decode(answer, _Popularity).tokens_by_expert
+
+
+def _decode(answer: HttpAnswer, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise _unreachable(f"its answer is malformed: {error}") from error
+
+
+def _unreachable(reason: str) -> UnavailableError:
+    return UnavailableError(
+        f"the engine gave no status of its maps: {reason}",
+        "check that it runs at `endpoint.url` as a rank of the group",
+    )
+
+
+def _unavailable(failure: Failure) -> EngineMapStatus:
+    raise _unreachable(failure.getErrorMessage())
+
+
+def _no_popularity(failure: Failure) -> tuple[int, ...]:
+    return ()
+
+
+__all__ = ["HttpMapEngine"]
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -244,6 +244,20 @@
     detail: str
 
 
+class GroupFrame(Message, tag="group", frozen=True):
+    """Agent to agent of one group: a message from one rank to another.
+
+    The agents of a group hold a stream to that of rank 0, which passes frames on.
+
+    :param body: the message; see ``group_messages``.
+    """
+
+    group: Identifier
+    source: Natural
+    target: Natural
+    body: bytes
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -263,6 +277,7 @@
     | Ping
     | Pong
     | Closing
+    | GroupFrame
 )
 
 __all__ = [
@@ -276,6 +291,7 @@
     "Closing",
     "Dispatch",
     "End",
+    "GroupFrame",
     "Heartbeat",
     "Hello",
     "Leaving",
--- a/packages/corianderrelay-core/src/corianderrelay/state/audit.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/audit.py
@@ -17,6 +17,7 @@
 
     from .claim_records import ClaimRecord, Outcome
     from .config_fold import Verdict
+    from .map_switch import SwitchReport
 
 AUDIT_STREAM = "audit"
 _MAX_REASON_CHARS = 500
@@ -127,6 +128,27 @@
     )
 
 
+def switch_audit(
+    report: SwitchReport, group: str, instance_id: str, now_s: float
+) -> AuditRecord:
+    """Return the record of an attempt to switch a group's expert map.
+
+    :param now_s: wall-clock time in seconds since 1970.
+    """
+    attempt = report.attempt
+    outcome = "committed" if report.committed else "not committed"
+    return AuditRecord(
+        kind=AuditKind.MAP_SWITCHED,
+        identity=f"groups/{group}/{attempt.epoch}/{attempt.number}",
+        who=instance_id,
+        time_s=now_s,
+        why=f"{outcome}: {report.reason}"[:_MAX_REASON_CHARS],
+        subject=f"{group} map {report.group_map.version} from step {report.step}",
+        stream="groups",
+        offset=attempt.epoch,
+    )
+
+
 def settlement_audit(
     claim: ClaimRecord, outcome: Outcome, entry_id: str, stream: str, now_s: float
 ) -> AuditRecord:
@@ -156,4 +178,5 @@
     "encode_audit_record",
     "select_records",
     "settlement_audit",
+    "switch_audit",
 ]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/state/group_map.py
@@ -0,0 +1,32 @@
+"""An expert map as it travels in a switch, and what a rank has to load for it."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from .expert_map import ExpertMap, moves_between
+from .switch_types import GroupMap
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(ExpertMap)
+
+
+def group_map_of(expert_map: ExpertMap) -> GroupMap:
+    """Return the map with its digest; its version is set when a switch starts."""
+    body = _ENCODER.encode(expert_map)
+    return GroupMap(0, xxhash.xxh3_64_hexdigest(body), body)
+
+
+def expert_map_of(group_map: GroupMap) -> ExpertMap:
+    """Return the placement of a map."""
+    return _DECODER.decode(group_map.body)
+
+
+def moved_bytes(old: GroupMap, new: GroupMap, expert_bytes: int) -> int:
+    """Return the bytes that the ranks load to go from one map to the other."""
+    moves = moves_between(expert_map_of(old), expert_map_of(new))
+    return len(moves) * expert_bytes
+
+
+__all__ = ["expert_map_of", "group_map_of", "moved_bytes"]
--- a/packages/corianderrelay-core/src/corianderrelay/state/switch_types.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/switch_types.py
@@ -178,6 +178,13 @@
     newest: Count
 
 
+class PopularityReport(SwitchMessage, tag="popularity", frozen=True):
+    """Rank to coordinator: the tokens that each expert received lately."""
+
+    interval_ms: Count
+    tokens_by_expert: tuple[Count, ...]
+
+
 AnySwitchMessage = (
     Stage
     | Staged
@@ -190,6 +197,7 @@
     | JoinQuery
     | JoinAnswer
     | JoinRefused
+    | PopularityReport
 )
 
 
@@ -305,6 +313,7 @@
     "Outcome",
     "OutcomeQuery",
     "PlacedMap",
+    "PopularityReport",
     "RankIncarnation",
     "RankOrder",
     "ReadGroupLog",
