--- /dev/null
+++ b/tests/features/processes/group_rank_faults.feature
@@ -0,0 +1,13 @@
+Feature: Faults of a rank's agent during a switch
+
+  Background:
+    Given a group of three ranks whose engines step on a first map
+
+  Scenario Outline: A fault during a switch stalls it at most
+    When the group's demand shifts 4 times and each time <fault>
+    Then the group used one map in every step
+
+    Examples:
+      | fault             |
+      | agent 1 is killed |
+      | agent 1 is paused |
--- /dev/null
+++ b/tests/features/steps/group_switch_steps.py
@@ -0,0 +1,93 @@
+"""Steps for a lock-step group of real processes."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgpack
+from behave import given, then, when
+
+from demo.processes import fetch
+from demo.system import temporary_folder
+from tests.harness.group_system import EXPERTS, GroupSystem
+
+_NO_MAP = -1
+_LONGEST_WAIT_S = 0.6
+_PAUSE_S = 1.0
+_OUTAGE_S = 1.5
+_SEED = 7
+
+
+@given("a group of three ranks whose engines step on a first map")
+def step_group(context: Any) -> None:
+    folder = context.cleanup.enter_context(temporary_folder())
+    context.group = GroupSystem(Path(folder))
+    context.cleanup.callback(context.group.kill)
+    context.first_map = context.group.wait_for_new_map(_NO_MAP)
+    context.maps = [context.first_map]
+
+
+def _favourites(turn: int) -> set[int]:
+    return {(3 * turn) % EXPERTS, (3 * turn + 1) % EXPERTS}
+
+
+@when("the group's demand shifts {times:d} times")
+def step_shift(context: Any, times: int) -> None:
+    for turn in range(times):
+        context.group.shift_demand(_favourites(turn))
+        context.maps.append(context.group.wait_for_new_map(context.maps[-1]))
+
+
+@when("the group's demand shifts {times:d} times and each time agent {rank:d} is {how}")
+def step_shift_with_fault(context: Any, times: int, rank: int, how: str) -> None:
+    random = Random(_SEED)
+    for turn in range(times):
+        context.group.shift_demand(_favourites(turn))
+        time.sleep(random.uniform(0.0, _LONGEST_WAIT_S))
+        if how == "killed":
+            context.group.kill_agent(rank)
+        else:
+            context.group.pause_agent(rank, _PAUSE_S)
+        context.maps.append(context.group.wait_for_new_map(context.maps[-1]))
+
+
+@then("the group used one map in every step")
+def step_one_map(context: Any) -> None:
+    context.group.wait_for_steps()
+    steps = context.group.steps()
+    assert steps["mixed"] == {}, steps
+    assert len(context.group.maps_in_use()) == 1, context.group.statuses()
+
+
+@then("the audit trail names each switch of the group")
+def step_audit(context: Any) -> None:
+    body = fetch(f"{context.group.log_url}/streams/audit?offset=0")[2]
+    records = [json.loads(payload) for _, payload in msgpack.unpackb(body)["entries"]]
+    committed = [record for record in records if record["why"][:9] == "committed"]
+    assert len(committed) >= len(context.maps), records
+    assert {record["kind"] for record in records} == {"map_switched"}, records
+
+
+@when("the log is out and the group's demand shifts")
+def step_log_out(context: Any) -> None:
+    context.group.set_log(outage=True)
+    context.group.shift_demand(_favourites(1))
+
+
+@then("the group steps on its old map")
+def step_old_map(context: Any) -> None:
+    end = time.monotonic() + _OUTAGE_S
+    while time.monotonic() < end:
+        assert context.group.maps_in_use() == {context.first_map}
+    context.group.wait_for_steps()
+
+
+@then("the group switches once the log is back")
+def step_log_back(context: Any) -> None:
+    context.group.set_log(outage=False)
+    context.group.wait_for_new_map(context.first_map)
+    assert context.group.steps()["mixed"] == {}
--- /dev/null
+++ b/tests/harness/group_system.py
@@ -0,0 +1,159 @@
+"""A lock-step group of real processes: log, engines in step, and their agents."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from typing import TYPE_CHECKING, Any
+
+from demo.processes import Process, fetch
+from tests.waiting import wait_until
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+RANKS = 3
+EXPERTS = 8
+_IGNORES_FENCING = 1
+_STEP_S = 0.01
+
+
+class GroupSystem:
+    """The processes of one group; the engine of rank 1 ignores fencing numbers.
+
+    :param folder: where settings and logs are written.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: list[Process] = []
+        self._agents_by_rank: dict[int, Process] = {}
+        self._coordinator_port = 0
+        self.log_url = self._stand_in("log", "log")
+        self.engine_urls: list[str] = []
+        for rank in range(RANKS):
+            self.engine_urls.append(self._start_engine(rank))
+        for rank in range(RANKS):
+            self.start_agent(rank)
+
+    def start_agent(self, rank: int) -> None:
+        """Start the agent of a rank."""
+        name = f"agent-{rank}-{len(self._processes)}"
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(self._agent_settings(rank, name)))
+        command = ["-m", "corianderrelay_agent.run", "run", "--settings", str(path)]
+        process = self._start(name, command)
+        port = process.wait_for_line("streams_port")["streams_port"]
+        if rank == 0:
+            self._coordinator_port = port
+        self._agents_by_rank[rank] = process
+
+    def kill_agent(self, rank: int) -> None:
+        """Kill the agent of a rank and start another."""
+        self._agents_by_rank[rank].kill()
+        self.start_agent(rank)
+
+    def pause_agent(self, rank: int, pause_s: float) -> None:
+        """Freeze the agent of a rank for a while."""
+        self._agents_by_rank[rank].signal(signal.SIGSTOP)
+        time.sleep(pause_s)
+        self._agents_by_rank[rank].signal(signal.SIGCONT)
+
+    def shift_demand(self, favourites: set[int]) -> None:
+        """Make some experts far more popular than the others."""
+        tokens = [900 if expert in favourites else 100 for expert in range(EXPERTS)]
+        body = json.dumps({"tokens_by_expert": tokens}).encode()
+        for url in self.engine_urls:
+            fetch(f"{url}/group/popularity", "POST", body)
+
+    def set_log(self, **faults: object) -> None:
+        """Set faults of the log service."""
+        fetch(f"{self.log_url}/control", "POST", json.dumps(faults).encode())
+
+    def steps(self) -> Any:
+        """Return the barrier's record: the step, and steps with several maps."""
+        return _get(f"{self.engine_urls[0]}/group/steps")
+
+    def statuses(self) -> list[Any]:
+        """Return the maps' status of each engine."""
+        return [_get(f"{url}/group/status") for url in self.engine_urls]
+
+    def maps_in_use(self) -> set[int]:
+        """Return the maps that the engines use."""
+        return {status["map"] for status in self.statuses()}
+
+    def wait_for_new_map(self, old: int) -> int:
+        """Wait until all engines use one map other than ``old``, and step on it."""
+
+        def settled() -> bool:
+            statuses = self.statuses()
+            maps = {status["map"] for status in statuses}
+            held = any(status["holds"] for status in statuses)
+            return len(maps) == 1 and old not in maps and not held
+
+        wait_until(settled, f"all ranks use a map other than {old}")
+        self.wait_for_steps()
+        return next(iter(self.maps_in_use()))
+
+    def wait_for_steps(self) -> None:
+        """Wait until the group has made some more steps."""
+        wanted = self.steps()["step"] + 10
+        wait_until(lambda: self.steps()["step"] >= wanted, "the group steps")
+
+    def kill(self) -> None:
+        """End everything at once."""
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.kill()
+
+    def _start_engine(self, rank: int) -> str:
+        options = ["--rank", str(rank), "--ranks", str(RANKS), "--step-s", str(_STEP_S)]
+        if rank:
+            options += ["--hub-url", self.engine_urls[0]]
+        if rank == _IGNORES_FENCING:
+            options.append("--ignores-fencing")
+        return self._stand_in(f"engine-{rank}", "engine", *options)
+
+    def _stand_in(self, name: str, kind: str, *options: str) -> str:
+        command = ["-m", "tests.standins.run", kind, "--port", "0", *options]
+        port = self._start(name, command).wait_for_line("listening")["listening"]
+        return f"http://127.0.0.1:{port}"
+
+    def _agent_settings(self, rank: int, name: str) -> dict[str, Any]:
+        port = self._coordinator_port if rank == 0 else 0
+        return {
+            "instance_id": name,
+            "zone": "oslo-a",
+            "endpoint": {
+                "url": self.engine_urls[rank],
+                "service": "assistant",
+                "group": "kits",
+                "rank": rank,
+            },
+            "group": {
+                "ranks": RANKS,
+                "experts": EXPERTS,
+                "slots_per_rank": 4,
+                "coordinator_port": self._coordinator_port,
+                "expert_bytes": 1000,
+                "skew_weight": 100.0,
+                "report_s": 0.1,
+                "plan_s": 0.2,
+                "half_life_s": 0.5,
+            },
+            "platform": {"log_url": self.log_url, "instances_url": self.log_url},
+            "streams": {"host": "127.0.0.1", "port": port},
+        }
+
+    def _start(self, name: str, command: list[str]) -> Process:
+        process = Process(name, command, self._folder / f"{name}.log")
+        self._processes.append(process)
+        return process
+
+
+def _get(url: str) -> Any:
+    return json.loads(fetch(url)[2])
+
+
+__all__ = ["EXPERTS", "GroupSystem", "RANKS"]
--- a/tests/standins/group_face.py
+++ b/tests/standins/group_face.py
@@ -85,7 +85,9 @@
         if self._busy or self._rank.held or self._batch.faults.stalled:
             return
         self._busy = True
-        self._arrive(self._rank.map).addCallbacks(self._begin, self._failed)
+        self._arrive(self._rank.map_for(self._rank.step + 1)).addCallbacks(
+            self._begin, self._failed
+        )
 
     def start(self) -> None:
         """Look again and again whether the rank may go on."""
@@ -93,7 +95,7 @@
         self._reactor.callLater(_RETRY_S, self.start)
 
     def _begin(self, step: int) -> None:
-        self._rank.step = step
+        self._rank.begin(step)
         self._reactor.callLater(self._batch.step_time_s, self._end)
 
     def _end(self) -> None:
@@ -125,6 +127,7 @@
         self._hub = hub
         self._weights = weights
         self._model = model
+        self._popularity: list[int] = []
 
     def handle(self, request: Request, parts: list[str]) -> None:
         """Answer one request."""
@@ -135,7 +138,12 @@
                 send_json(request, 200, _steps(self._hub.barrier))
             case "GET", ["group", "status"]:
                 send_json(request, 200, self._status())
-            case "POST", ["group", "stage" | "arm" | "activate" as action]:
+            case "GET", ["group", "popularity"]:
+                send_json(request, 200, {"tokens_by_expert": self._popularity})
+            case "POST", ["group", "popularity"]:
+                self._popularity = json_of(request)["tokens_by_expert"]
+                send_json(request, 200, {})
+            case "POST", ["group", "stage" | "arm" | "activate" | "release" as action]:
                 self._order(request, action)
             case _:
                 self._face.handle(request, parts)
@@ -156,9 +164,11 @@
         elif action == "stage":
             self._stage(request, body)
         elif action == "arm":
-            self._obeyed(request, self._rank.arm(body["map"], body["hold_at"]))
+            self._obeyed(request, self._rank.arm(body["hold_at"]))
+        elif action == "release":
+            self._obeyed(request, self._rank.release(body["hold_at"]))
         else:
-            self._obeyed(request, self._rank.activate(body["map"]))
+            self._obeyed(request, self._rank.activate(body["map"], body["step"]))
 
     def _obeyed(self, request: Request, obeyed: Result[None, RankRefusal]) -> None:
         if isinstance(obeyed, Err):
@@ -184,8 +194,14 @@
         return read.addCallback(lambda _: self._load(experts[1:]))
 
     def _status(self) -> dict[str, Any]:
-        status = asdict(self._rank)
-        return status | {"held": self._rank.held, "staged": sorted(self._rank.staged)}
+        rank = self._rank
+        return asdict(rank) | {
+            "held": rank.held,
+            "next_step": rank.next_step,
+            "staged": sorted(rank.staged),
+            "holds": sorted(rank.holds),
+            "map_by_step": sorted(rank.map_by_step.items()),
+        }
 
 
 def remote_arrival(client: HttpClient, rank: int) -> Callable[[int], Deferred[int]]:
--- a/tests/standins/group_rank.py
+++ b/tests/standins/group_rank.py
@@ -20,8 +20,12 @@
 class GroupRank:
     """What one rank's engine holds; it steps only with a map.
 
+    An order names its step. None lifts the hold before another step, and none changes
+    the map of a step that may have begun.
+
     :param checks_fencing: whether it refuses an order with an older fencing token.
-    :param hold_at: step that it does not begin while armed, or ``None``.
+    :param map: map with which it starts.
+    :param incarnation: tells this run of the engine from others.
     """
 
     rank: int
@@ -29,9 +33,15 @@
     map: int = NO_MAP
     step: int = 0
     staged: set[int] = field(default_factory=set)
-    armed_map: int = NO_MAP
-    hold_at: int | None = None
+    holds: set[int] = field(default_factory=set)
+    map_by_step: dict[int, int] = field(default_factory=dict)
     highest_token: int = -1
+    incarnation: int = 0
+
+    def __post_init__(self) -> None:
+        """Use the first map from step 0 on, if there is one."""
+        if self.map != NO_MAP:
+            self.map_by_step[0] = self.map
 
     def admit(self, token: int) -> Result[None, RankRefusal]:
         """Check an order's fencing token, if this engine checks it at all."""
@@ -44,33 +54,47 @@
         """Note that the weights of a map are loaded."""
         self.staged.add(map_number)
 
-    def arm(self, map_number: int, hold_at: int) -> Result[None, RankRefusal]:
-        """Hold before a later step, ready for a staged map.
-
-        The rank may have arrived at the next step already, so that is too soon.
-        """
-        if map_number not in self.staged:
-            return Err(RankRefusal("not staged"))
-        if hold_at <= self.step + 1:
+    def arm(self, hold_at: int) -> Result[None, RankRefusal]:
+        """Hold before a later step."""
+        if hold_at < self.next_step:
             return Err(RankRefusal("step has begun"))
-        self.armed_map = map_number
-        self.hold_at = hold_at
+        self.holds.add(hold_at)
+        return Ok(None)
+
+    def release(self, hold_at: int) -> Result[None, RankRefusal]:
+        """Lift the hold before a step and keep the map."""
+        self.holds.discard(hold_at)
         return Ok(None)
 
-    def activate(self, map_number: int) -> Result[None, RankRefusal]:
-        """Use a staged map from the next step on, or go on with the present one."""
-        if map_number != self.map and map_number not in self.staged:
+    def activate(self, map_number: int, step: int) -> Result[None, RankRefusal]:
+        """Use a staged map from ``step`` on and lift the hold there."""
+        if map_number not in self.staged | set(self.map_by_step.values()):
             return Err(RankRefusal("not staged"))
-        self.map = map_number
-        self.armed_map = NO_MAP
-        self.hold_at = None
+        if step < self.next_step and self.map_for(self.next_step) != NO_MAP:
+            return Err(RankRefusal("step has begun"))
+        self.map_by_step[step] = map_number
+        self.holds.discard(step)
         return Ok(None)
 
+    def begin(self, step: int) -> None:
+        """Note that the group begins a step."""
+        self.step = step
+        self.map = self.map_for(step)
+
+    def map_for(self, step: int) -> int:
+        """Return the map ordered for a step."""
+        orders = [start for start in self.map_by_step if start <= step]
+        return self.map_by_step[max(orders)] if orders else NO_MAP
+
+    @property
+    def next_step(self) -> int:
+        """First step that cannot have begun; a rank may wait for the next already."""
+        return self.step + 1 if self.held else self.step + 2
+
     @property
     def held(self) -> bool:
         """Whether it does not begin the next step."""
-        at_hold = self.hold_at is not None and self.step + 1 >= self.hold_at
-        return self.map == NO_MAP or at_hold
+        return self.map_for(self.step + 1) == NO_MAP or self.step + 1 in self.holds
 
 
 @dataclass(slots=True)
--- a/tests/standins/run.py
+++ b/tests/standins/run.py
@@ -7,6 +7,7 @@
 
 import json
 import sys
+import time
 from typing import TYPE_CHECKING, Any, cast
 
 import click
@@ -112,6 +113,7 @@
 ) -> GroupFace:
     number, first_map = options["rank"], options["first_map"]
     rank = GroupRank(number, options["checks_fencing"], first_map)
+    rank.incarnation = time.time_ns()
     hub = GroupHub(options["ranks"]) if number == 0 else None
     arrive = (
         remote_arrival(HttpClient(reactor, options["hub_url"]), number)
