--- a/bench/map_switch.py
+++ b/bench/map_switch.py
@@ -197,7 +197,9 @@
     """Print the table."""
     print(
         f"message {_DELAYS.message_s * 1000:g} ms, "
-        f"order {_DELAYS.order_s * 1000:g} ms, log {_DELAYS.log_s * 1000:g} ms each way, step {_DELAYS.step_s * 1000:g} ms, "
+        f"order {_DELAYS.order_s * 1000:g} ms, "
+        f"log {_DELAYS.log_s * 1000:g} ms each way, "
+        f"step {_DELAYS.step_s * 1000:g} ms, "
         f"load {_LOAD_S:g} s, map {_BODY_BYTES} bytes, seed {_SEED}, "
         f"{_SWITCHES} switches each"
     )
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
@@ -7,14 +7,14 @@
 
 import eliot
 
+from corianderrelay.coordination.audit_writer import AuditWriter
 from corianderrelay.coordination.group_agent import GroupAgent
 from corianderrelay.coordination.group_log import GroupLog
 from corianderrelay.coordination.map_coordinator import CoordinatorPeriods
 from corianderrelay.coordination.map_rank import RankPeriods
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.coordination.tasks import spawn
-from corianderrelay.state.audit import AUDIT_STREAM, encode_audit_record, switch_audit
-from corianderrelay.state.errors import LogAnswerLostError, LogUnavailableError
+from corianderrelay.state.audit import switch_audit
 from corianderrelay.state.map_switch import SwitchRules
 from corianderrelay.state.rank_switch import COORDINATOR_RANK, RankRules
 from corianderrelay.state.switch_types import PopularityReport
@@ -58,12 +58,13 @@
         self._group = group
         self._reactor = reactor
         self._wall_clock = wall_clock
-        self._log = HttpLogClient(reactor, settings.platform.log_url)
+        log_client = HttpLogClient(reactor, settings.platform.log_url)
+        self._audit = AuditWriter(log_client, reactor)
         self._engine = HttpMapEngine(reactor, endpoint.url, endpoint.rank)
         self.routes = GroupRoutes(
             endpoint.group, endpoint.rank, reactor, self._on_message
         )
-        log = GroupLog(self._log, endpoint.group, lambda: uuid.uuid4().hex)
+        log = GroupLog(log_client, endpoint.group, lambda: uuid.uuid4().hex)
         self._part = GroupAgent(
             endpoint.group,
             endpoint.rank,
@@ -96,6 +97,7 @@
         if self._client is not None:
             self._client.start()
         self._part.start()
+        self._audit.start()
         self._reporting.start(self._group.report_s)
         if self._planning is not None:
             self._plan_call.start(self._group.plan_s)
@@ -112,19 +114,9 @@
             committed=report.committed,
             reason=report.reason,
         )
-        record = switch_audit(
-            report,
-            self._settings.endpoint.group,
-            self._settings.instance_id,
-            self._wall_clock(),
-        )
-        spawn(self._audit(encode_audit_record(record)))
-
-    async def _audit(self, payload: bytes) -> None:
-        try:
-            await self._log.append(AUDIT_STREAM, payload)
-        except (LogUnavailableError, LogAnswerLostError) as error:
-            eliot.log_message(message_type="agent:audit_lost", error=error.message)
+        group, instance_id = self._settings.endpoint.group, self._settings.instance_id
+        record = switch_audit(report, group, instance_id, self._wall_clock())
+        self._audit.write(record)
 
     def _on_message(self, rank: int, message: AnySwitchMessage) -> None:
         if not isinstance(message, PopularityReport):
--- a/tests/features/steps/group_switch_steps.py
+++ b/tests/features/steps/group_switch_steps.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-import json
 import time
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 from behave import given, then, when
 
+from corianderrelay.state.audit import AuditKind, decode_audit_records
+
 from demo.processes import fetch
 from demo.system import temporary_folder
 from tests.harness.group_system import EXPERTS, GroupSystem
+from tests.waiting import wait_until
+
+if TYPE_CHECKING:
+    from corianderrelay.state.audit import AuditRecord
 
 _NO_MAP = -1
 _LONGEST_WAIT_S = 0.6
@@ -63,13 +68,22 @@
     assert len(context.group.maps_in_use()) == 1, context.group.statuses()
 
 
+def _audit_records(context: Any) -> list[AuditRecord]:
+    body = fetch(f"{context.group.log_url}/streams/audit?offset=0")[2]
+    payloads = [payload for _, payload in msgpack.unpackb(body)["entries"]]
+    return [record for payload in payloads for record in decode_audit_records(payload)]
+
+
 @then("the audit trail names each switch of the group")
 def step_audit(context: Any) -> None:
-    body = fetch(f"{context.group.log_url}/streams/audit?offset=0")[2]
-    records = [json.loads(payload) for _, payload in msgpack.unpackb(body)["entries"]]
-    committed = [record for record in records if record["why"][:9] == "committed"]
-    assert len(committed) >= len(context.maps), records
-    assert {record["kind"] for record in records} == {"map_switched"}, records
+    def all_named() -> bool:
+        records = _audit_records(context)
+        committed = [record for record in records if record.why[:9] == "committed"]
+        return len(committed) >= len(context.maps)
+
+    wait_until(all_named, "the audit trail names each switch")
+    kinds = {record.kind for record in _audit_records(context)}
+    assert kinds == {AuditKind.MAP_SWITCHED}, kinds
 
 
 @when("the log is out and the group's demand shifts")
