--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -20,6 +20,7 @@
 
 from .coordination.attempts import Attempts
 from .coordination.keyed_attempts import KeyedAttempts
+from .group_service import GroupService
 from .state.key_guard import KeyGuard, KeyGuardLimits
 from .transport.engine_http import HttpEngine
 from .transport.entry_listener import EntryListener
@@ -68,12 +69,18 @@
             reactor.seconds,
             KeyedAttempts(guard, reactor.seconds),
         )
+        self._group: GroupService | None = None
+        if settings.group is not None:
+            self._group = GroupService(
+                settings, settings.group, self._hello(), tls, reactor, time.time
+            )
         self._listener = EntryListener(
             self._attempts,
             self._hello(),
             ConfigExchange(HeldConfig(_log_version)),
             settings.timing,
             reactor,
+            self._group.routes if self._group is not None else None,
         )
         self._drain = Drain(0.0, settings.timing.drain_deadline_s)
         self.exit_code = _EXIT_OK
@@ -82,6 +89,8 @@
         """Listen for entries."""
         streams = self._settings.streams
         listening = self._listen(streams.host, streams.port)
+        if self._group is not None:
+            self._group.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -263,6 +263,20 @@
     as_of: int
 
 
+class GroupFrame(Message, tag="group", frozen=True):
+    """Agent to agent of one group: a message from one rank to another.
+
+    The agents of a group hold a stream to that of rank 0, which passes frames on.
+
+    :param body: the message; see ``group_messages``.
+    """
+
+    group: Identifier
+    source: Natural
+    target: Natural
+    body: bytes
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -284,6 +298,7 @@
     | ConfigRequest
     | ConfigSnapshot
     | Closing
+    | GroupFrame
 )
 
 __all__ = [
@@ -299,6 +314,7 @@
     "Closing",
     "Dispatch",
     "End",
+    "GroupFrame",
     "Heartbeat",
     "Hello",
     "Leaving",
