Run a lock-step group of two ranks in the demo

Cause: the demo's first two agents named a group that their engines did not form. After: make demo shows both ranks on the same expert map and the order run once for two sends with one key at two entries.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -52,6 +52,7 @@
         super().__init__(folder)
         self.engine_count = engines
         self.entry_count = 1
+        self.group_ranks = 0
         self.engine_options = ["--slots", str(slots), "--step-s", str(step_s)]
         self.agent_slots = slots
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -79,6 +79,9 @@
         click.echo(f"order at {entry}: {status} {body.decode()}")
     executions = _get_json(f"{system.service_url}/executions")
     click.echo(f"orders that the service ran: {json.dumps(executions)}")
+    for rank, url in enumerate(system.engine_urls[: system.group_ranks]):
+        status = _get_json(f"{url}/group/status")
+        click.echo(f"rank {rank} of the lock-step group: {json.dumps(status)}")
     click.echo(
         "try it by hand while 'make run' is up:\n"
         f"  curl {first}/v1/entries\n"
--- a/demo/system.py
+++ b/demo/system.py
@@ -30,6 +30,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.engine_count = 3
+        self.group_ranks = 2
         self.entry_count = 2
         self.engine_options: list[str] = []
         self.agent_slots = 8
@@ -50,10 +51,9 @@
         """Start everything and publish the configuration document."""
         self.log_url = self._stand_in("log")
         self.instances_url = self._stand_in("instances")
-        self.engine_urls = [
-            self._stand_in("engine", number, self.engine_options)
-            for number in range(self.engine_count)
-        ]
+        for number in range(self.engine_count):
+            options = [*self.engine_options, *self._rank_options(number)]
+            self.engine_urls.append(self._stand_in("engine", number, options))
         self.service_url = self._stand_in("service")
         self._start_agents()
         self._start_entries()
@@ -114,7 +114,7 @@
 
     def _start_agents(self) -> None:
         for number, url in enumerate(self.engine_urls):
-            in_group = number < 2
+            in_group = number < self.group_ranks
             endpoint = {
                 "url": url,
                 "service": "assistant",
@@ -123,18 +123,40 @@
                 "rank": number if in_group else 0,
                 "slots": self.agent_slots,
             }
-            self._start_agent(f"agent-{number}", _ZONES[number % 2], endpoint)
-        self._start_agent(
-            "agent-orders",
-            _ZONES[0],
-            {"url": self.service_url, "service": "orders", "slots": 8},
-        )
+            group = self._group_settings() if in_group else None
+            zone = _ZONES[number % 2]
+            self._start_agent(f"agent-{number}", zone, endpoint, group)
+        orders = {"url": self.service_url, "service": "orders", "slots": 8}
+        self._start_agent("agent-orders", _ZONES[0], orders, None)
+
+    def _rank_options(self, number: int) -> list[str]:
+        if number >= self.group_ranks:
+            return []
+        options = ["--rank", str(number), "--ranks", str(self.group_ranks)]
+        hub = ["--hub-url", self.engine_urls[0]] if number else []
+        return [*options, *hub]
+
+    def _group_settings(self) -> dict[str, Any]:
+        return {
+            "ranks": self.group_ranks,
+            "experts": 8,
+            "slots_per_rank": 5,
+            "coordinator_port": self.agent_ports.get("agent-0", 0),
+            "expert_bytes": 1_000_000,
+        }
 
-    def _start_agent(self, name: str, zone: str, endpoint: dict[str, Any]) -> None:
+    def _start_agent(
+        self,
+        name: str,
+        zone: str,
+        endpoint: dict[str, Any],
+        group: dict[str, Any] | None,
+    ) -> None:
         settings = {
             "instance_id": name,
             "zone": zone,
             "endpoint": endpoint,
+            "group": group,
             "platform": self._platform(),
             "streams": {"host": "127.0.0.1", "port": 0, "tls": self.agent_tls},
         }
