Test whole answers on engines that step alone, as the tests were written

Cause: the demo's first two engines now form a lock-step group. With engine-1 dead the whole group waits at its barrier, so answers on engine-0 did not come either: 3 scenarios of whole_answers and leaving failed (client timeout after 60 s). The tests' system is set back to what they were written for; the assertions are unchanged. Found by it, not mended here: an entry does not leave a runner whose answer stalls without failing, and an agent of a group's rank leaves alone.

--- a/tests/features/steps/whole_answers_steps.py
+++ b/tests/features/steps/whole_answers_steps.py
@@ -59,6 +59,8 @@
     system = context.system = DemoSystem(Path(folder))
     context.cleanup.callback(system.kill)
     system.engine_options = ["--step-s", _STEP_S]
+    # Each engine steps alone: a dead rank of a lock-step group holds all others.
+    system.group_ranks = 0
     system.start()
     wait_until(lambda: system.ready(_RUNNERS), "the entries know all runners")
     pool = context.cleanup.enter_context(ThreadPoolExecutor(callers))
