--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/keyed_attempts.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/keyed_attempts.py
@@ -4,10 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec.structs import replace
-
-from corianderrelay.protocol.messages import RefusalReason
 from corianderrelay.state.claim_keys import scoped_key
+from corianderrelay.state.claim_orders import StartOrder
 from corianderrelay.state.claim_records import MAX_KEPT_ANSWER_BYTES
 from corianderrelay.state.errors import Ran, RelayError
 
@@ -16,7 +14,8 @@
 
     from result import Result
 
-    from corianderrelay.protocol.messages import Dispatch, Ticket, Tombstone, Tombstoned
+    from corianderrelay.state.attempt_outcome import RefusalReason
+    from corianderrelay.state.claim_orders import KeyTicket, StopAnswer, StopOrder
 
     from ..state.attempt import Attempt, AttemptOrder
     from ..state.key_guard import KeyGuard
@@ -35,24 +34,28 @@
         self._seconds = seconds
         self._answers_by_attempt: dict[str, bytearray] = {}
 
-    def grant(self, key: str) -> Result[Ticket, RefusalReason]:
+    def grant(self, key: str) -> Result[KeyTicket, RefusalReason]:
         """Give a ticket for a scoped key."""
         return self._guard.grant_ticket(key, self._seconds())
 
-    def tombstone(self, order: Tombstone) -> Tombstoned:
+    def tombstone(self, order: StopOrder) -> StopAnswer:
         """Stop a claim that was not started, and tell what became of it."""
         return self._guard.tombstone(order, self._seconds())
 
     def admit(
-        self, dispatch: Dispatch, refusal: RefusalReason | None
+        self, order: AttemptOrder, refusal: RefusalReason | None
     ) -> Result[None, RefusalReason]:
-        """Start the dispatch's key, or say why it is not started.
+        """Start the attempt's key, or say why it is not started.
 
         :param refusal: why this agent takes no work now, if it takes none.
         """
-        key = scoped_key(dispatch.workspace, dispatch.service, dispatch.key)
-        scoped = replace(dispatch, key=key)
-        return self._guard.admit(scoped, self._seconds(), refusal)
+        start = StartOrder(
+            _key_of(order),
+            order.claim_offset,
+            order.ticket_incarnation,
+            order.ticket_id,
+        )
+        return self._guard.admit(start, self._seconds(), refusal)
 
     def on_data(self, attempt: Attempt, data: bytes) -> None:
         """Keep a piece of an answer for settlement, unless it is too large."""
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import astuple
 from result import Err
 
 from corianderrelay.protocol.messages import (
@@ -24,9 +25,12 @@
     Pong,
     RefusalReason,
     Refused,
+    Ticket,
     TicketRequest,
     Tombstone,
+    Tombstoned,
 )
+from corianderrelay.state.claim_orders import StopOrder
 from corianderrelay.state.errors import (
     DeadlineExceededError,
     FrameError,
@@ -194,20 +198,21 @@
             claim_offset=message.claim_offset,
             ticket_incarnation=message.ticket_incarnation,
             ticket_remaining_s=message.ticket_remaining_ms / 1000,
+            ticket_id=message.ticket_id,
             alone=message.alone,
             trace=message.trace,
         )
-        if message.key and not self._admits(message, order):
+        if message.key and not self._admits(order):
             return
         self._attempts.submit(order, self.entry_id)
 
-    def _admits(self, message: Dispatch, order: AttemptOrder) -> bool:
+    def _admits(self, order: AttemptOrder) -> bool:
         """Whether a request that must not be repeated may start now."""
         refusal = self._attempts.refusal(order)
         reason = _reason(refusal) if refusal else None
-        admitted = self._attempts.keyed.admit(message, reason)
+        admitted = self._attempts.keyed.admit(order, reason)
         if isinstance(admitted, Err):
-            self._stream.send(Refused(message.attempt_id, admitted.err_value))
+            self._stream.send(Refused(order.attempt_id, admitted.err_value))
             return False
         return True
 
@@ -219,10 +224,14 @@
         if isinstance(granted, Err):
             self._stream.send(Refused(message.key, granted.err_value))
         else:
-            self._stream.send(granted.ok_value)
+            self._stream.send(Ticket(*astuple(granted.ok_value)))
 
     def _on_tombstone(self, message: Tombstone) -> None:
-        self._stream.send(self._attempts.keyed.tombstone(message))
+        order = StopOrder(
+            message.key, message.claim_offset, message.ticket_id, message.incarnation
+        )
+        answer = self._attempts.keyed.tombstone(order)
+        self._stream.send(Tombstoned(*astuple(answer)))
 
     def _on_cancel(self, message: Cancel) -> None:
         self._attempts.cancel(message.attempt_id)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
@@ -40,6 +40,7 @@
     claim_offset: int = -1
     ticket_incarnation: int = 0
     ticket_remaining_s: float = 0.0
+    ticket_id: int = 0
     alone: bool = False
     trace: bytes = b""
 
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/key_guard.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/key_guard.py
@@ -14,12 +14,12 @@
 
 from result import Err, Ok, Result
 
-from corianderrelay.protocol.messages import (
-    Dispatch,
-    RefusalReason,
-    Ticket,
-    Tombstone,
-    Tombstoned,
+from corianderrelay.state.attempt_outcome import RefusalReason
+from corianderrelay.state.claim_orders import (
+    KeyTicket,
+    StartOrder,
+    StopAnswer,
+    StopOrder,
 )
 from corianderrelay.state.claim_records import MAX_KEPT_ANSWER_BYTES
 
@@ -99,7 +99,7 @@
         """Bytes of the answers that are kept for settlement."""
         return self._answer_bytes
 
-    def grant_ticket(self, key: str, now: float) -> Result[Ticket, RefusalReason]:
+    def grant_ticket(self, key: str, now: float) -> Result[KeyTicket, RefusalReason]:
         """Promise to take one dispatch of ``key`` for the lifetime of a ticket."""
         self._expire(now)
         if len(self._tickets) >= self._limits.max_tickets:
@@ -108,26 +108,24 @@
         expires_at = now + self._limits.ticket_lifetime_s
         self._tickets[self._last_ticket] = _LiveTicket(key, expires_at)
         lifetime_ms = int(self._limits.ticket_lifetime_s * _MS_PER_S)
-        return Ok(Ticket(key, self._incarnation, self._last_ticket, lifetime_ms))
+        return Ok(KeyTicket(key, self._incarnation, self._last_ticket, lifetime_ms))
 
     def admit(
-        self, dispatch: Dispatch, now: float, refusal: RefusalReason | None = None
+        self, order: StartOrder, now: float, refusal: RefusalReason | None = None
     ) -> Result[None, RefusalReason]:
-        """Start the dispatch's key, or say why it was not and will not be started.
+        """Start the order's key, or say why it was not and will not be started.
 
         :param refusal: why this agent takes no work now, if it takes none. It uses
             the ticket up as well, so that a late copy of the dispatch cannot start.
         """
         self._expire(now)
-        checked = self._check(dispatch)
+        checked = self._check(order)
         if isinstance(checked, Err):
             return checked
-        del self._tickets[dispatch.ticket_id]
+        del self._tickets[order.ticket_id]
         if refusal is not None:
             return Err(refusal)
-        self._running[dispatch.key] = _StartedKey(
-            dispatch.ticket_id, dispatch.claim_offset
-        )
+        self._running[order.key] = _StartedKey(order.ticket_id, order.claim_offset)
         return Ok(None)
 
     def finish(self, key: str, status: int, content_type: str, body: bytes) -> None:
@@ -151,7 +149,7 @@
         """Note that an admitted key was taken back before its endpoint saw it."""
         self._running.pop(key, None)
 
-    def tombstone(self, order: Tombstone, now: float) -> Tombstoned:
+    def tombstone(self, order: StopOrder, now: float) -> StopAnswer:
         """Stop a claim that has not been started, and tell what became of it."""
         self._expire(now)
         started = self._started(order.key)
@@ -163,24 +161,24 @@
         self._raise_fence(order.key, order.claim_offset, now)
         return self._answer(order, started=False, forgotten=False)
 
-    def _check(self, dispatch: Dispatch) -> Result[None, RefusalReason]:
-        if dispatch.ticket_incarnation != self._incarnation:
+    def _check(self, order: StartOrder) -> Result[None, RefusalReason]:
+        if order.incarnation != self._incarnation:
             return Err(RefusalReason.STALE_INCARNATION)
-        started = self._started(dispatch.key)
-        if dispatch.ticket_id <= self._forgotten_ticket:
+        started = self._started(order.key)
+        if order.ticket_id <= self._forgotten_ticket:
             return Err(RefusalReason.DUPLICATE_KEY)
         if started is not None:
-            older = dispatch.claim_offset < started.claim_offset
+            older = order.claim_offset < started.claim_offset
             return Err(RefusalReason.FENCED if older else RefusalReason.DUPLICATE_KEY)
-        fence, _ = self._fences.get(dispatch.key, (-1, 0.0))
-        if dispatch.claim_offset <= fence:
+        fence, _ = self._fences.get(order.key, (-1, 0.0))
+        if order.claim_offset <= fence:
             return Err(RefusalReason.TOMBSTONED)
-        ticket = self._tickets.get(dispatch.ticket_id)
-        if ticket is None or ticket.key != dispatch.key:
+        ticket = self._tickets.get(order.ticket_id)
+        if ticket is None or ticket.key != order.key:
             return Err(RefusalReason.TICKET_EXPIRED)
         return Ok(None)
 
-    def _is_forgotten(self, order: Tombstone) -> bool:
+    def _is_forgotten(self, order: StopOrder) -> bool:
         return order.ticket_id <= self._forgotten_ticket
 
     def _raise_fence(self, key: str, claim_offset: int, now: float) -> None:
@@ -220,8 +218,8 @@
                 self._answer_bytes -= len(started.body)
             self._forgotten_ticket = max(self._forgotten_ticket, started.ticket_id)
 
-    def _started_answer(self, order: Tombstone, started: _StartedKey) -> Tombstoned:
-        return Tombstoned(
+    def _started_answer(self, order: StopOrder, started: _StartedKey) -> StopAnswer:
+        return StopAnswer(
             key=order.key,
             incarnation=self._incarnation,
             started=True,
@@ -233,8 +231,8 @@
             claim_offset=order.claim_offset,
         )
 
-    def _answer(self, order: Tombstone, started: bool, forgotten: bool) -> Tombstoned:
-        return Tombstoned(
+    def _answer(self, order: StopOrder, started: bool, forgotten: bool) -> StopAnswer:
+        return StopAnswer(
             key=order.key,
             incarnation=self._incarnation,
             started=started,
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import Annotated
 
 from msgspec import Meta, Struct
 
+from ..state.attempt_outcome import AttemptOutcome, RefusalReason
+
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
@@ -22,29 +23,6 @@
     """Base of all messages; the first element of the array names the class."""
 
 
-class RefusalReason(Enum):
-    """Why an agent did not take an attempt; in each case nothing was run."""
-
-    LEAVING = "leaving"
-    OVERLOADED = "overloaded"
-    STALE_INCARNATION = "stale_incarnation"
-    TICKET_EXPIRED = "ticket_expired"
-    FENCED = "fenced"
-    DUPLICATE_KEY = "duplicate_key"
-    TOMBSTONED = "tombstoned"
-    UNKNOWN_SERVICE = "unknown_service"
-
-
-class AttemptOutcome(Enum):
-    """How an attempt that was started has ended."""
-
-    DONE = "done"
-    CANCELLED = "cancelled"
-    ENGINE_DIED = "engine_died"
-    ENGINE_ERROR = "engine_error"
-    NOT_STARTED = "not_started"
-
-
 class Hello(Message, tag="hello", frozen=True):
     """First message of each side: who speaks, and which version of this protocol."""
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/agent_port.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from corianderrelay.protocol.messages import Tombstone
     from corianderrelay.state.call import Call
+    from corianderrelay.state.claim_orders import StopOrder
 
     from ..state.keyed_actions import SendDispatch
     from ..state.runner import Runner
@@ -37,7 +37,7 @@
     def dispatch_keyed(self, call: Call, order: SendDispatch) -> None:
         """Ask the agent to run a call whose claim holds its key."""
 
-    def tombstone(self, order: Tombstone) -> None:
+    def tombstone(self, order: StopOrder) -> None:
         """Ask the agent to stop a claim that it has not started."""
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
@@ -8,7 +8,7 @@
 import eliot
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import AttemptOutcome, RefusalReason
+from corianderrelay.state.attempt_outcome import AttemptOutcome, RefusalReason
 from corianderrelay.state.audit import settlement_audit
 from corianderrelay.state.claim_keys import (
     key_date,
@@ -39,8 +39,8 @@
     from corianderrelay.coordination.audit_writer import AuditWriter
     from corianderrelay.coordination.clock import Clock
     from corianderrelay.coordination.log_client import LogClient
-    from corianderrelay.protocol.messages import Ticket, Tombstoned
     from corianderrelay.state.call import Call
+    from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
     from corianderrelay.state.claim_records import ClaimRecord, Outcome
 
     from ..state.keyed_actions import Action
@@ -151,7 +151,7 @@
         """Whether a message's attempt or key belongs to a keyed request."""
         return name in self._id_by_nonce or name in self._asking_by_key
 
-    def on_ticket(self, ticket: Ticket) -> None:
+    def on_ticket(self, ticket: KeyTicket) -> None:
         """An agent gave a ticket."""
         request_id = self._asking_by_key.pop(ticket.key, "")
         requests = self._requests_of(ticket.key)
@@ -160,7 +160,7 @@
         )
         self._act(requests, actions)
 
-    def on_tombstoned(self, answer: Tombstoned) -> None:
+    def on_tombstoned(self, answer: StopAnswer) -> None:
         """An agent told what became of a claim."""
         requests = self._requests_of(answer.key)
         self._act(requests, requests.tombstoned(answer, self._clock.seconds()))
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from msgspec.structs import replace
+from msgspec.structs import astuple, replace
 
 from corianderrelay.protocol.messages import (
     PROTOCOL_VERSION,
@@ -25,8 +25,10 @@
     Refused,
     Ticket,
     TicketRequest,
+    Tombstone,
     Tombstoned,
 )
+from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
 from corianderrelay.state.errors import FrameError
 
 from ..state.runner import Runner
@@ -36,8 +38,9 @@
     from typing import Protocol
 
     from corianderrelay.protocol.config_exchange import ConfigExchange
-    from corianderrelay.protocol.messages import AnyMessage, Tombstone
+    from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.call import Call
+    from corianderrelay.state.claim_orders import StopOrder
 
     from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
@@ -141,9 +144,9 @@
         """Ask for a ticket; see ``AgentPort``."""
         self._stream.send(TicketRequest(key))
 
-    def tombstone(self, order: Tombstone) -> None:
+    def tombstone(self, order: StopOrder) -> None:
         """Ask the agent to stop a claim; see ``AgentPort``."""
-        self._stream.send(order)
+        self._stream.send(Tombstone(*astuple(order)))
 
     def _dispatch_of(self, attempt_id: str, call: Call, resume_from: int) -> Dispatch:
         remaining_s = max(0.0, call.deadline_s - self._seconds())
@@ -221,10 +224,10 @@
         """Nothing to do: the first chunk or the end tells the rest."""
 
     def _on_ticket(self, message: Ticket) -> None:
-        self._keyed.on_ticket(message)
+        self._keyed.on_ticket(KeyTicket(*astuple(message)))
 
     def _on_tombstoned(self, message: Tombstoned) -> None:
-        self._keyed.on_tombstoned(message)
+        self._keyed.on_tombstoned(StopAnswer(*astuple(message)))
 
     def _on_refused(self, message: Refused) -> None:
         if self._keyed.owns(message.attempt_id):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_settlement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_settlement.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from corianderrelay.protocol.messages import Tombstone, Tombstoned
+from corianderrelay.state.claim_orders import StopAnswer, StopOrder
 from corianderrelay.state.claim_records import (
     MAX_KEPT_ANSWER_BYTES,
     Outcome,
@@ -102,7 +102,7 @@
         ]
 
     def answered(
-        self, answer: Tombstoned, now: float
+        self, answer: StopAnswer, now: float
     ) -> ReleaseRecord | OutcomeRecord | None:
         """Return what an agent's answer proves; ``None`` if the request still runs."""
         one = self._by_key.get(answer.key)
@@ -133,7 +133,7 @@
 
 
 def _question(one: _Settlement) -> SendTombstone:
-    order = Tombstone(
+    order = StopOrder(
         one.claim.key,
         one.fence,
         ticket_id=one.claim.ticket_id,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_upkeep.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/claim_upkeep.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from corianderrelay.protocol.messages import Tombstoned
+    from corianderrelay.state.claim_orders import StopAnswer
     from corianderrelay.state.claims import ClaimFold, KeyState
 
     from .keyed_limits import KeyedLimits
@@ -69,7 +69,7 @@
         self._settlement.start(state, now)
         return list(self._settlement.questions(now))
 
-    def tombstoned(self, answer: Tombstoned, now: float) -> list[Action]:
+    def tombstoned(self, answer: StopAnswer, now: float) -> list[Action]:
         """Take an agent's answer about a claim that is being settled."""
         record = self._settlement.answered(answer, now)
         if record is None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_requests.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/keyed_requests.py
@@ -10,7 +10,7 @@
 from itertools import chain
 from typing import TYPE_CHECKING
 
-from corianderrelay.protocol.messages import AttemptOutcome, RefusalReason
+from corianderrelay.state.attempt_outcome import AttemptOutcome, RefusalReason
 from corianderrelay.state.claim_keys import check_key_date, expired_key_error
 from corianderrelay.state.claim_records import ClaimRecord, Outcome
 from corianderrelay.state.remembered_keys import MAX_REMEMBERED_KEYS
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from corianderrelay.protocol.messages import Ticket, Tombstoned
+    from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
     from corianderrelay.state.claim_records import AnyClaimRecord, OutcomeRecord
     from corianderrelay.state.claims import ClaimFold, KeyState
     from corianderrelay.state.errors import RelayError
@@ -95,7 +95,7 @@
         return self._review(call.key, now)
 
     def ticket_granted(
-        self, request_id: str, ticket: Ticket, now: float, wall_now_s: float
+        self, request_id: str, ticket: KeyTicket, now: float, wall_now_s: float
     ) -> list[Action]:
         """Claim the key for the incarnation that gave the ticket."""
         request = self._register.get(request_id)
@@ -187,7 +187,7 @@
             record = unknown_record(claim, self._entry_id)
         return [*tell, *self._upkeep.record(record, now)]
 
-    def tombstoned(self, answer: Tombstoned, now: float) -> list[Action]:
+    def tombstoned(self, answer: StopAnswer, now: float) -> list[Action]:
         """Take an agent's answer about a claim that is being settled."""
         return self._upkeep.tombstoned(answer, now)
 
@@ -218,7 +218,7 @@
             return self._fold.is_held(call.key) or not self._fold.is_closed(call.key)
         return check_key_date(call.dated_s, wall_now_s, self._limits.window_s).is_ok()
 
-    def _new_claim(self, call: KeyedCall, ticket: Ticket) -> ClaimRecord:
+    def _new_claim(self, call: KeyedCall, ticket: KeyTicket) -> ClaimRecord:
         return ClaimRecord(
             key=call.key,
             digest=call.digest,
--- a/tests/features/steps/key_guard_steps.py
+++ b/tests/features/steps/key_guard_steps.py
@@ -6,7 +6,8 @@
 
 from behave import given, then, when
 
-from corianderrelay.protocol.messages import Dispatch, RefusalReason, Tombstone
+from corianderrelay.state.attempt_outcome import RefusalReason
+from corianderrelay.state.claim_orders import StartOrder, StopOrder
 from corianderrelay_agent.state.key_guard import KeyGuard, KeyGuardLimits
 
 _LIMITS = KeyGuardLimits(
@@ -14,33 +15,19 @@
 )
 
 
-def _dispatch(key: str, claim: int, ticket: int, incarnation: int) -> Dispatch:
-    return Dispatch(
-        attempt_id=f"{claim}",
-        request_id="r",
-        workspace="kits",
-        service="shop",
-        method="POST",
-        path="/orders",
-        content_type="",
-        body=b"",
-        deadline_ms=0,
-        key=key,
-        claim_offset=claim,
-        ticket_incarnation=incarnation,
-        ticket_id=ticket,
-    )
+def _dispatch(key: str, claim: int, ticket: int, incarnation: int) -> StartOrder:
+    return StartOrder(key, claim, incarnation, ticket)
 
 
 def _admit(
-    context: Any, dispatch: Dispatch, now: float, busy: RefusalReason | None = None
+    context: Any, dispatch: StartOrder, now: float, busy: RefusalReason | None = None
 ) -> None:
     admitted = context.guard.admit(dispatch, now, busy)
     refused = admitted.err()
     context.answers.append(refused.value if refused else "started")
 
 
-def _tombstone(context: Any, order: Tombstone, now: float) -> None:
+def _tombstone(context: Any, order: StopOrder, now: float) -> None:
     answer = context.guard.tombstone(order, now)
     kinds = {(True, True): "forgotten", (True, False): "running"}
     context.answers.append(kinds.get((answer.started, answer.forgotten), "not started"))
@@ -90,7 +77,7 @@
     "with ticket {ticket:d} at {now:g} s"
 )
 def step_tombstone(context: Any, claim: int, key: str, ticket: int, now: float) -> None:
-    _tombstone(context, Tombstone(key, claim, ticket, context.incarnation), now)
+    _tombstone(context, StopOrder(key, claim, ticket, context.incarnation), now)
 
 
 @when(
@@ -100,7 +87,7 @@
 def step_tombstone_other(
     context: Any, claim: int, key: str, incarnation: int, now: float
 ) -> None:
-    _tombstone(context, Tombstone(key, claim, 1, incarnation), now)
+    _tombstone(context, StopOrder(key, claim, 1, incarnation), now)
 
 
 @then('the guard answered "{answers}"')
--- a/tests/features/steps/keyed_requests_steps.py
+++ b/tests/features/steps/keyed_requests_steps.py
@@ -10,8 +10,8 @@
 from hypothesis.stateful import run_state_machine_as_test
 from msgspec.structs import replace
 
-from corianderrelay.protocol.messages import Ticket, Tombstoned
 from corianderrelay.state.claim_keys import scoped_key
+from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
 from corianderrelay.state.claim_records import ReleaseRecord
 from corianderrelay.state.claims import ClaimFold
 from corianderrelay_entry.state.keyed_actions import (
@@ -75,7 +75,7 @@
 
 
 def _grant(context: Any, now: float) -> None:
-    ticket = Ticket(_KEY, incarnation=1, ticket_id=1, lifetime_ms=5000)
+    ticket = KeyTicket(_KEY, incarnation=1, ticket_id=1, lifetime_ms=5000)
     context.actions = context.requests.ticket_granted(
         "request", ticket, now, _WALL_S + now
     )
@@ -149,7 +149,7 @@
 
 @when("the agent's answer about the first claim, not started, comes late")
 def step_late_answer(context: Any) -> None:
-    answer = Tombstoned(_KEY, incarnation=1, started=False, claim_offset=0)
+    answer = StopAnswer(_KEY, incarnation=1, started=False, claim_offset=0)
     context.actions = context.requests.tombstoned(answer, 101.0)
 
 
--- a/tests/machines/claims_machine.py
+++ b/tests/machines/claims_machine.py
@@ -14,13 +14,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from corianderrelay.protocol.messages import (
-    AttemptOutcome,
-    Dispatch,
-    RefusalReason,
-    Tombstone,
-)
+from corianderrelay.state.attempt_outcome import AttemptOutcome, RefusalReason
 from corianderrelay.state.claim_keys import request_digest, scoped_key
+from corianderrelay.state.claim_orders import StartOrder
 from corianderrelay.state.claim_records import (
     ClaimRecord,
     OutcomeRecord,
@@ -47,7 +43,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from corianderrelay.protocol.messages import Ticket
+    from corianderrelay.state.claim_orders import KeyTicket, StopOrder
     from corianderrelay.state.claim_records import AnyClaimRecord
 
 RETENTION_S = 600.0
@@ -512,7 +508,7 @@
 
         self._post("ask_ticket", agent, grant)
 
-    def _granted(self, entry: Entry, request_id: str, ticket: Ticket | None) -> None:
+    def _granted(self, entry: Entry, request_id: str, ticket: KeyTicket | None) -> None:
         if ticket is None:
             self._act(entry, entry.core.ticket_refused(request_id))
             return
@@ -522,33 +518,21 @@
 
     def _dispatch(self, entry: Entry, action: SendDispatch) -> None:
         agent = self._agent(action.runner_id)
-        order = Dispatch(
-            attempt_id=action.nonce,
-            request_id=action.request_id,
-            workspace="kits",
-            service="shop",
-            method="POST",
-            path="/orders",
-            content_type="",
-            body=b"",
-            deadline_ms=0,
-            key=action.key,
-            claim_offset=action.claim_offset,
-            ticket_incarnation=action.incarnation,
-            ticket_id=action.ticket_id,
-        )
-        self._post("dispatch", agent, lambda: self._admit(entry, agent, order))
+        self._post("dispatch", agent, lambda: self._admit(entry, agent, action))
 
-    def _admit(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
+    def _admit(self, entry: Entry, agent: Agent, order: SendDispatch) -> None:
         busy = RefusalReason.OVERLOADED if agent.full else None
-        admitted = agent.guard.admit(order, self.now, busy)
+        start = StartOrder(
+            order.key, order.claim_offset, order.incarnation, order.ticket_id
+        )
+        admitted = agent.guard.admit(start, self.now, busy)
         if admitted.is_err():
             reason = admitted.unwrap_err()
             self._post(
                 "refused",
                 entry,
                 lambda: self._act(
-                    entry, entry.core.refused(order.attempt_id, reason, self.now)
+                    entry, entry.core.refused(order.nonce, reason, self.now)
                 ),
             )
             return
@@ -556,7 +540,7 @@
         self.started_requests.add(order.request_id)
         agent.running.append(lambda: self._finish(entry, agent, order))
 
-    def _finish(self, entry: Entry, agent: Agent, order: Dispatch) -> None:
+    def _finish(self, entry: Entry, agent: Agent, order: SendDispatch) -> None:
         body = _answer_to(self.calls[order.request_id])
         agent.guard.finish(order.key, 200, "text/plain", body)
         self._post(
@@ -565,7 +549,7 @@
             lambda: self._act(
                 entry,
                 entry.core.ended(
-                    order.attempt_id,
+                    order.nonce,
                     AttemptOutcome.DONE,
                     200,
                     "text/plain",
@@ -575,7 +559,7 @@
             ),
         )
 
-    def _tombstone(self, entry: Entry, runner_id: str, order: Tombstone) -> None:
+    def _tombstone(self, entry: Entry, runner_id: str, order: StopOrder) -> None:
         agent = self._agent(runner_id)
 
         def ask() -> None:
