--- a/tests/features/entry/state/keyed_requests.feature
+++ b/tests/features/entry/state/keyed_requests.feature
@@ -23,3 +23,18 @@
     Given an entry whose claim of a dated key is under way
     When the claim is read back after the ticket has ended
     Then the claim is released and its caller told unavailable, ran no
+
+  Scenario Outline: A refusal is told as not run only where it is proof
+    Given an entry that dispatched the claim of a dated key
+    When the agent refuses that claim as <reason>
+    Then the caller is told <told>
+
+    Examples:
+      | reason            | told               |
+      | leaving           | overloaded, ran no |
+      | overloaded        | overloaded, ran no |
+      | ticket_expired    | overloaded, ran no |
+      | stale_incarnation | nothing yet        |
+      | duplicate_key     | nothing yet        |
+      | fenced            | nothing yet        |
+      | tombstoned        | nothing yet        |
--- a/tests/features/steps/keyed_requests_steps.py
+++ b/tests/features/steps/keyed_requests_steps.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from msgspec.structs import replace
 
+from corianderrelay.state.attempt_outcome import RefusalReason
 from corianderrelay.state.claim_keys import scoped_key
 from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
 from corianderrelay.state.claim_records import ReleaseRecord
@@ -18,6 +19,7 @@
     AppendRecord,
     AskTicket,
     KeyedCall,
+    SendDispatch,
     SendTombstone,
     TellError,
 )
@@ -156,3 +158,31 @@
 @then("the second claim is not released")
 def step_not_released(context: Any) -> None:
     assert context.actions == [], context.actions
+
+
+@given("an entry that dispatched the claim of a dated key")
+def step_dispatched(context: Any) -> None:
+    step_claiming(context, "a dated")
+    _read_back(context, 2.0)
+    assert isinstance(context.actions[0], SendDispatch), context.actions
+
+
+@when("the agent refuses that claim as {reason}")
+def step_agent_refuses(context: Any, reason: str) -> None:
+    nonce = context.claim.nonce
+    context.actions = context.requests.refused(nonce, RefusalReason(reason), 3.0)
+
+
+@then("the caller is told nothing yet")
+def step_told_nothing(context: Any) -> None:
+    told = [one for one in context.actions if isinstance(one, TellError)]
+    assert not told, told
+    asked = [one for one in context.actions if isinstance(one, SendTombstone)]
+    assert len(asked) == 1, context.actions
+
+
+@then("the caller is told overloaded, ran no")
+def step_told_overloaded(context: Any) -> None:
+    assert _told(context) == ("overloaded", "no"), context.actions
+    released = [one.record for one in context.actions if isinstance(one, AppendRecord)]
+    assert released == [ReleaseRecord(_KEY, context.claim.nonce, "entry")], released
