Move the group's routes of messages to the protocol layer

They encode and forward messages and implement a port of coordination; the new contract across packages showed them a layer too low.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
@@ -21,7 +21,7 @@
 from corianderrelay.transport.log_http import HttpLogClient
 
 from .coordination.group_planning import GroupPlanning
-from .coordination.group_routes import GroupRoutes
+from .protocol.group_routes import GroupRoutes
 from .transport.group_client import GroupClient
 from .transport.map_engine_http import HttpMapEngine
 
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -24,7 +24,7 @@
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempts import Attempts
-    from ..coordination.group_routes import GroupRoutes
+    from ..protocol.group_routes import GroupRoutes
     from ..state.settings import TimingSettings
 
 _LEAVING_ENTRY_REMEMBERED_S = 60.0
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/group_client.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/group_client.py
@@ -20,7 +20,7 @@
     from corianderrelay.protocol.messages import AnyMessage, Hello
     from corianderrelay.transport.tls import TlsFiles
 
-    from ..coordination.group_routes import GroupRoutes
+    from ..protocol.group_routes import GroupRoutes
     from ..state.settings import GroupSettings, TimingSettings
 
 _RECONNECT = backoffPolicy(initialDelay=0.2, maxDelay=2.0, factor=1.5)
