--- /dev/null
+++ b/tests/harness/processes.py
@@ -0,0 +1,127 @@
+"""A small system of processes whose parts can be killed, frozen and silenced."""
+
+from __future__ import annotations
+
+import json
+import signal
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import TYPE_CHECKING, Any
+
+from demo.processes import fetch
+from demo.system import KIT_SHOP_KEY, DemoSystem
+from tests.standins.engine_model import model_answer
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from demo.processes import Process
+
+_PARALLEL_CALLS = 32
+_ENGINES = 2
+RUNNERS = _ENGINES + 1
+
+Answer = tuple[int, dict[str, str], bytes]
+
+
+class FaultSystem(DemoSystem):
+    """Two entries, two engines and a plain service, with relays before the agents.
+
+    :param step_s: how long an engine takes for a token, in seconds.
+    """
+
+    def __init__(self, folder: Path, step_s: float) -> None:
+        super().__init__(folder)
+        self.engine_count = _ENGINES
+        self.engine_options = ["--step-s", str(step_s)]
+        self._pool = ThreadPoolExecutor(_PARALLEL_CALLS)
+
+    def named(self, name: str) -> Process:
+        """Return one process."""
+        return next(process for process in self.processes if process.name == name)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process in its tracks."""
+        self.named(name).signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.named(name).signal(signal.SIGCONT)
+
+    def hush(self, agent: str) -> None:
+        """Make the open connections to an agent silent for good."""
+        self.named(f"relay-{agent}").signal(signal.SIGUSR1)
+
+    def control(self, url: str, **faults: Any) -> None:
+        """Set faults of a stand-in."""
+        fetch(f"{url}/control", "POST", json.dumps(faults).encode())
+
+    def executions(self, url: str) -> list[dict[str, Any]]:
+        """Return what a stand-in has run."""
+        listed: dict[str, Any] = json.loads(fetch(f"{url}/executions")[2])
+        executions: list[dict[str, Any]] = listed["executions"]
+        return executions
+
+    def chat(self, entry: int, prompt: str) -> Future[Answer]:
+        """Begin a streamed chat completion."""
+        return self._send(entry, "/v1/chat/completions", chat_body(prompt))
+
+    def order(self, entry: int, key: str) -> Future[Answer]:
+        """Begin an order that must not be repeated."""
+        return self._send(
+            entry, "/services/orders/orders", b'{"item":"frame kit"}', key
+        )
+
+    def kill(self) -> None:
+        """End everything at once, and the calls under way with it."""
+        for process in self.processes:
+            process.signal(signal.SIGCONT)
+        super().kill()
+        self._pool.shutdown(wait=True, cancel_futures=True)
+
+    def _send(
+        self, entry: int, path: str, body: bytes, key: str = ""
+    ) -> Future[Answer]:
+        headers = {"Authorization": f"Bearer {KIT_SHOP_KEY}"}
+        headers["Content-Type"] = "application/json"
+        if key:
+            headers["Idempotency-Key"] = key
+        url = self.entries[entry] + path
+        return self._pool.submit(fetch, url, "POST", body, **headers)
+
+    def _register(self, name: str, role: str, zone: str, port: int) -> None:
+        if role == "agent":
+            command = ["-m", "tests.harness.silent_relay", "--to", str(port)]
+            relay = self._start(f"relay-{name}", command)
+            port = relay.wait_for_line("listening")["listening"]
+        super()._register(name, role, zone, port)
+
+
+def chat_body(prompt: str) -> bytes:
+    """Return the body of a streamed chat completion."""
+    messages = [{"role": "user", "content": prompt}]
+    chat = {"model": "kit-model", "messages": messages, "stream": True}
+    return json.dumps(chat | {"min_tokens": 30}).encode()
+
+
+def expected_text(prompt: str) -> str:
+    """Return the model's own answer to a prompt."""
+    return "".join(model_answer(json.loads(chat_body(prompt))))
+
+
+def text_of(body: bytes) -> str:
+    """Return the text of a streamed answer; it must end with its final event."""
+    lines = body.decode().splitlines()
+    events = [line[6:] for line in lines if line.startswith("data: ")]
+    assert events and events[-1] == "[DONE]", f"cut: {body[-300:]!r}"
+    deltas = [json.loads(event)["choices"][0]["delta"] for event in events[:-1]]
+    return "".join(delta.get("content") or "" for delta in deltas)
+
+
+__all__ = [
+    "Answer",
+    "FaultSystem",
+    "RUNNERS",
+    "chat_body",
+    "expected_text",
+    "text_of",
+]
