--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/operators_site.py
@@ -19,6 +19,7 @@
 )
 
 from ..protocol.replies import WorkStateReply
+from .audit_route import AuditRoute
 from .config_routes import ConfigRoutes
 from .entry_status import entry_status
 from .http_answer import write_error, write_json
@@ -54,6 +55,7 @@
             ("/v1/config", "GET"): config.show,
             ("/v1/config", "POST"): config.publish,
             ("/v1/config/history", "GET"): config.history,
+            ("/v1/audit", "GET"): AuditRoute(entry.log).show,
         }
 
     @cached_property
