--- /dev/null
+++ b/bench/group_commit.py
@@ -0,0 +1,140 @@
+"""Claims per append and added latency of group commit, in a simulation.
+
+Virtual time only: seven entries, each with one appender to each of some partitions,
+share a log that takes 300 appends a second and answers after a fixed round trip.
+``python -m bench.group_commit`` prints one JSON line for each rate.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+
+from corianderrelay.state.append_queue import (
+    AppendLimits,
+    AppendQueue,
+    SendAppend,
+    Settled,
+    WaitUntil,
+)
+
+from tests.standins.log_store import LogFaults, LogStore
+
+_ROUND_TRIP_S = 0.002
+_RECORD = b"c" * 160
+_MS_PER_S = 1000.0
+
+
+@dataclass
+class _Simulation:
+    """Events in virtual time, and what became of each record."""
+
+    store: LogStore
+    queues: list[AppendQueue]
+    now: float = 0.0
+    events: list[tuple[float, int, Any]] = field(default_factory=list)
+    submitted_at: dict[tuple[int, int], float] = field(default_factory=dict)
+    latencies_s: list[float] = field(default_factory=list)
+    appends: int = 0
+    throttled: int = 0
+    refused: int = 0
+    _order: Any = field(default_factory=itertools.count)
+
+    def later(self, delay_s: float, call: Any) -> None:
+        """Call after a time."""
+        heapq.heappush(self.events, (self.now + delay_s, next(self._order), call))
+
+    def run(self) -> None:
+        """Run until nothing is left to do."""
+        while self.events:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+
+    def submit(self, who: int) -> None:
+        """One claim comes."""
+        submitted = self.queues[who].submit(_RECORD, self.now)
+        if submitted.is_err():
+            self.refused += 1
+            return
+        self.submitted_at[(who, submitted.unwrap())] = self.now
+        self.act(who)
+
+    def act(self, who: int) -> None:
+        """Do what an appender wants next."""
+        match self.queues[who].next_action(self.now):
+            case SendAppend(payload):
+                self.later(_ROUND_TRIP_S / 2, lambda: self._arrive(who, payload))
+            case WaitUntil(at):
+                self.later(at - self.now, lambda: self.act(who))
+
+    def _arrive(self, who: int, payload: bytes) -> None:
+        appended = self.store.append(f"claims-{who}", payload, self.now)
+        self.later(_ROUND_TRIP_S / 2, lambda: self._answer(who, appended))
+
+    def _answer(self, who: int, appended: Any) -> None:
+        queue = self.queues[who]
+        if appended.is_err():
+            self.throttled += 1
+            queue.on_throttled(appended.err_value.retry_after_s, self.now)
+        else:
+            self.appends += 1
+            self._note(who, queue.on_appended(appended.ok_value, self.now))
+        self.act(who)
+
+    def _note(self, who: int, settled: list[Settled]) -> None:
+        for one in settled:
+            began = self.submitted_at.pop((who, one.ticket))
+            self.latencies_s.append(self.now - began)
+
+
+def _measure(
+    claims_per_s: float, seconds: float, appenders: int, seed: int
+) -> dict[str, Any]:
+    """Run one rate and return its figures."""
+    chance = random.Random(seed)
+    limits = AppendLimits()
+    queues = [AppendQueue(str(number), limits) for number in range(appenders)]
+    simulation = _Simulation(LogStore(LogFaults(appends_per_s=300.0)), queues)
+    due = 0.0
+    while (due := due + chance.expovariate(claims_per_s)) < seconds:
+        who = chance.randrange(appenders)
+        simulation.later(due, lambda who=who: simulation.submit(who))
+    simulation.run()
+    latencies = sorted(simulation.latencies_s)
+    return {
+        "claims_per_s": claims_per_s,
+        "claims": len(latencies),
+        "refused": simulation.refused,
+        "appends_per_s": round(simulation.appends / seconds, 1),
+        "throttled_per_s": round(simulation.throttled / seconds, 1),
+        "claims_per_append": round(len(latencies) / max(1, simulation.appends), 2),
+        "added_ms_p50": _added_ms(latencies, 0.50),
+        "added_ms_p99": _added_ms(latencies, 0.99),
+        "added_ms_max": _added_ms(latencies, 1.0),
+    }
+
+
+def _added_ms(latencies: list[float], quantile: float) -> float:
+    """Return how much longer than one round trip a record took, in milliseconds."""
+    index = min(len(latencies) - 1, int(quantile * len(latencies)))
+    return round((latencies[index] - _ROUND_TRIP_S) * _MS_PER_S, 2)
+
+
+@click.command()
+@click.option("--seconds", default=60.0, help="Simulated time of each rate.")
+@click.option("--appenders", default=28, help="Entries times partitions.")
+@click.option("--seed", default=1)
+def main(seconds: float, appenders: int, seed: int) -> None:
+    """Print the figures of each rate of claims."""
+    for claims_per_s in (1.0, 10.0, 100.0, 1000.0):
+        click.echo(json.dumps(_measure(claims_per_s, seconds, appenders, seed)))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/corianderrelay-core/src/corianderrelay/state/append_queue.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/append_queue.py
@@ -28,7 +28,7 @@
     from .errors import RelayError
 
 _SLOWER_FACTOR = 2.0
-_FASTER_FACTOR = 0.8
+_RATE_GAIN_PER_S = 5.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,7 +39,7 @@
     :param bytes_per_append: most record bytes of one append, unless one is larger.
     :param queued_records: most records that wait; more are refused.
     :param min_interval_s: least time between the starts of two appends, in seconds.
-    :param max_interval_s: the same when the service throttles.
+    :param max_interval_s: the same when the service throttles, in seconds.
     :param slow_after_s: an append under way for longer counts as an outage.
     :param give_up_s: how long a lost append is looked for, in seconds; it must be
         well under the service's retention, so that no copy is dropped meanwhile.
@@ -49,7 +49,7 @@
     bytes_per_append: int = 256 * 1024
     queued_records: int = 8192
     min_interval_s: float = 0.01
-    max_interval_s: float = 1.0
+    max_interval_s: float = 0.15
     slow_after_s: float = 1.0
     give_up_s: float = 10.0
 
@@ -301,8 +301,9 @@
         return _refusals(queued, retry_after_s)
 
     def _faster(self) -> None:
-        faster_s = self._interval_s * _FASTER_FACTOR
-        self._interval_s = max(self._limits.min_interval_s, faster_s)
+        """Raise the rate by a constant a second, so that appenders become equal."""
+        rate_per_s = 1.0 / self._interval_s + _RATE_GAIN_PER_S * self._interval_s
+        self._interval_s = max(self._limits.min_interval_s, 1.0 / rate_per_s)
 
 
 def _refusals(records: Iterable[_Queued], retry_after_s: float) -> list[Settled]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/claims_stream.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/claims_stream.py
@@ -7,11 +7,13 @@
 import eliot
 from result import Err
 
+from corianderrelay.coordination.group_commit import GroupCommit
+from corianderrelay.state.append_payload import RecordReader
 from corianderrelay.state.claim_records import decode_claim_record, encode_claim_record
 from corianderrelay.state.errors import LogAnswerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from twisted.python.failure import Failure
 
@@ -30,6 +32,7 @@
     """Brings the stream's records to the requests whose keys lie in it.
 
     :param act: carries out the actions that a record calls for.
+    :param appender: identity that no other start of any entry has.
     """
 
     __slots__ = (
@@ -38,6 +41,8 @@
         "_name",
         "_requests",
         "_act",
+        "_commit",
+        "_reader",
         "_offset",
         "_log_up",
         "_stopped",
@@ -50,12 +55,15 @@
         name: str,
         requests: KeyedRequests,
         act: Callable[[KeyedRequests, list[Action]], None],
+        appender: str,
     ) -> None:
         self._log = log
         self._clock = clock
         self._name = name
         self._requests = requests
         self._act = act
+        self._commit = GroupCommit(log, clock, name, appender)
+        self._reader = RecordReader()
         self._offset = 0
         self._log_up = False
         self._stopped = False
@@ -76,7 +84,7 @@
 
     def append(self, record: AnyClaimRecord) -> None:
         """Append a record; whether it is there is only told by reading it back."""
-        appended = self._log.append(self._name, encode_claim_record(record))
+        appended = self._commit.append(encode_claim_record(record))
         appended.addErrback(self._on_append_failed, record)
 
     def _on_page(self, page: LogPage) -> None:
@@ -85,19 +93,22 @@
         if page.first_offset > self._offset:
             fold.skip_to(page.first_offset)
         fold.forget_before(page.first_offset)
-        decoded = (
-            (entry.offset, decode_claim_record(entry.payload)) for entry in page.entries
-        )
-        # What is malformed is passed over by all readers alike.
-        records = [
-            (offset, 0, result.ok_value)
-            for offset, result in decoded
-            if not isinstance(result, Err)
-        ]
+        records = list(self._records_of(page))
         self._offset = max(page.next_offset, page.first_offset)
+        self._commit.note_end(self._offset)
         self._act(self._requests, self._requests.advance(records, self._now()))
         self._clock.callLater(0, self.start)
 
+    def _records_of(self, page: LogPage) -> Iterator[tuple[int, int, AnyClaimRecord]]:
+        """Yield the records; what is malformed is passed over by all readers alike."""
+        for entry in page.entries:
+            read = self._reader.read(entry.offset, entry.payload)
+            for positioned in read.unwrap_or([]):
+                record = decode_claim_record(positioned.record)
+                if not isinstance(record, Err):
+                    position = positioned.position
+                    yield position.offset, position.index, record.ok_value
+
     def _on_read_failed(self, failure: Failure) -> None:
         self._log_up = False
         self._requests.log_lost()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
@@ -93,7 +93,9 @@
             for _ in range(CLAIMS_PARTITIONS)
         ]
         self._streams = [
-            ClaimsStream(log, clock, f"claims-{number}", requests, self._act)
+            ClaimsStream(
+                log, clock, f"claims-{number}", requests, self._act, next(nonces)
+            )
             for number, requests in enumerate(self._partitions)
         ]
         self._open_by_id: dict[str, _KeyedRequest] = {}
