--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -46,6 +46,7 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
+_RELAY_TICK_S = 0.25
 _AUDITORS = 2
 
 
@@ -70,7 +71,14 @@
         self.incarnation = new_incarnation(time.time(), self.random)
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
-        self.relay = Relay(self.new_id)
+        self.request_metrics = RequestMetrics()
+        self.relay = Relay(
+            self.new_id,
+            clock.seconds,
+            self.random,
+            settings.zone,
+            self.request_metrics,
+        )
         self.audit = AuditWriter(log, clock)
         self.log = log
         self.keyed = KeyedRelay(
@@ -83,7 +91,6 @@
             iter(self.new_id, ""),
             self.audit,
         )
-        self.request_metrics = RequestMetrics()
         self.metrics = Metrics(self.request_metrics.collectors())
         self.directory = EntryDirectory()
         self.draining = False
@@ -116,6 +123,7 @@
             tls,
         )
         self._list_poll = Periodic(clock, self._poll_instances)
+        self._relay_tick = Periodic(clock, self.relay.tick)
 
     @property
     def ready(self) -> bool:
@@ -125,6 +133,7 @@
     def start(self) -> None:
         """Connect to the platform and to the agents."""
         self.connector.start()
+        self._relay_tick.start(_RELAY_TICK_S)
         self.config_follower.start()
         self.keyed.start()
         self.audit.start()
