--- a/tests/machines/map_switch_machine.py
+++ b/tests/machines/map_switch_machine.py
@@ -144,6 +144,28 @@
         self.fault(first, ranks[1])
         self._world.run_for(0.3)
 
+    @rule(rank=st.integers(0, 4), late=st.integers(0, 4))
+    def replace_armed_rank(self, rank: int, late: int) -> None:
+        """Replace the instance of a rank that holds while another does not yet."""
+        self.calm()
+        self.propose()
+        self._run_to(Phase.ARMING)
+        self.fault("cut rank", late)
+        self._world.run_for(0.02)
+        self.fault("replace instance", rank)
+        self.fault("heal cuts", late)
+        self._world.run_for(0.5)
+
+    @rule(rank=st.integers(0, 4), milliseconds=st.integers(0, 80))
+    def restart_engine_after_decision(self, rank: int, milliseconds: int) -> None:
+        """Restart an engine between the decision and its step."""
+        self.calm()
+        self.propose()
+        self._run_to(Phase.SETTLING)
+        self._world.run_for(milliseconds / 1000)
+        self.fault("restart engine", rank)
+        self._world.run_for(0.5)
+
     def _run_to(self, phase: Phase) -> None:
         world = self._world
         end = world.now + _PHASE_WAIT_S
