--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -20,6 +20,7 @@
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempts import Attempts
@@ -42,6 +43,7 @@
         self,
         attempts: Attempts,
         hello: Hello,
+        config: ConfigExchange,
         timing: TimingSettings,
         clock: Clock,
         routes: GroupRoutes | None = None,
@@ -49,6 +51,7 @@
         self._attempts = attempts
         self._routes = routes
         self._hello = hello
+        self._config = config
         self._timing = timing
         self._clock = clock
         self._sessions_by_stream: dict[FramedStream, EntrySession] = {}
@@ -76,6 +79,8 @@
             self._hello.incarnation,
             self._clock.seconds,
             self._leaving_entries,
+            self._config,
+            self._load_report,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -116,16 +121,22 @@
         ]
         for stream in silent:
             stream.close("the entry has been silent for too long")
+        self._attempts.expire(self._timing.reattach_s)
         self._sequence += 1
-        self.broadcast(self._load_report)
+        for stream, session in self._sessions_by_stream.items():
+            if not session.replied:
+                stream.send(self._load_report(session.echo))
+            session.replied = False
 
-    def _load_report(self) -> Heartbeat:
+    def _load_report(self, echo: int = 0) -> Heartbeat:
         return Heartbeat(
             self._sequence,
+            config_version=self._config.version,
             running=self._attempts.running,
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
             leaving=self._attempts.leaving,
+            echo=echo,
             leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
 
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -258,6 +258,25 @@
     body: bytes
 
 
+class ConfigRequest(Message, tag="config_request", frozen=True):
+    """Either way: send the configuration in force if it is newer than this version."""
+
+    known_version: Natural
+
+
+class ConfigSnapshot(Message, tag="config_snapshot", frozen=True):
+    """Answer to a config request: the version in force, its document as JSON.
+
+    ``as_of`` is the last offset of the ``config`` stream that it takes account of.
+    """
+
+    version: Natural
+    document: bytes
+    author: str
+    time_s: float
+    as_of: int
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -276,6 +295,8 @@
     | Leaving
     | Ping
     | Pong
+    | ConfigRequest
+    | ConfigSnapshot
     | Closing
     | GroupFrame
 )
@@ -288,6 +309,8 @@
     "AttemptOutcome",
     "Cancel",
     "Chunk",
+    "ConfigRequest",
+    "ConfigSnapshot",
     "Closing",
     "Dispatch",
     "End",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -10,7 +10,6 @@
 from twisted.internet.endpoints import HostnameEndpoint
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import Heartbeat
 from corianderrelay.transport.framed_stream import FramedStream
 
 from ..protocol.agent_session import AgentSession
@@ -19,6 +18,7 @@
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Hello
     from corianderrelay.transport.tls import TlsFiles
 
@@ -43,6 +43,7 @@
         relay: Relay,
         keyed: KeyedRelay,
         directory: EntryDirectory,
+        config: ConfigExchange,
         hello: Hello,
         timing: TimingSettings,
         clock: Clock,
@@ -51,6 +52,7 @@
         self._relay = relay
         self._keyed = keyed
         self._directory = directory
+        self._config = config
         self._leaving = False
         self._hello = hello
         self._timing = timing
@@ -103,7 +105,13 @@
     def stream_opened(self, stream: FramedStream) -> None:
         """Greet the agent."""
         session = AgentSession(
-            self._relay, self._keyed, self._directory, stream, self._clock.seconds
+            self._relay,
+            self._keyed,
+            self._directory,
+            self._config,
+            stream,
+            self._clock.seconds,
+            self._timing.silent_after_s,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
@@ -137,11 +145,11 @@
     def _heartbeat(self) -> None:
         silent_since = self._clock.seconds() - self._timing.silent_after_s
         self._sequence += 1
-        for stream in list(self._sessions_by_stream):
+        for stream, session in list(self._sessions_by_stream.items()):
             if stream.last_received_s < silent_since:
                 stream.close("the agent has been silent for too long")
             else:
-                stream.send(Heartbeat(self._sequence, leaving=self._leaving))
+                session.heartbeat(self._sequence, leaving=self._leaving)
 
 
 class _StreamFactory(protocol.Factory):
