--- a/bench/map_switch.py
+++ b/bench/map_switch.py
@@ -18,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 from corianderrelay.protocol.group_messages import encode_switch_message
-from corianderrelay.state.map_switch import SwitchRules
+from corianderrelay.state.switch_rules import SwitchRules
 from corianderrelay.state.switch_types import (
     GroupMap,
     HoldOrder,
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
@@ -15,8 +15,8 @@
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.coordination.tasks import spawn
 from corianderrelay.state.audit import switch_audit
-from corianderrelay.state.map_switch import SwitchRules
 from corianderrelay.state.rank_switch import COORDINATOR_RANK, RankRules
+from corianderrelay.state.switch_rules import SwitchRules
 from corianderrelay.state.switch_types import PopularityReport
 from corianderrelay.transport.log_http import HttpLogClient
 
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from corianderrelay.protocol.messages import Hello
-    from corianderrelay.state.map_switch import SwitchReport
+    from corianderrelay.state.switch_rules import SwitchReport
     from corianderrelay.state.switch_types import AnySwitchMessage
     from corianderrelay.transport.tls import TlsFiles
 
--- a/packages/corianderrelay-core/src/corianderrelay/coordination/group_agent.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/group_agent.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from ..state.map_switch import Phase
 from ..state.rank_switch import COORDINATOR_RANK
+from ..state.switch_rules import Phase
 from .map_coordinator import MapCoordinator
 from .map_rank import MapRank
 
 if TYPE_CHECKING:
     from ..state.group_records import GroupState
-    from ..state.map_switch import SwitchReport, SwitchRules
     from ..state.rank_switch import RankRules
+    from ..state.switch_rules import SwitchReport, SwitchRules
     from ..state.switch_types import AnySwitchMessage
     from .group_link import GroupLink, MapEngine
     from .group_log import GroupLog
--- a/packages/corianderrelay-core/src/corianderrelay/coordination/map_coordinator.py
+++ b/packages/corianderrelay-core/src/corianderrelay/coordination/map_coordinator.py
@@ -12,7 +12,8 @@
     SwitchBegun,
     SwitchDecided,
 )
-from ..state.map_switch import MapSwitch, Phase, SwitchReport, SwitchRules
+from ..state.map_switch import MapSwitch
+from ..state.switch_rules import Phase, SwitchReport, SwitchRules
 from ..state.switch_types import AppendBegun, AppendDecision, Send
 from .group_log import Appended, GroupLog
 from .tasks import pause, spawn
--- a/packages/corianderrelay-core/src/corianderrelay/state/audit.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/audit.py
@@ -14,7 +14,7 @@
 
     from .claim_records import ClaimRecord, Outcome
     from .config_fold import Verdict
-    from .map_switch import SwitchReport
+    from .switch_rules import SwitchReport
 
 AUDIT_STREAM = "audit"
 _MAX_REASON_CHARS = 500
--- a/packages/corianderrelay-core/src/corianderrelay/state/map_switch.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/map_switch.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
-import xxhash
 
+from .known_outcomes import KnownOutcomes
+from .roster import roster_digest
+from .switch_rules import Phase, SwitchReport
 from .switch_types import (
     AppendBegun,
     AppendDecision,
@@ -27,7 +27,6 @@
     JoinRefused,
     Outcome,
     OutcomeQuery,
-    RankIncarnation,
     Send,
     Settled,
     Stage,
@@ -35,65 +34,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
     from .group_records import GroupState
+    from .switch_rules import SwitchRules
     from .switch_types import AnySwitchMessage, CoordinatorOrder, GroupMap
 
-_OUTCOMES_KEPT = 16
-
-
-def roster_digest(incarnation_by_rank: Mapping[int, int]) -> int:
-    """Return the xxh3-64 of the incarnations, in order of rank."""
-    pairs = sorted(incarnation_by_rank.items())
-    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(pairs))
-
-
-@dataclass(slots=True, frozen=True)
-class SwitchRules:
-    """Times and steps of a switch.
-
-    :param lead_steps: how far ahead of the group the step of the first attempt lies.
-        The lead doubles when the group came to that step before the outcome, and else
-        shrinks by one: a longer lead delays the switch, a shorter one the steps.
-    :param max_lead_steps: bound of the lead.
-    :param resend_s: period after which an unanswered message is sent again.
-    :param stage_resend_s: the same for the message that has weights loaded.
-    :param stage_timeout_s: longest wait for the weights on all ranks.
-    :param arm_timeout_s: longest wait for all ranks to hold.
-    """
-
-    lead_steps: int = 8
-    max_lead_steps: int = 256
-    resend_s: float = 0.2
-    stage_resend_s: float = 2.0
-    stage_timeout_s: float = 120.0
-    arm_timeout_s: float = 1.0
-
-
-class Phase(Enum):
-    """How far the coordinator's present attempt is."""
-
-    WAITING_FOR_EPOCH = "waiting_for_epoch"
-    IDLE = "idle"
-    STAGING = "staging"
-    BEGINNING = "beginning"
-    ARMING = "arming"
-    DECIDING = "deciding"
-    SETTLING = "settling"
-    FENCED = "fenced"
-
-
-@dataclass(slots=True, frozen=True)
-class SwitchReport:
-    """How an attempt ended, for the audit trail."""
-
-    attempt: AttemptId
-    group_map: GroupMap
-    step: int
-    committed: bool
-    reason: str
-
 
 class MapSwitch:
     """Decides for the coordinator of one group.
@@ -139,7 +85,7 @@
         self._newest_by_rank: dict[int, int] = {}
         self._settled: set[int] = set()
         self._settled_at_step = -1
-        self._outcomes: dict[AttemptId, bool] = {}
+        self._outcomes = KnownOutcomes()
         self._reason = ""
 
     @property
@@ -342,9 +288,7 @@
     def _end(self, committed: bool, reason: str, now: float) -> list[CoordinatorOrder]:
         assert self._attempt is not None
         attempt = self._attempt
-        self._outcomes[attempt.id] = committed
-        while len(self._outcomes) > _OUTCOMES_KEPT:
-            del self._outcomes[next(iter(self._outcomes))]
+        self._outcomes.add(attempt.id, committed)
         self.reports.append(
             SwitchReport(attempt.id, attempt.group_map, attempt.step, committed, reason)
         )
@@ -381,7 +325,7 @@
             case Phase.ARMING:
                 message = self._arm_message(attempt)
             case Phase.SETTLING:
-                message = Outcome(attempt.id, self._outcomes[attempt.id])
+                message = Outcome(attempt.id, bool(self._outcomes.get(attempt.id)))
             case _:
                 return []
         return [Send(rank, message) for rank in ranks]
@@ -397,19 +341,4 @@
         self._sent_at = now
 
 
-def roster_of(incarnation_by_rank: Mapping[int, int]) -> tuple[RankIncarnation, ...]:
-    """Return the incarnations as they travel in a message."""
-    return tuple(
-        RankIncarnation(rank, incarnation)
-        for rank, incarnation in sorted(incarnation_by_rank.items())
-    )
-
-
-__all__ = [
-    "MapSwitch",
-    "Phase",
-    "SwitchReport",
-    "SwitchRules",
-    "roster_digest",
-    "roster_of",
-]
+__all__ = ["MapSwitch"]
--- a/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
@@ -13,9 +13,11 @@
 
 import msgspec
 
-from .map_switch import roster_digest, roster_of
+from .known_outcomes import KnownOutcomes
 from .rank_engine import EngineView
 from .rank_join import RankJoin
+from .rank_reports import RankReport, ReportLog
+from .roster import roster_digest, roster_of
 from .switch_types import (
     Arm,
     Armed,
@@ -40,10 +42,7 @@
     from .group_records import GroupState
     from .switch_types import AnySwitchMessage, EngineMapStatus, GroupMap, RankOrder
 
-RankReport = Staged | Armed | ArmRefused | Settled
-
 COORDINATOR_RANK = 0
-_OUTCOMES_KEPT = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,9 +78,9 @@
         "_staging",
         "_unsettled_by_id",
         "_armed_for_digest",
-        "_outcome_by_id",
+        "_outcomes",
         "_settling",
-        "_told_by_attempt",
+        "_reported",
         "_asked_at",
         "_asked_peer",
         "_unknown_since",
@@ -104,9 +103,9 @@
         self._staging: tuple[AttemptId, GroupMap] | None = None
         self._unsettled_by_id: dict[AttemptId, Attempt] = {}
         self._armed_for_digest: dict[AttemptId, int] = {}
-        self._outcome_by_id: dict[AttemptId, bool] = {}
+        self._outcomes = KnownOutcomes()
         self._settling: AttemptId | None = None
-        self._told_by_attempt: dict[AttemptId, set[type]] = {}
+        self._reported = ReportLog()
         self._asked_at = 0.0
         self._asked_peer = rank
         self._unknown_since: float | None = None
@@ -195,7 +194,7 @@
             case JoinRefused():
                 return self._on_join_refused(message)
             case OutcomeQuery():
-                committed = self._outcome_of(message.attempt)
+                committed = self._outcomes.get(message.attempt)
                 answer = Outcome(message.attempt, bool(committed))
                 return [] if committed is None else [Send(rank, answer)]
         if not self.joined:
@@ -264,7 +263,7 @@
             return []
         self.epoch = max(self.epoch, answer.epoch)
         for attempt in answer.unsettled:
-            if self._outcome_of(attempt.id) is None:
+            if self._outcomes.get(attempt.id) is None:
                 self._unsettled_by_id.setdefault(attempt.id, attempt)
         self._adopt(answer.maps)
         if self._join.all_answered:
@@ -293,16 +292,12 @@
             return
         self.epoch = message.attempt.epoch
         self._staging = (message.attempt, message.group_map)
-        self._forget_told(message.attempt, Staged)
-        self._told_by_attempt = {
-            attempt_id: kinds
-            for attempt_id, kinds in self._told_by_attempt.items()
-            if attempt_id in self._unsettled_by_id or attempt_id == message.attempt
-        }
+        self._reported.forget(message.attempt, Staged)
+        self._reported.keep({message.attempt, *self._unsettled_by_id})
 
     def _on_arm(self, message: Arm) -> list[RankOrder]:
         attempt = message.attempt
-        if attempt.id.epoch < self.epoch or attempt.id in self._outcome_by_id:
+        if attempt.id.epoch < self.epoch or attempt.id in self._outcomes:
             return []
         if self._join.asking:
             return []
@@ -316,7 +311,7 @@
             whole = msgspec.structs.replace(attempt, group_map=self._staging[1])
             self._unsettled_by_id[attempt.id] = whole
         self._armed_for_digest[attempt.id] = message.roster_digest
-        self._forget_told(attempt.id, Armed, ArmRefused)
+        self._reported.forget(attempt.id, Armed, ArmRefused)
         return self._act()
 
     def _arm_refusal(
@@ -330,18 +325,16 @@
 
     def _on_outcome(self, message: Outcome) -> list[RankOrder]:
         is_known = message.attempt in self._unsettled_by_id
-        is_known = is_known or self._outcome_of(message.attempt) is True
+        is_known = is_known or self._outcomes.get(message.attempt) is True
         if message.committed and not is_known:
             return self._ask_anew(self.incarnation)
         self._settle(message.attempt, message.committed)
         self._settling = message.attempt
-        self._forget_told(message.attempt, Settled)
+        self._reported.forget(message.attempt, Settled)
         return self._act()
 
     def _settle(self, attempt_id: AttemptId, committed: bool) -> None:
-        self._outcome_by_id[attempt_id] = committed
-        while len(self._outcome_by_id) > _OUTCOMES_KEPT:
-            del self._outcome_by_id[next(iter(self._outcome_by_id))]
+        self._outcomes.add(attempt_id, committed)
         attempt = self._unsettled_by_id.get(attempt_id)
         if attempt is None:
             return
@@ -355,7 +348,7 @@
             return
         self.maps = maps
         for placed in maps:
-            self._outcome_by_id[placed.attempt] = True
+            self._outcomes.add(placed.attempt, True)
             self._stop_holding(placed.attempt)
 
     def _stop_holding(self, attempt_id: AttemptId) -> None:
@@ -364,9 +357,6 @@
         if attempt is not None:
             self._engine.void(attempt.step)
 
-    def _outcome_of(self, attempt_id: AttemptId) -> bool | None:
-        return self._outcome_by_id.get(attempt_id)
-
     def _held_for(self) -> frozenset[int]:
         return frozenset(attempt.step for attempt in self._unsettled_by_id.values())
 
@@ -380,19 +370,12 @@
         orders: list[RankOrder] = [
             Send(COORDINATOR_RANK, report)
             for report in self._reports()
-            if self._is_new(report)
+            if self._reported.is_new(report)
         ]
         if order is not None:
             orders.append(self._engine.give(order, max(self.epoch, 0)))
         return orders
 
-    def _is_new(self, report: RankReport) -> bool:
-        """Return whether the report was not made yet, and note that it is."""
-        told = self._told_by_attempt.setdefault(report.attempt, set())
-        is_new = type(report) not in told
-        told.add(type(report))
-        return is_new
-
     def _reports(self) -> list[RankReport]:
         status = self._engine.status
         if status is None:
@@ -407,7 +390,7 @@
         if self._staging is None:
             return []
         attempt_id, group_map = self._staging
-        is_new = attempt_id not in self._outcome_by_id
+        is_new = attempt_id not in self._outcomes
         is_open = is_new and attempt_id not in self._unsettled_by_id
         took_last = not self.maps or status.next_step >= self.maps[0].from_step
         if not is_open or not took_last:
@@ -440,7 +423,7 @@
 
     def _settled_report(self, status: EngineMapStatus) -> list[RankReport]:
         attempt_id = self._settling
-        if attempt_id is None or attempt_id not in self._outcome_by_id:
+        if attempt_id is None or attempt_id not in self._outcomes:
             return []
         if self._join.asking:
             return []
@@ -448,8 +431,5 @@
             return []
         return [Settled(attempt_id, self.incarnation, status.next_step)]
 
-    def _forget_told(self, attempt_id: AttemptId, *kinds: type) -> None:
-        self._told_by_attempt.get(attempt_id, set()).difference_update(kinds)
-
 
 __all__ = ["COORDINATOR_RANK", "RankRules", "RankSwitch"]
--- a/tests/machines/map_switch_machine.py
+++ b/tests/machines/map_switch_machine.py
@@ -20,7 +20,7 @@
 from twisted.logger import ILogObserver, globalLogPublisher
 from zope.interface import implementer
 
-from corianderrelay.state.map_switch import Phase
+from corianderrelay.state.switch_rules import Phase
 from corianderrelay.state.switch_types import GroupMap
 
 from tests.machines.map_switch_world import Delays, Faults, World
--- a/tests/machines/map_switch_world.py
+++ b/tests/machines/map_switch_world.py
@@ -24,8 +24,8 @@
     LogUnavailableError,
     UnavailableError,
 )
-from corianderrelay.state.map_switch import SwitchReport, SwitchRules
 from corianderrelay.state.rank_switch import RankRules
+from corianderrelay.state.switch_rules import SwitchReport, SwitchRules
 from corianderrelay.state.switch_types import (
     EngineMapStatus,
     HoldOrder,
