--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -244,20 +244,6 @@
     detail: str
 
 
-class GroupFrame(Message, tag="group", frozen=True):
-    """Agent to agent of one group: a message from one rank to another.
-
-    The agents of a group hold a stream to that of rank 0, which passes frames on.
-
-    :param body: the message; see ``group_messages``.
-    """
-
-    group: Identifier
-    source: Natural
-    target: Natural
-    body: bytes
-
-
 class ConfigRequest(Message, tag="config_request", frozen=True):
     """Either way: send the configuration in force if it is newer than this version."""
 
@@ -277,6 +263,20 @@
     as_of: int
 
 
+class GroupFrame(Message, tag="group", frozen=True):
+    """Agent to agent of one group: a message from one rank to another.
+
+    The agents of a group hold a stream to that of rank 0, which passes frames on.
+
+    :param body: the message; see ``group_messages``.
+    """
+
+    group: Identifier
+    source: Natural
+    target: Natural
+    body: bytes
+
+
 AnyMessage = (
     Hello
     | Heartbeat
