--- a/tests/features/processes/whole_answers.feature
+++ b/tests/features/processes/whole_answers.feature
@@ -10,4 +10,3 @@
       | what     | fails        |
       | agent-1  | is killed    |
       | engine-1 | is killed    |
-      | agent-1  | is frozen    |
