--- a/packages/corianderrelay-core/src/corianderrelay/state/members.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/members.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterable
 
 _RECONNECT_S = 1.0
+_REPLACE_S = 0.2
 _FORGET_AFTER_S = 60.0
 _REMEMBERED_HEARTBEATS = 8
 
@@ -164,9 +165,10 @@
         member = self._members_by_id.get(instance_id)
         if member is None or member.stream_id != stream_id:
             return
+        wait_s = _RECONNECT_S if stream_id is None else _REPLACE_S
         member.stream_id = None
         member.connecting = False
-        member.next_connect_at = now + _RECONNECT_S
+        member.next_connect_at = now + wait_s
 
     def bytes_received(self, instance_id: str, stream_id: int, now: float) -> None:
         """Note any bytes on the member's stream: the connection is not silent."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -12,6 +12,7 @@
     from random import Random
 
     from corianderrelay.state.call import Call
+    from corianderrelay.state.members import Members
 
     from ..state.runner import Runner
     from .agent_port import AgentPort
@@ -23,11 +24,17 @@
     """One router for each service.
 
     :param agents_by_id: the agents with an open stream; kept up to date by its owner.
+    :param members: knows which of them may get new work.
     """
 
     def __init__(
-        self, agents_by_id: Mapping[str, AgentPort], zone: str, random: Random
+        self,
+        agents_by_id: Mapping[str, AgentPort],
+        members: Members,
+        zone: str,
+        random: Random,
     ) -> None:
+        self._members = members
         self._agents_by_id = agents_by_id
         self._zone = zone
         self._random = random
@@ -58,9 +65,10 @@
         """Return a usable runner of the service."""
         usable = [
             runner_id
-            for runner_id, agent in self._agents_by_id.items()
-            if agent.runner.service == service
-            and agent.runner.usable_at(now)
+            for runner_id in self._members.usable(now)
+            if (agent := self._agents_by_id.get(runner_id)) is not None
+            and agent.runner.service == service
+            and agent.runner.usable
             and runner_id not in excluded
         ]
         return router.pick(route, usable, now, self._random)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -13,10 +13,13 @@
 from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.config_exchange import ConfigExchange
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
 from corianderrelay.state.audit import AuditKind, AuditRecord, config_audit
 from corianderrelay.state.config_records import CONFIG_STREAM
+from corianderrelay.state.heartbeat_pacing import HeartbeatPacing
 from corianderrelay.state.incarnation import new_incarnation
+from corianderrelay.state.members import ListedInstance, Members
 from corianderrelay.state.rendezvous import rank_by_rendezvous
 from corianderrelay.transport.metrics import Metrics
 
@@ -71,12 +74,20 @@
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
         self.request_metrics = RequestMetrics()
+        timing = settings.timing
+        self.members = Members(
+            HeartbeatPacing(
+                period_s=timing.heartbeat_s,
+                missed_until_suspect=round(timing.silent_after_s / timing.heartbeat_s),
+            )
+        )
         self.relay = Relay(
             self.new_id,
             clock.seconds,
             self.random,
             settings.zone,
             self.request_metrics,
+            self.members,
         )
         self.audit = AuditWriter(log, clock)
         self.log = log
@@ -115,8 +126,9 @@
             self.relay,
             self.keyed,
             self.directory,
+            ConfigExchange(self.config_follower),
+            self.members,
             hello,
-            settings.timing,
             clock,
             tls,
         )
@@ -228,11 +240,15 @@
             and instance.state is InstanceState.LIVE
         )
         self.connector.follow(
-            {
-                instance.instance_id: (instance.host, instance.port)
-                for instance in instances
-                if instance.role is InstanceRole.AGENT
-            }
+            ListedInstance(
+                instance.instance_id,
+                instance.host,
+                instance.port,
+                instance.zone,
+                instance.state is InstanceState.LEAVING,
+            )
+            for instance in instances
+            if instance.role is InstanceRole.AGENT
         )
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -14,6 +14,8 @@
     AttemptOutcome,
     Cancel,
     Chunk,
+    ConfigRequest,
+    ConfigSnapshot,
     Dispatch,
     End,
     Heartbeat,
@@ -35,8 +37,10 @@
     from collections.abc import Callable
     from typing import Protocol
 
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Tombstone
     from corianderrelay.state.call import Call
+    from corianderrelay.state.members import Members
 
     from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
@@ -53,15 +57,14 @@
             """Drop the connection."""
 
 
-_REMEMBERED_HEARTBEATS = 8
-
-
 class AgentSession:
     """The conversation with one agent over one stream.
 
     :param directory: learns which entries leave.
+    :param members: learns of the agent's heartbeats.
     :param seconds: returns the monotonic time.
-    :param fresh_s: for how long an echoed heartbeat proves that the agent is there.
+    :param expected_id: the instance that the platform's list names at this address.
+    :param stream_id: number of the stream within this process.
     """
 
     def __init__(
@@ -69,16 +72,21 @@
         relay: Relay,
         keyed: KeyedRelay,
         directory: EntryDirectory,
+        config: ConfigExchange,
+        members: Members,
         stream: MessageStream,
         seconds: Callable[[], float],
-        fresh_s: float,
+        expected_id: str,
+        stream_id: int,
     ) -> None:
-        self._fresh_s = fresh_s
-        self._sent_at_by_sequence: dict[int, float] = {}
-        self.echo = 0
+        self._members = members
+        self.expected_id = expected_id
+        self.stream_id = stream_id
+        self.opened_s = seconds()
         self._relay = relay
         self._keyed = keyed
         self._directory = directory
+        self._config = config
         self._stream = stream
         self._seconds = seconds
         self._runner: Runner | None = None
@@ -92,6 +100,8 @@
             End: self._on_end,
             Ticket: self._on_ticket,
             Tombstoned: self._on_tombstoned,
+            ConfigRequest: self._on_config_request,
+            ConfigSnapshot: self._on_config_snapshot,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -119,15 +129,16 @@
                 "check that both sides run the same protocol version",
             )
         handler(message)
+        self._members.bytes_received(self.agent_id, self.stream_id, self._seconds())
 
-    def heartbeat(self, sequence: int, *, leaving: bool) -> None:
-        """Send a heartbeat and remember when, for the agent's echo."""
-        self._sent_at_by_sequence[sequence] = self._seconds()
-        self._sent_at_by_sequence.pop(sequence - _REMEMBERED_HEARTBEATS, None)
-        self._stream.send(Heartbeat(sequence, leaving=leaving, echo=self.echo))
+    def send(self, message: AnyMessage) -> None:
+        """Send a message to the agent."""
+        self._stream.send(message)
 
     def closed(self) -> None:
         """The stream is gone."""
+        bound = self.stream_id if self.agent_id else None
+        self._members.stream_closed(self.expected_id, bound, self._seconds())
         if self._relay.agents_by_id.get(self.agent_id) is self:
             self._relay.on_agent_lost(self.agent_id)
             self._keyed.on_agent_lost(self.agent_id)
@@ -191,6 +202,7 @@
                 f"the agent speaks protocol version {message.protocol_version}",
                 f"run a release that speaks version {PROTOCOL_VERSION} on both sides",
             )
+        self._check_known(message)
         self._runner = Runner(
             instance_id=message.instance_id,
             incarnation=message.incarnation,
@@ -202,9 +214,20 @@
             slots=message.slots,
             reported_s=self._seconds(),
         )
-        self._runner.fresh_until_s = self._seconds() + self._fresh_s
         self._relay.on_agent_ready(self)
 
+    def _check_known(self, message: Hello) -> None:
+        """Bind the stream to the member that was meant, unless it is out of date."""
+        known = message.instance_id == self.expected_id and self._members.stream_opened(
+            message.instance_id, self.stream_id, message.incarnation, self._seconds()
+        )
+        if not known:
+            raise FrameError(
+                f"{message.instance_id} said hello where {self.expected_id} was "
+                "expected, or as an older incarnation of it",
+                "correct the platform's list of instances",
+            )
+
     def _on_heartbeat(self, message: Heartbeat) -> None:
         runner = self.runner
         runner.running = message.running
@@ -215,16 +238,31 @@
         runner.engine_up = message.engine_up
         runner.reported_s = self._seconds()
         runner.dispatched = 0
-        self.echo = max(self.echo, message.sequence)
-        sent_at = self._sent_at_by_sequence.get(message.echo)
-        if sent_at is not None:
-            fresh_until_s = sent_at + self._fresh_s
-            runner.fresh_until_s = max(runner.fresh_until_s, fresh_until_s)
+        self._members.heartbeat_received(
+            self.agent_id,
+            self.stream_id,
+            message.sequence,
+            message.echo,
+            message.leaving,
+            runner.reported_s,
+        )
         self._relay.routers.report(runner)
         self._directory.mark_leaving(message.leaving_entries, runner.reported_s)
+        question = self._config.question(message.config_version, runner.reported_s)
+        if question is not None:
+            self._stream.send(question)
+
+    def _on_config_request(self, message: ConfigRequest) -> None:
+        answer = self._config.answer(message)
+        if answer is not None:
+            self._stream.send(answer)
+
+    def _on_config_snapshot(self, message: ConfigSnapshot) -> None:
+        self._config.take(message)
 
     def _on_leaving(self, message: Leaving) -> None:
         self.runner.leaving = True
+        self._members.leaving_received(self.agent_id, message.incarnation)
 
     def _on_accepted(self, message: Accepted) -> None:
         """Nothing to do: the first chunk or the end tells the rest."""
