--- a/packages/corianderrelay-core/src/corianderrelay/state/routing.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/routing.py
@@ -20,7 +20,7 @@
 from .runner_load import LoadReport, RunnerLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Container, Sequence
     from random import Random
 
 _PREFIX_BYTES = 1024
@@ -69,13 +69,20 @@
         self._warm_until: OrderedDict[tuple[str, bytes], float] = OrderedDict()
         self._mean = 0.0
 
+    @property
+    def runner_ids(self) -> list[str]:
+        """The runners of which something is known."""
+        return list(self._loads_by_runner)
+
     def add_runner(self, runner_id: str, zone: str) -> None:
         """Add a runner, or correct its zone."""
         self._load(runner_id).zone = zone
 
-    def remove_runner(self, runner_id: str) -> None:
-        """Forget a runner that is gone for good."""
-        self._loads_by_runner.pop(runner_id, None)
+    def keep_runners(self, known: Container[str]) -> None:
+        """Forget the runners that are not known any longer."""
+        gone = [name for name in self._loads_by_runner if name not in known]
+        for runner_id in gone:
+            del self._loads_by_runner[runner_id]
 
     def report(self, runner_id: str, report: LoadReport, measured_at: float) -> None:
         """Take a runner's load report.
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -31,6 +31,7 @@
     from random import Random
 
     from corianderrelay.state.call import Call
+    from corianderrelay.state.members import Members
 
     from .agent_port import AgentPort
     from .answer_sink import AnswerSink
@@ -64,6 +65,7 @@
     :param seconds: returns the monotonic time.
     :param random: draws candidates.
     :param zone: this entry's availability zone.
+    :param members: knows which agents may get new work.
     """
 
     def __init__(
@@ -73,12 +75,13 @@
         random: Random,
         zone: str,
         metrics: RequestMetrics,
+        members: Members,
     ) -> None:
         self._new_id = new_id
         self._seconds = seconds
         self._metrics = metrics
         self.agents_by_id: dict[str, AgentPort] = {}
-        self.routers = ServiceRouters(self.agents_by_id, zone, random)
+        self.routers = ServiceRouters(self.agents_by_id, members, zone, random)
         self._budget = RetryBudget()
         self._open_by_id: dict[str, _Open] = {}
         self._open_by_attempt: dict[str, _Open] = {}
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/agent_connector.py
@@ -1,39 +1,44 @@
-"""Keeps one stream to each agent that the instance list names."""
+"""Keeps one stream to each agent, as membership orders."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
 import eliot
-from twisted.application.internet import ClientService, backoffPolicy
 from twisted.internet import protocol
 from twisted.internet.endpoints import HostnameEndpoint
 
 from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.messages import Heartbeat, Hello
+from corianderrelay.state.members import Connect, DropStream, SendHeartbeat
 from corianderrelay.transport.framed_stream import FramedStream
 
 from ..protocol.agent_session import AgentSession
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
     from corianderrelay.protocol.config_exchange import ConfigExchange
-    from corianderrelay.protocol.messages import AnyMessage, Hello
+    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.state.members import ListedInstance, MemberOrder, Members
     from corianderrelay.transport.tls import TlsFiles
 
     from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
     from ..state.entry_directory import EntryDirectory
-    from ..state.settings import TimingSettings
 
-_RECONNECT = backoffPolicy(initialDelay=0.2, maxDelay=5.0, factor=1.5)
 _CONNECT_TIMEOUT_S = 3
+_TICK_S = 0.1
 
 
 class AgentConnector:
     """Opens, watches and replaces the streams to agents.
 
+    :param directory: learns which entries leave.
+    :param members: decides which streams to open and to drop.
     :param hello: what this entry says first on each stream.
     :param tls: certificates of the streams; ``None`` for plain ones.
     """
@@ -44,8 +49,8 @@
         keyed: KeyedRelay,
         directory: EntryDirectory,
         config: ConfigExchange,
+        members: Members,
         hello: Hello,
-        timing: TimingSettings,
         clock: Clock,
         tls: TlsFiles | None = None,
     ) -> None:
@@ -53,114 +58,164 @@
         self._keyed = keyed
         self._directory = directory
         self._config = config
-        self._leaving = False
+        self._members = members
         self._hello = hello
-        self._timing = timing
         self._clock = clock
         self._tls = tls
-        self._services_by_agent: dict[str, ClientService] = {}
         self._sessions_by_stream: dict[FramedStream, AgentSession] = {}
-        self._sequence = 0
-        self._beat = Periodic(clock, self._heartbeat)
+        self._streams_by_id: dict[int, FramedStream] = {}
+        self._opened = 0
+        self._leaving = False
+        self._stopped = False
+        self._tick = Periodic(clock, self._on_tick)
 
     def start(self) -> None:
-        """Begin to send heartbeats."""
-        self._beat.start(self._timing.heartbeat_s)
+        """Begin to connect and to send heartbeats."""
+        self._tick.start(_TICK_S)
 
     def stop(self) -> None:
         """Drop all streams."""
-        self._beat.stop()
-        for agent_id in list(self._services_by_agent):
-            self.disconnect(agent_id)
+        self._stopped = True
+        self._tick.stop()
+        for stream in list(self._sessions_by_stream):
+            stream.close("this entry stops")
 
     @property
     def connected_agents(self) -> int:
         """Number of open streams."""
         return len(self._sessions_by_stream)
 
-    def follow(self, addresses_by_agent: dict[str, tuple[str, int]]) -> None:
-        """Connect to the agents named and let go of the others.
-
-        An agent that is no longer named keeps its stream while the stream lives: the
-        list lags, and the agent itself says when it leaves.
-        """
-        new = addresses_by_agent.keys() - self._services_by_agent.keys()
-        for agent_id in sorted(new):
-            self._connect(agent_id, *addresses_by_agent[agent_id])
-        connected = {session.agent_id for session in self._sessions_by_stream.values()}
-        gone = self._services_by_agent.keys() - addresses_by_agent.keys() - connected
-        for agent_id in sorted(gone):
-            self.disconnect(agent_id)
-
-    def disconnect(self, agent_id: str) -> None:
-        """Drop the stream to an agent and do not open another."""
-        service = self._services_by_agent.pop(agent_id)
-        service.stopService()
+    def follow(self, listed: Iterable[ListedInstance]) -> None:
+        """Take the platform's list of agents; it only seeds."""
+        self._members.seed(listed, self._clock.seconds())
 
     def announce_leaving(self) -> None:
         """Tell all agents that this entry takes no new callers; they pass it on."""
         self._leaving = True
-        self._heartbeat()
+        for session in self._sessions_by_stream.values():
+            heartbeat = Heartbeat(0, config_version=self._config.version, leaving=True)
+            session.send(heartbeat)
 
-    def stream_opened(self, stream: FramedStream) -> None:
+    def stream_opened(self, stream: FramedStream, expected_id: str) -> None:
         """Greet the agent."""
+        self._opened += 1
         session = AgentSession(
             self._relay,
             self._keyed,
             self._directory,
             self._config,
+            self._members,
             stream,
             self._clock.seconds,
-            self._timing.silent_after_s,
+            expected_id,
+            self._opened,
         )
         self._sessions_by_stream[stream] = session
+        self._streams_by_id[self._opened] = stream
         stream.send(self._hello)
 
     def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
         """Hand the message to the stream's session."""
         self._sessions_by_stream[stream].receive(message)
+        if isinstance(message, Hello):
+            self._on_tick()
 
     def stream_closed(self, stream: FramedStream, reason: str) -> None:
-        """End the stream's session; a new stream is opened by the client service."""
+        """End the stream's session; membership orders a new one."""
         session = self._sessions_by_stream.pop(stream)
+        self._streams_by_id.pop(session.stream_id)
         eliot.log_message(
             message_type="entry:stream_closed",
-            agent_id=session.agent_id,
+            agent_id=session.expected_id,
             reason=reason,
         )
         session.closed()
 
-    def _connect(self, agent_id: str, host: str, port: int) -> None:
+    def _on_tick(self) -> None:
+        now = self._clock.seconds()
+        for order in self._members.tick(now):
+            self._carry_out(order)
+        late = now - self._members.suspect_after_s
+        mute = [
+            stream
+            for stream, session in self._sessions_by_stream.items()
+            if not session.agent_id and session.opened_s < late
+        ]
+        for stream in mute:
+            stream.close("the agent has not said hello")
+
+    def _carry_out(self, order: MemberOrder) -> None:
+        match order:
+            case Connect():
+                self._connect(order)
+            case DropStream():
+                stream = self._streams_by_id.get(order.stream_id)
+                if stream is not None:
+                    stream.close("the agent has been silent for too long")
+            case SendHeartbeat():
+                stream = self._streams_by_id.get(order.stream_id)
+                if stream is not None:
+                    stream.send(self._heartbeat(order))
+
+    def _heartbeat(self, order: SendHeartbeat) -> Heartbeat:
+        return Heartbeat(
+            order.sequence,
+            config_version=self._config.version,
+            leaving=self._leaving,
+            echo=order.echo,
+            period_ms=int(order.period_s * 1000),
+        )
+
+    def _connect(self, order: Connect) -> None:
         endpoint: Any = HostnameEndpoint(
-            self._clock, host, port, timeout=_CONNECT_TIMEOUT_S
+            self._clock, order.host, order.port, timeout=_CONNECT_TIMEOUT_S
         )
         if self._tls is not None:
-            endpoint = self._tls.wrap_client(endpoint, host)
-        factory: Any = _StreamFactory(self, self._clock)
-        clock: Any = self._clock
-        service = ClientService(endpoint, factory, _RECONNECT, clock=clock)
-        self._services_by_agent[agent_id] = service
-        service.startService()
-
-    def _heartbeat(self) -> None:
-        silent_since = self._clock.seconds() - self._timing.silent_after_s
-        self._sequence += 1
-        for stream, session in list(self._sessions_by_stream.items()):
-            if stream.last_received_s < silent_since:
-                stream.close("the agent has been silent for too long")
-            else:
-                session.heartbeat(self._sequence, leaving=self._leaving)
+            endpoint = self._tls.wrap_client(endpoint, order.host)
+        factory: Any = _StreamFactory(self, order.instance_id, self._clock)
+        connecting = endpoint.connect(factory)
+        connecting.addErrback(lambda failure: self._not_connected(order, failure))
+
+    def _not_connected(self, order: Connect, failure: Any) -> None:
+        if self._stopped:
+            return
+        eliot.log_message(
+            message_type="entry:connect_failed",
+            agent_id=order.instance_id,
+            reason=failure.getErrorMessage(),
+        )
+        now = self._clock.seconds()
+        self._members.stream_closed(order.instance_id, None, now)
+
+
+class _StreamListener:
+    """Adds to a stream's opening which agent it is meant for."""
+
+    def __init__(self, connector: AgentConnector, expected_id: str) -> None:
+        self._connector = connector
+        self._expected_id = expected_id
+
+    def stream_opened(self, stream: FramedStream) -> None:
+        self._connector.stream_opened(stream, self._expected_id)
+
+    def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
+        self._connector.message_received(stream, message)
+
+    def stream_closed(self, stream: FramedStream, reason: str) -> None:
+        self._connector.stream_closed(stream, reason)
 
 
 class _StreamFactory(protocol.Factory):
     noisy = False
 
-    def __init__(self, connector: AgentConnector, clock: Clock) -> None:
-        self._connector = connector
+    def __init__(
+        self, connector: AgentConnector, expected_id: str, clock: Clock
+    ) -> None:
+        self._listener = _StreamListener(connector, expected_id)
         self._clock = clock
 
     def buildProtocol(self, addr: IAddress | None) -> FramedStream:
-        return FramedStream(self._connector, self._clock)
+        return FramedStream(self._listener, self._clock)
 
 
 __all__ = ["AgentConnector"]
--- a/tests/features/core/state/routing.feature
+++ b/tests/features/core/state/routing.feature
@@ -37,3 +37,8 @@
     Then routing subsets of 330 entries over 600 runners cover each runner
     And routing subsets hold at most 32 runners, half of them of the entry's zone
     And routing subsets change by at most 1 runner when a runner goes
+
+  Scenario: A runner that is gone for good is forgotten
+    Given routing over 3 idle runners
+    When routing keeps only runner-1
+    Then routing knows 1 runner
--- a/tests/machines/suspects_machine.py
+++ b/tests/machines/suspects_machine.py
@@ -241,6 +241,18 @@
         if self.packets:
             self.packets.pop(index % len(self.packets))()
 
+    @rule(request=st.sampled_from(_CRASHERS), entries=st.permutations(_ENTRIES))
+    def crashes_while_a_copy_is_late(self, request: str, entries: list[str]) -> None:
+        """One copy ends its engine while another is long on its way."""
+        if self._open_copies(request):
+            return
+        self.caller_sends(entries[0], request, _AGENTS[1], False)
+        self.caller_sends(entries[1], request, _AGENTS[2], True)
+        self.packets_arrive()
+        running = [run.request for run in self.agents[_AGENTS[1]].running]
+        if request in running:
+            self.engine_computes(_AGENTS[1], running.index(request))
+
     @rule(index=st.integers(0, 30))
     def late_packet_arrives(self, index: int) -> None:
         """A dispatch that was long on its way arrives."""
