Show that an order is refused before a long answer ends while the log is out

Cause: with 503 of the log no longer taken as 'no effect' the scenario still passed, after 5 s: nothing said 'at once'. The order is now compared with a long answer that began before it, so no time is asserted. Seen failing with that mutation.

--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -14,7 +14,13 @@
 from behave import given, then, when
 
 from demo.system import temporary_folder
-from tests.harness.processes import RUNNERS, FaultSystem, expected_text, text_of
+from tests.harness.processes import (
+    LONG_ANSWER,
+    RUNNERS,
+    FaultSystem,
+    expected_text,
+    text_of,
+)
 from tests.waiting import wait_until
 
 _SEED = 20261204
@@ -155,8 +161,11 @@
 @when("the log is out and a caller sends an order and a chat")
 def step_log_out(context: Any) -> None:
     context.faults.control(context.faults.log_url, outage=True)
+    prompt = f"Is it sunny? {LONG_ANSWER}"
+    chat = context.faults.chat(0, prompt)
     context.refused = context.faults.order(0, "2026-12-04-out").result(_ANSWER_LIMIT_S)
-    context.chats = {"Is it sunny?": context.faults.chat(0, "Is it sunny?")}
+    assert not chat.done(), "the order's refusal took longer than a long answer"
+    context.chats = {prompt: chat}
 
 
 @then("the order is refused as not run with Retry-After, and the chat is answered")
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -18,6 +18,9 @@
 
 _PARALLEL_CALLS = 32
 _ENGINES = 2
+_TOKENS = 30
+_LONG_TOKENS = 100
+LONG_ANSWER = "Tell me all."
 RUNNERS = _ENGINES + 1
 
 Answer = tuple[int, dict[str, str], bytes]
@@ -96,10 +99,11 @@
 
 
 def chat_body(prompt: str) -> bytes:
-    """Return the body of a streamed chat completion."""
+    """Return the body of a streamed chat completion; some prompts ask for much."""
     messages = [{"role": "user", "content": prompt}]
+    tokens = _LONG_TOKENS if LONG_ANSWER in prompt else _TOKENS
     chat = {"model": "kit-model", "messages": messages, "stream": True}
-    return json.dumps(chat | {"min_tokens": 30}).encode()
+    return json.dumps(chat | {"min_tokens": tokens, "max_tokens": tokens}).encode()
 
 
 def expected_text(prompt: str) -> str:
@@ -119,6 +123,7 @@
 __all__ = [
     "Answer",
     "FaultSystem",
+    "LONG_ANSWER",
     "RUNNERS",
     "chat_body",
     "expected_text",
