Leave the engines of the fault tests out of a lock-step group

Cause: the demo's engines 0 and 1 became a lock-step group, whose ranks stop by design when one dies or before they have a map; an answer then hangs.

--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -35,6 +35,7 @@
     def __init__(self, folder: Path, step_s: float) -> None:
         super().__init__(folder)
         self.engine_count = _ENGINES
+        self.group_ranks = 0
         self.engine_options = ["--step-s", str(step_s)]
         self._pool = ThreadPoolExecutor(_PARALLEL_CALLS)
 
