--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/claims_stream.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/claims_stream.py
@@ -13,12 +13,12 @@
 from corianderrelay.state.errors import LogAnswerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
 
     from twisted.python.failure import Failure
 
     from corianderrelay.coordination.clock import Clock
-    from corianderrelay.coordination.log_client import LogClient, LogPage
+    from corianderrelay.coordination.log_client import LogClient, LogEntry, LogPage
     from corianderrelay.state.claim_records import AnyClaimRecord
 
     from ..state.keyed_actions import Action
@@ -32,7 +32,7 @@
     """Brings the stream's records to the requests whose keys lie in it.
 
     :param act: carries out the actions that a record calls for.
-    :param appender: identity that no other start of any entry has.
+    :param appender: identity that no other start of any process has.
     """
 
     __slots__ = (
@@ -93,21 +93,25 @@
         if page.first_offset > self._offset:
             fold.skip_to(page.first_offset)
         fold.forget_before(page.first_offset)
-        records = list(self._records_of(page))
+        records = [
+            record for entry in page.entries for record in self._records_of(entry)
+        ]
         self._offset = max(page.next_offset, page.first_offset)
         self._commit.note_end(self._offset)
         self._act(self._requests, self._requests.advance(records, self._now()))
         self._clock.callLater(0, self.start)
 
-    def _records_of(self, page: LogPage) -> Iterator[tuple[int, int, AnyClaimRecord]]:
-        """Yield the records; what is malformed is passed over by all readers alike."""
-        for entry in page.entries:
-            read = self._reader.read(entry.offset, entry.payload)
-            for positioned in read.unwrap_or([]):
-                record = decode_claim_record(positioned.record)
-                if not isinstance(record, Err):
-                    position = positioned.position
-                    yield position.offset, position.index, record.ok_value
+    def _records_of(self, entry: LogEntry) -> list[tuple[int, int, AnyClaimRecord]]:
+        """Return an append's records; what is malformed all readers pass over."""
+        positioned = self._reader.read(entry.offset, entry.payload).unwrap_or([])
+        decoded = (
+            (one.position, decode_claim_record(one.record)) for one in positioned
+        )
+        return [
+            (position.offset, position.index, result.ok_value)
+            for position, result in decoded
+            if not isinstance(result, Err)
+        ]
 
     def _on_read_failed(self, failure: Failure) -> None:
         self._log_up = False
