Divide a group's tokens by weighted deficit and count promised retries

Seen failing (mutation -> test): first lane in place of the largest deficit; no part of the tokens in flight on return; no burst cap; no limit of slots; late expiry; a start that pays 1 token -> shares machine and 'A workspace that returns'.

--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,389 @@
+"""Measures shares during a surge against first come first served and a partition.
+
+Each slot generates one token a step. Three in ten workspaces are greedy and bring the
+offered load to five times what the group can do; the others stay inside their share.
+The surge of the greedy ones lasts 40 s; refused callers come back when they
+were told to, until they succeed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import math
+import random
+import time
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from typing import Protocol
+
+import click
+import numpy as np
+from numpy.typing import NDArray
+from result import Err, Ok, Result
+
+from corianderrelay.state.document import Share
+from corianderrelay.state.errors import OverloadedError
+from corianderrelay.state.shares import ShareQueue, WaitingRequest
+
+STEP_S = 0.059
+_SLOTS = 512
+_MEAN_TOKENS = 150
+_START_DEADLINE_S = 5.0
+_OVERLOAD = 5.0
+_INSIDE_FRACTION = 0.6
+_SURGE_S = 40.0
+_MEASURED_FROM_S = 10.0
+_MEASURED_TO_S = 40.0
+_WINDOW_S = 10.0
+_DURATION_S = 300.0
+
+
+class Admission(Protocol):
+    """What the bench needs of a policy."""
+
+    def submit(
+        self, request: WaitingRequest, now: float
+    ) -> Result[None, OverloadedError]:
+        """Queue or refuse."""
+
+    def start_next(self, now: float) -> WaitingRequest | None:
+        """Take the next request to start."""
+
+    def drop_expired(self, now: float) -> list[WaitingRequest]:
+        """Remove what has waited too long."""
+
+    def finish(self, request_id: str, tokens: int | None) -> None:
+        """Free a slot."""
+
+
+class FirstComeFirstServed:
+    """One queue for all, bounded by the wait that the deadline allows."""
+
+    def __init__(self, slots: int, tokens_per_s: float) -> None:
+        self._slots = slots
+        self._tokens_per_s = tokens_per_s
+        self._queue: deque[WaitingRequest] = deque()
+        self._queued_tokens = 0
+        self._running = 0
+
+    def submit(
+        self, request: WaitingRequest, now: float
+    ) -> Result[None, OverloadedError]:
+        """Refuse when the queue is longer than the deadline."""
+        wait_s = self._queued_tokens / self._tokens_per_s
+        if wait_s > request.deadline_s - now:
+            return Err(OverloadedError("full", "come back", retry_after_s=1.0))
+        self._queue.append(request)
+        self._queued_tokens += request.tokens
+        return Ok(None)
+
+    def start_next(self, now: float) -> WaitingRequest | None:
+        """Take the oldest."""
+        if not self._queue or self._running >= self._slots:
+            return None
+        self._running += 1
+        request = self._queue.popleft()
+        self._queued_tokens -= request.tokens
+        return request
+
+    def drop_expired(self, now: float) -> list[WaitingRequest]:
+        """Remove from the front."""
+        expired = []
+        while self._queue and self._queue[0].deadline_s < now:
+            expired.append(self._queue.popleft())
+            self._queued_tokens -= expired[-1].tokens
+        return expired
+
+    def finish(self, request_id: str, tokens: int | None) -> None:
+        """Free a slot."""
+        self._running -= 1
+
+
+class FixedPartition:
+    """Each workspace has its own slots, and nothing is lent."""
+
+    def __init__(
+        self, slots: int, shares: dict[str, Share], tokens_per_s: float
+    ) -> None:
+        self._lanes = {
+            name: FirstComeFirstServed(
+                max(1, round(share.guaranteed * slots)),
+                share.guaranteed * tokens_per_s,
+            )
+            for name, share in shares.items()
+        }
+        self._workspace_by_id: dict[str, str] = {}
+
+    def submit(
+        self, request: WaitingRequest, now: float
+    ) -> Result[None, OverloadedError]:
+        """Queue in the workspace's own part."""
+        return self._lanes[request.workspace].submit(request, now)
+
+    def start_next(self, now: float) -> WaitingRequest | None:
+        """Take any that its part has room for."""
+        starts = (lane.start_next(now) for lane in self._lanes.values())
+        request = next((request for request in starts if request), None)
+        if request is not None:
+            self._workspace_by_id[request.request_id] = request.workspace
+        return request
+
+    def drop_expired(self, now: float) -> list[WaitingRequest]:
+        """Remove from each part."""
+        return [
+            request
+            for lane in self._lanes.values()
+            for request in lane.drop_expired(now)
+        ]
+
+    def finish(self, request_id: str, tokens: int | None) -> None:
+        """Free a slot of the part."""
+        self._lanes[self._workspace_by_id.pop(request_id)].finish(request_id, tokens)
+
+
+@dataclass(slots=True)
+class _Caller:
+    """One request from its first attempt to its success."""
+
+    workspace: int
+    tokens: int
+    first_refused_s: float | None = None
+    told_s: float = 0.0
+    refusals: int = 0
+    submitted_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Record:
+    """What a run showed."""
+
+    generated: list[NDArray[np.int64]] = field(default_factory=list)
+    started: list[NDArray[np.int64]] = field(default_factory=list)
+    waiting: list[bool] = field(default_factory=list)
+    inside_waits_s: list[float] = field(default_factory=list)
+    retried_s: list[float] = field(default_factory=list)
+    overtime_s: list[float] = field(default_factory=list)
+    taken_on_return: int = 0
+    returned: int = 0
+    refused: int = 0
+    expired: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of one policy; deviations are of greedy workspaces over 10 s."""
+
+    policy: str
+    workspaces: int
+    started_deviation_p50: float
+    started_deviation_max: float
+    generated_deviation_p50: float
+    generated_deviation_max: float
+    utilisation: float
+    inside_wait_p99_steps: float
+    inside_wait_max_steps: float
+    refused: int
+    expired: int
+    taken_on_first_return: float
+    retry_to_success_p50_s: float
+    retry_to_success_p99_s: float
+    later_than_told_p99_s: float
+    cpu_us_per_start: float
+
+
+def _arrivals(
+    source: random.Random, workspaces: int, greedy: int
+) -> Iterator[tuple[float, _Caller]]:
+    """Yield arrivals in order of time."""
+    per_s = _SLOTS / STEP_S / _MEAN_TOKENS
+    inside = _INSIDE_FRACTION / workspaces
+    outside = (_OVERLOAD - inside * (workspaces - greedy)) / greedy
+    rates = [
+        per_s * (outside if lane < greedy else inside) for lane in range(workspaces)
+    ]
+    now = 0.0
+    total = sum(rates)
+    lanes = range(workspaces)
+    while now < _DURATION_S:
+        now += source.expovariate(total)
+        lane = source.choices(lanes, rates)[0]
+        if lane < greedy and now > _SURGE_S:
+            continue
+        tokens = max(
+            10, round(source.lognormvariate(math.log(_MEAN_TOKENS) - 0.125, 0.5))
+        )
+        yield now, _Caller(lane, tokens)
+
+
+def run(policy: str, admission: Admission, workspaces: int, seed: int) -> Figures:
+    """Run one policy through the surge."""
+    greedy = max(1, round(workspaces * 0.3))
+    arrivals = _arrivals(random.Random(seed), workspaces, greedy)
+    returns: list[tuple[float, int, _Caller]] = []
+    running_by_step: dict[int, list[str]] = {}
+    callers: dict[str, _Caller] = {}
+    running = np.zeros(workspaces, dtype=np.int64)
+    record = _Record()
+    numbers = itertools.count()
+    upcoming = next(arrivals)
+    cpu_s = 0.0
+    starts = 0
+    for step in range(int(_DURATION_S / STEP_S)):
+        now = step * STEP_S
+        for request_id in running_by_step.pop(step, []):
+            running[callers.pop(request_id).workspace] -= 1
+            admission.finish(request_id, None)
+        due: list[tuple[float, _Caller]] = []
+        while upcoming[0] <= now:
+            due.append(upcoming)
+            upcoming = next(arrivals, (math.inf, upcoming[1]))
+        while returns and returns[0][0] <= now:
+            at, _, caller = heapq.heappop(returns)
+            due.append((at, caller))
+        due.sort(key=lambda item: item[0])
+        started_s = time.process_time()
+        for at, caller in due:
+            request_id = str(next(numbers))
+            caller.submitted_s = at
+            callers[request_id] = caller
+            request = WaitingRequest(
+                request_id,
+                str(caller.workspace),
+                caller.tokens,
+                at + _START_DEADLINE_S,
+            )
+            taken = admission.submit(request, at)
+            _note_answer(record, caller, taken, at, returns, next(numbers))
+            if taken.is_err():
+                del callers[request_id]
+        for expired in admission.drop_expired(now):
+            record.expired += 1
+            del callers[expired.request_id]
+        started_tokens = np.zeros(workspaces, dtype=np.int64)
+        while (chosen := admission.start_next(now)) is not None:
+            starts += 1
+            caller = callers[chosen.request_id]
+            running[caller.workspace] += 1
+            started_tokens[caller.workspace] += caller.tokens
+            ends = running_by_step.setdefault(step + caller.tokens, [])
+            ends.append(chosen.request_id)
+            if caller.workspace >= greedy and now > _MEASURED_FROM_S:
+                record.inside_waits_s.append(now - caller.submitted_s)
+        cpu_s += time.process_time() - started_s
+        record.generated.append(running.copy())
+        record.started.append(started_tokens)
+        record.waiting.append(len(callers) > int(running.sum()))
+    return _figures(policy, record, workspaces, greedy, cpu_s / max(1, starts))
+
+
+def _note_answer(
+    record: _Record,
+    caller: _Caller,
+    taken: Result[None, OverloadedError],
+    now: float,
+    returns: list[tuple[float, int, _Caller]],
+    number: int,
+) -> None:
+    if caller.refusals == 1:
+        record.returned += 1
+        record.taken_on_return += taken.is_ok()
+    if isinstance(taken, Ok):
+        if caller.first_refused_s is not None:
+            record.retried_s.append(now - caller.first_refused_s)
+            record.overtime_s.append(now - caller.first_refused_s - caller.told_s)
+        return
+    retry_after_s = taken.err_value.retry_after_s or 0.0
+    record.refused += 1
+    caller.refusals += 1
+    if caller.first_refused_s is None:
+        caller.first_refused_s = now
+        caller.told_s = retry_after_s
+    heapq.heappush(returns, (now + retry_after_s, number, caller))
+
+
+def _deviations(
+    tokens_by_step: list[NDArray[np.int64]], greedy: int
+) -> NDArray[np.float64]:
+    """Return, by window and greedy workspace, the deviation from the entitled tokens.
+
+    Greedy workspaces are entitled to equal parts of what the others leave.
+    """
+    tokens = np.array(tokens_by_step)
+    window = int(_WINDOW_S / STEP_S)
+    starts = range(
+        int(_MEASURED_FROM_S / STEP_S),
+        int(_MEASURED_TO_S / STEP_S) - window,
+        window // 8,
+    )
+    sums = np.array([tokens[start : start + window].sum(axis=0) for start in starts])
+    served = sums[:, :greedy]
+    entitled = served.sum(axis=1, keepdims=True) / greedy
+    return np.asarray(np.abs(served - entitled) / np.maximum(entitled, 1.0))
+
+
+def _figures(
+    policy: str, record: _Record, workspaces: int, greedy: int, cpu_s_per_start: float
+) -> Figures:
+    generated = np.array(record.generated)
+    first = int(_MEASURED_FROM_S / STEP_S)
+    last = int(_MEASURED_TO_S / STEP_S)
+    started_deviation = _deviations(record.started, greedy)
+    generated_deviation = _deviations(record.generated, greedy)
+    waiting = np.array(record.waiting[first:last])
+    used = generated[first:last].sum(axis=1)[waiting]
+    return Figures(
+        policy=policy,
+        workspaces=workspaces,
+        started_deviation_p50=round(float(np.median(started_deviation)), 4),
+        started_deviation_max=round(float(started_deviation.max()), 4),
+        generated_deviation_p50=round(float(np.median(generated_deviation)), 4),
+        generated_deviation_max=round(float(generated_deviation.max()), 4),
+        utilisation=round(float(used.mean() / _SLOTS), 4) if len(used) else 1.0,
+        inside_wait_p99_steps=_percentile(record.inside_waits_s, 99, STEP_S),
+        inside_wait_max_steps=_percentile(record.inside_waits_s, 100, STEP_S),
+        refused=record.refused,
+        expired=record.expired,
+        taken_on_first_return=round(
+            record.taken_on_return / max(1, record.returned), 4
+        ),
+        retry_to_success_p50_s=_percentile(record.retried_s, 50),
+        retry_to_success_p99_s=_percentile(record.retried_s, 99),
+        later_than_told_p99_s=_percentile(record.overtime_s, 99),
+        cpu_us_per_start=round(cpu_s_per_start * 1e6, 1),
+    )
+
+
+def _percentile(values: list[float], percent: float, unit: float = 1.0) -> float:
+    return round(float(np.percentile(values, percent)) / unit, 3) if values else 0.0
+
+
+def compare(workspaces: int, seed: int) -> Iterator[Figures]:
+    """Yield the figures of the shares and of both baselines."""
+    shares = {
+        str(lane): Share(guaranteed=1.0 / workspaces) for lane in range(workspaces)
+    }
+    tokens_per_s = _SLOTS / STEP_S
+    policies: dict[str, Admission] = {
+        "shares": ShareQueue(_SLOTS, shares, tokens_per_s),
+        "first_come": FirstComeFirstServed(_SLOTS, tokens_per_s),
+        "partition": FixedPartition(_SLOTS, shares, tokens_per_s),
+    }
+    for policy, admission in policies.items():
+        yield run(policy, admission, workspaces, seed)
+
+
+@click.command()
+@click.option("--workspaces", multiple=True, type=int, default=(10, 410))
+@click.option("--seed", default=1, show_default=True)
+def main(workspaces: tuple[int, ...], seed: int) -> None:
+    """Print one JSON line for each policy and number of workspaces."""
+    for count in workspaces:
+        for figures in compare(count, seed):
+            print(json.dumps(asdict(figures)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/machines/shares_machine.py
@@ -0,0 +1,147 @@
+"""Random arrivals, endings and changes of shares against a fluid oracle."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from corianderrelay.state.document import Share
+from corianderrelay.state.shares import ShareQueue, WaitingRequest
+
+_WORKSPACES = ("a", "b", "c", "d")
+_MAX_TOKENS = 20
+_FAR_S = 1e9
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """A group of a few slots before which four workspaces wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.number = 0
+        self.waiting: dict[str, WaitingRequest] = {}
+        self.running: dict[str, WaitingRequest] = {}
+        self.refused_until: dict[str, float] = {}
+
+    @initialize(
+        slots=st.integers(1, 12),
+        guarantees=st.lists(st.sampled_from([0.0, 0.1, 0.25]), min_size=4, max_size=4),
+        bursts=st.lists(st.sampled_from([0.25, 0.5, 1.0]), min_size=4, max_size=4),
+    )
+    def start(self, slots: int, guarantees: list[float], bursts: list[float]) -> None:
+        self.slots = slots
+        self.shares = {
+            name: Share(guaranteed=guaranteed, burst=burst)
+            for name, guaranteed, burst in zip(_WORKSPACES, guarantees, bursts)
+        }
+        self.queue = ShareQueue(slots, self.shares, tokens_per_s=10.0 * slots)
+
+    @rule(
+        workspace=st.sampled_from(_WORKSPACES),
+        tokens=st.integers(1, _MAX_TOKENS),
+        allowed_s=st.sampled_from([0.0, 0.5, 5.0, _FAR_S]),
+    )
+    def submit(self, workspace: str, tokens: int, allowed_s: float) -> None:
+        """A caller asks; a refusal says when to come back, and is no surprise."""
+        self.number += 1
+        request = WaitingRequest(
+            str(self.number), workspace, tokens, self.now + allowed_s
+        )
+        idle = not self.waiting and not self.running
+        taken = self.queue.submit(request, self.now)
+        if taken.is_ok():
+            self.waiting[request.request_id] = request
+            return
+        refusal = taken.unwrap_err()
+        assert refusal.retry_after_s is not None and refusal.retry_after_s > 0.0
+        assert not idle, "refused by an idle group"
+        assert allowed_s < _FAR_S, "refused although the deadline is far away"
+
+    @rule()
+    def fill(self) -> None:
+        """Free slots are given out until none may start."""
+        while (request := self.queue.start_next(self.now)) is not None:
+            del self.waiting[request.request_id]
+            self.running[request.request_id] = request
+            self._check_bounds(request)
+        self._check_work_conserving()
+
+    @precondition(lambda self: self.running)
+    @rule(choice=st.integers(0, 100), tokens=st.none() | st.integers(0, _MAX_TOKENS))
+    def finish(self, choice: int, tokens: int | None) -> None:
+        """A running request ends, with more or fewer tokens than estimated."""
+        request_id = sorted(self.running)[choice % len(self.running)]
+        del self.running[request_id]
+        self.queue.finish(request_id, tokens)
+
+    @rule(choice=st.integers(0, 100))
+    def cancel(self, choice: int) -> None:
+        """A caller goes away."""
+        known = sorted(self.waiting | self.running)
+        request_id = known[choice % len(known)] if known else "unknown"
+        self.waiting.pop(request_id, None)
+        self.running.pop(request_id, None)
+        self.queue.cancel(request_id)
+
+    @rule(elapsed_s=st.sampled_from([0.1, 1.0, 6.0]))
+    def wait(self, elapsed_s: float) -> None:
+        """Time passes; exactly those past their deadline are dropped."""
+        self.now += elapsed_s
+        dropped = {request.request_id for request in self.queue.drop_expired(self.now)}
+        late = {
+            request_id
+            for request_id, request in self.waiting.items()
+            if request.deadline_s < self.now
+        }
+        assert dropped == late, (dropped, late)
+        for request_id in late:
+            del self.waiting[request_id]
+
+    @rule(surge=st.integers(30, 80))
+    def all_wait(self, surge: int) -> None:
+        """While all wait, started tokens follow the fluid entitlement."""
+        uncapped = {
+            name: Share(guaranteed=share.guaranteed)
+            for name, share in self.shares.items()
+        }
+        queue = ShareQueue(self.slots, uncapped, tokens_per_s=1e6)
+        weights = {
+            name: max(share.guaranteed, 0.001) for name, share in uncapped.items()
+        }
+        for index, name in enumerate(_WORKSPACES * surge * 4):
+            tokens = 1 + (7 * index) % _MAX_TOKENS
+            request = WaitingRequest(f"{name}{index}", name, tokens, _FAR_S)
+            assert queue.submit(request, 0.0).is_ok()
+        started = dict.fromkeys(_WORKSPACES, 0)
+        for _ in range(surge):
+            request_or_none = queue.start_next(0.0)
+            assert request_or_none is not None
+            started[request_or_none.workspace] += request_or_none.tokens
+            queue.finish(request_or_none.request_id, None)
+            total = sum(started.values())
+            for name in _WORKSPACES:
+                entitled = total * weights[name] / sum(weights.values())
+                lag = abs(started[name] - entitled)
+                assert lag <= len(_WORKSPACES) * _MAX_TOKENS, (name, started, entitled)
+
+    def _running_of(self, workspace: str) -> int:
+        return sum(request.workspace == workspace for request in self.running.values())
+
+    def _check_bounds(self, request: WaitingRequest) -> None:
+        assert len(self.running) <= self.slots
+        most = max(1, -(-self.shares[request.workspace].burst * self.slots // 1))
+        assert self._running_of(request.workspace) <= most
+
+    def _check_work_conserving(self) -> None:
+        """Nothing waits beside more free slots than are kept for guarantees."""
+        kept = 1 if self.slots > 1 else 0
+        if len(self.running) + kept >= self.slots:
+            return
+        for request in self.waiting.values():
+            burst = self.shares[request.workspace].burst
+            running = self._running_of(request.workspace)
+            assert running + 1 > burst * self.slots, (request, running)
+
+
+__all__ = ["SharesMachine"]
