--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from result import Err
+
 from corianderrelay.protocol.messages import (
     PROTOCOL_VERSION,
     Accepted,
@@ -12,6 +14,8 @@
     AttemptOutcome,
     Cancel,
     Chunk,
+    ConfigRequest,
+    ConfigSnapshot,
     Dispatch,
     End,
     Heartbeat,
@@ -20,6 +24,8 @@
     Pong,
     RefusalReason,
     Refused,
+    TicketRequest,
+    Tombstone,
 )
 from corianderrelay.state.errors import (
     DeadlineExceededError,
@@ -34,6 +40,7 @@
     from collections.abc import Callable
     from typing import Protocol
 
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.errors import RelayError
     from corianderrelay.state.recent_marks import RecentMarks
@@ -57,6 +64,7 @@
     :param incarnation: number of this agent's process.
     :param seconds: returns the monotonic time.
     :param leaving_entries: marks the entries that say they leave.
+    :param report: makes the heartbeat that echoes the entry's heartbeat.
     """
 
     def __init__(
@@ -66,13 +74,19 @@
         incarnation: int,
         seconds: Callable[[], float],
         leaving_entries: RecentMarks,
+        config: ConfigExchange,
+        report: Callable[[int], Heartbeat],
     ) -> None:
+        self._report = report
         self._attempts = attempts
         self._stream = stream
         self._incarnation = incarnation
         self._seconds = seconds
         self._leaving_entries = leaving_entries
+        self._config = config
         self.entry_id = ""
+        self.echo = 0
+        self.replied = False
         self._handlers_by_type: dict[type, Callable[[Any], None]] = {
             Hello: self._on_hello,
             Heartbeat: self._on_heartbeat,
@@ -80,6 +94,10 @@
             Cancel: self._on_cancel,
             Acknowledge: self._on_acknowledge,
             Attach: self._on_attach,
+            TicketRequest: self._on_ticket_request,
+            Tombstone: self._on_tombstone,
+            ConfigRequest: self._on_config_request,
+            ConfigSnapshot: self._on_config_snapshot,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -144,13 +162,27 @@
                 f"run a release that speaks version {PROTOCOL_VERSION} on both sides",
             )
         self.entry_id = message.instance_id
-        self._attempts.entries_by_id[self.entry_id] = self
+        self._attempts.entry_joined(self, self.entry_id)
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
+        self.echo = max(self.echo, message.sequence)
+        self.replied = True
+        self._stream.send(self._report(self.echo))
         if message.leaving:
             self._leaving_entries.mark([self.entry_id], self._seconds())
         else:
             self._leaving_entries.clear(self.entry_id)
+        question = self._config.question(message.config_version, self._seconds())
+        if question is not None:
+            self._stream.send(question)
+
+    def _on_config_request(self, message: ConfigRequest) -> None:
+        answer = self._config.answer(message)
+        if answer is not None:
+            self._stream.send(answer)
+
+    def _on_config_snapshot(self, message: ConfigSnapshot) -> None:
+        self._config.take(message)
 
     def _on_dispatch(self, message: Dispatch) -> None:
         order = AttemptOrder(
@@ -173,8 +205,33 @@
             alone=message.alone,
             trace=message.trace,
         )
+        if message.key and not self._admits(message, order):
+            return
         self._attempts.submit(order, self.entry_id)
 
+    def _admits(self, message: Dispatch, order: AttemptOrder) -> bool:
+        """Whether a request that must not be repeated may start now."""
+        refusal = self._attempts.refusal(order)
+        reason = _reason(refusal) if refusal else None
+        admitted = self._attempts.keyed.admit(message, reason)
+        if isinstance(admitted, Err):
+            self._stream.send(Refused(message.attempt_id, admitted.err_value))
+            return False
+        return True
+
+    def _on_ticket_request(self, message: TicketRequest) -> None:
+        if self._attempts.leaving:
+            self._stream.send(Refused(message.key, RefusalReason.LEAVING))
+            return
+        granted = self._attempts.keyed.grant(message.key)
+        if isinstance(granted, Err):
+            self._stream.send(Refused(message.key, granted.err_value))
+        else:
+            self._stream.send(granted.ok_value)
+
+    def _on_tombstone(self, message: Tombstone) -> None:
+        self._stream.send(self._attempts.keyed.tombstone(message))
+
     def _on_cancel(self, message: Cancel) -> None:
         self._attempts.cancel(message.attempt_id)
 
@@ -182,13 +239,17 @@
         self._attempts.acknowledge(message.attempt_id, message.sequence)
 
     def _on_attach(self, message: Attach) -> None:
-        attempt = self._attempts.attempts_by_id.get(message.attempt_id)
+        attempt = self._attempts.find(message.attempt_id)
         if attempt is None:
             reason = RefusalReason.STALE_INCARNATION
             self._stream.send(Refused(message.attempt_id, reason))
             return
         for chunk in attempt.chunks_after(message.after_sequence):
             self.chunk(attempt, chunk)
+        if attempt.failure is not None:
+            self.failed(attempt, attempt.failure)
+        elif attempt.ended_at_s is not None:
+            self.done(attempt)
 
     def _on_ping(self, message: Ping) -> None:
         self._stream.send(Pong(message.sequence))
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -8,7 +8,7 @@
 from twisted.internet import protocol
 
 from corianderrelay.coordination.periodic import Periodic
-from corianderrelay.protocol.messages import Heartbeat
+from corianderrelay.protocol.messages import GroupFrame, Heartbeat
 from corianderrelay.state.recent_marks import RecentMarks
 from corianderrelay.transport.framed_stream import FramedStream
 
@@ -20,9 +20,11 @@
     from twisted.internet.interfaces import IAddress
 
     from corianderrelay.coordination.clock import Clock
+    from corianderrelay.protocol.config_exchange import ConfigExchange
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempts import Attempts
+    from ..coordination.group_routes import GroupRoutes
     from ..state.settings import TimingSettings
 
 _LEAVING_ENTRY_REMEMBERED_S = 60.0
@@ -32,6 +34,7 @@
     """Makes a session for each entry that connects.
 
     :param hello: what this agent says first on each stream.
+    :param routes: takes the frames of the group's other agents; ``None`` without one.
     """
 
     noisy = False
@@ -40,11 +43,15 @@
         self,
         attempts: Attempts,
         hello: Hello,
+        config: ConfigExchange,
         timing: TimingSettings,
         clock: Clock,
+        routes: GroupRoutes | None = None,
     ) -> None:
         self._attempts = attempts
+        self._routes = routes
         self._hello = hello
+        self._config = config
         self._timing = timing
         self._clock = clock
         self._sessions_by_stream: dict[FramedStream, EntrySession] = {}
@@ -72,18 +79,26 @@
             self._hello.incarnation,
             self._clock.seconds,
             self._leaving_entries,
+            self._config,
+            self._load_report,
         )
         self._sessions_by_stream[stream] = session
         stream.send(self._hello)
         stream.send(self._load_report())
 
     def message_received(self, stream: FramedStream, message: AnyMessage) -> None:
-        """Hand the message to the stream's session."""
+        """Hand the message to the stream's session, or to the group's routes."""
+        if isinstance(message, GroupFrame):
+            if self._routes is not None:
+                self._routes.receive(stream, message)
+            return
         self._sessions_by_stream[stream].receive(message)
 
     def stream_closed(self, stream: FramedStream, reason: str) -> None:
         """End the stream's session."""
         session = self._sessions_by_stream.pop(stream)
+        if self._routes is not None:
+            self._routes.drop(stream)
         eliot.log_message(
             message_type="agent:stream_closed",
             entry_id=session.entry_id,
@@ -106,16 +121,22 @@
         ]
         for stream in silent:
             stream.close("the entry has been silent for too long")
+        self._attempts.expire(self._timing.reattach_s)
         self._sequence += 1
-        self.broadcast(self._load_report)
+        for stream, session in self._sessions_by_stream.items():
+            if not session.replied:
+                stream.send(self._load_report(session.echo))
+            session.replied = False
 
-    def _load_report(self) -> Heartbeat:
+    def _load_report(self, echo: int = 0) -> Heartbeat:
         return Heartbeat(
             self._sequence,
+            config_version=self._config.version,
             running=self._attempts.running,
             queued=self._attempts.queued,
             queued_tokens=self._attempts.queued_tokens,
             leaving=self._attempts.leaving,
+            echo=echo,
             leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
 
--- a/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/messages.py
@@ -244,6 +244,39 @@
     detail: str
 
 
+class ConfigRequest(Message, tag="config_request", frozen=True):
+    """Either way: send the configuration in force if it is newer than this version."""
+
+    known_version: Natural
+
+
+class ConfigSnapshot(Message, tag="config_snapshot", frozen=True):
+    """Answer to a config request: the version in force, its document as JSON.
+
+    ``as_of`` is the last offset of the ``config`` stream that it takes account of.
+    """
+
+    version: Natural
+    document: bytes
+    author: str
+    time_s: float
+    as_of: int
+
+
+class GroupFrame(Message, tag="group", frozen=True):
+    """Agent to agent of one group: a message from one rank to another.
+
+    The agents of a group hold a stream to that of rank 0, which passes frames on.
+
+    :param body: the message; see ``group_messages``.
+    """
+
+    group: Identifier
+    source: Natural
+    target: Natural
+    body: bytes
+
+
 AnyMessage = (
     Hello
     | Heartbeat
@@ -262,7 +295,10 @@
     | Leaving
     | Ping
     | Pong
+    | ConfigRequest
+    | ConfigSnapshot
     | Closing
+    | GroupFrame
 )
 
 __all__ = [
@@ -273,9 +309,12 @@
     "AttemptOutcome",
     "Cancel",
     "Chunk",
+    "ConfigRequest",
+    "ConfigSnapshot",
     "Closing",
     "Dispatch",
     "End",
+    "GroupFrame",
     "Heartbeat",
     "Hello",
     "Leaving",
--- a/packages/corianderrelay-core/src/corianderrelay/state/audit.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/audit.py
@@ -8,15 +8,13 @@
 
 import msgspec
 from msgspec import Struct
-from result import Err, Ok, Result
-
-from .errors import FrameError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from .claim_records import ClaimRecord, Outcome
     from .config_fold import Verdict
+    from .map_switch import SwitchReport
 
 AUDIT_STREAM = "audit"
 _MAX_REASON_CHARS = 500
@@ -28,9 +26,9 @@
     CONFIG_ACCEPTED = "config_accepted"
     CONFIG_REJECTED = "config_rejected"
     CLAIM_SETTLED = "claim_settled"
+    ENTRY_DRAINED = "entry_drained"
     MAP_SWITCHED = "map_switched"
     QUARANTINED = "quarantined"
-    DRAINED = "drained"
 
 
 class AuditRecord(Struct, frozen=True, omit_defaults=True, kw_only=True):
@@ -80,22 +78,22 @@
 _DECODER = msgspec.json.Decoder(AuditRecord)
 
 
-def encode_audit_record(record: AuditRecord) -> bytes:
-    """Return the bytes of a record."""
-    return _ENCODER.encode(record)
+def encode_audit_records(records: Iterable[AuditRecord]) -> bytes:
+    """Return the payload of an append: a line of JSON for each record."""
+    return _ENCODER.encode_lines(records)
+
 
+def decode_audit_records(payload: bytes) -> list[AuditRecord]:
+    """Return the records of an append's payload; what is malformed is left out."""
+    decoded = map(_decode_line, payload.splitlines())
+    return [record for record in decoded if record is not None]
 
-def decode_audit_record(data: bytes) -> Result[AuditRecord, FrameError]:
-    """Return the record of ``data``, or why it is none."""
+
+def _decode_line(line: bytes) -> AuditRecord | None:
     try:
-        return Ok(_DECODER.decode(data))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Err(
-            FrameError(
-                f"a record of the audit stream is malformed: {error}",
-                "let only processes of this version append to the audit stream",
-            )
-        )
+        return _DECODER.decode(line)
+    except msgspec.DecodeError:
+        return None
 
 
 def select_records(
@@ -127,6 +125,27 @@
     )
 
 
+def switch_audit(
+    report: SwitchReport, group: str, instance_id: str, now_s: float
+) -> AuditRecord:
+    """Return the record of an attempt to switch a group's expert map.
+
+    :param now_s: wall-clock time in seconds since 1970.
+    """
+    attempt = report.attempt
+    outcome = "committed" if report.committed else "not committed"
+    return AuditRecord(
+        kind=AuditKind.MAP_SWITCHED,
+        identity=f"groups/{group}/{attempt.epoch}/{attempt.number}",
+        who=instance_id,
+        time_s=now_s,
+        why=f"{outcome}: {report.reason}"[:_MAX_REASON_CHARS],
+        subject=f"{group} map {report.group_map.version} from step {report.step}",
+        stream="groups",
+        offset=attempt.epoch,
+    )
+
+
 def settlement_audit(
     claim: ClaimRecord, outcome: Outcome, entry_id: str, stream: str, now_s: float
 ) -> AuditRecord:
@@ -152,8 +171,9 @@
     "AuditKind",
     "AuditRecord",
     "config_audit",
-    "decode_audit_record",
-    "encode_audit_record",
+    "decode_audit_records",
+    "encode_audit_records",
     "select_records",
     "settlement_audit",
+    "switch_audit",
 ]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -9,25 +9,36 @@
 
 import eliot
 
-from corianderrelay.coordination.config_reader import ConfigReader
+from corianderrelay.coordination.audit_writer import AuditWriter
+from corianderrelay.coordination.config_follower import ConfigFollower
 from corianderrelay.coordination.instance_list import InstanceRole, InstanceState
 from corianderrelay.coordination.periodic import Periodic
+from corianderrelay.protocol.config_exchange import ConfigExchange
 from corianderrelay.protocol.messages import PROTOCOL_VERSION, Hello
+from corianderrelay.state.audit import AuditKind, AuditRecord, config_audit
+from corianderrelay.state.config_records import CONFIG_STREAM
 from corianderrelay.state.incarnation import new_incarnation
+from corianderrelay.state.rendezvous import rank_by_rendezvous
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.config_in_force import ConfigInForce
+from .coordination.keyed_relay import KeyedRelay
 from .coordination.observed_answer import ObservedAnswer
 from .coordination.relay import Relay
 from .coordination.request_metrics import RequestMetrics
 from .state.entry_directory import EntryAddress, EntryDirectory
+from .state.keyed_limits import keyed_limits
 from .state.request_register import RequestRegister
 from .transport.agent_connector import AgentConnector
 
 if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
     from corianderrelay.coordination.instance_list import Instance, InstanceList
     from corianderrelay.coordination.log_client import LogClient
     from corianderrelay.state.call import Call
+    from corianderrelay.state.config_fold import Verdict, VersionInForce
+    from corianderrelay.state.document import Document
     from corianderrelay.transport.tls import TlsFiles
 
     from .coordination.answer_sink import AnswerSink
@@ -35,6 +46,8 @@
     from .state.settings import EntrySettings
 
 _ID_BITS = 96
+_RELAY_TICK_S = 0.25
+_AUDITORS = 2
 
 
 class Entry:
@@ -58,13 +71,39 @@
         self.incarnation = new_incarnation(time.time(), self.random)
         self.config = ConfigInForce()
         self.register = RequestRegister(settings.limits.remembered_requests)
-        self.relay = Relay(self.new_id)
         self.request_metrics = RequestMetrics()
+        self.relay = Relay(
+            self.new_id,
+            clock.seconds,
+            self.random,
+            settings.zone,
+            self.request_metrics,
+        )
+        self.audit = AuditWriter(log, clock)
+        self.log = log
+        self.keyed = KeyedRelay(
+            settings.instance_id,
+            keyed_limits(settings.platform.log_retention_s),
+            log,
+            clock,
+            self.relay.agents_by_id,
+            time.time,
+            iter(self.new_id, ""),
+            self.audit,
+        )
         self.metrics = Metrics(self.request_metrics.collectors())
         self.directory = EntryDirectory()
         self.draining = False
         self.address = settings.callers.address
-        self._config_reader = ConfigReader(log, clock, self.config.replace)
+        self.config_follower = ConfigFollower(
+            log,
+            clock,
+            settings.instance_id,
+            settings.platform.log_retention_s,
+            time.time,
+            self._take_config,
+            self._note_judged,
+        )
         self._instances = instances
         hello = Hello(
             PROTOCOL_VERSION,
@@ -74,9 +113,17 @@
             "entry",
         )
         self.connector = AgentConnector(
-            self.relay, self.directory, hello, settings.timing, clock, tls
+            self.relay,
+            self.keyed,
+            self.directory,
+            ConfigExchange(self.config_follower),
+            hello,
+            settings.timing,
+            clock,
+            tls,
         )
         self._list_poll = Periodic(clock, self._poll_instances)
+        self._relay_tick = Periodic(clock, self.relay.tick)
 
     @property
     def ready(self) -> bool:
@@ -86,7 +133,10 @@
     def start(self) -> None:
         """Connect to the platform and to the agents."""
         self.connector.start()
-        self._config_reader.start()
+        self._relay_tick.start(_RELAY_TICK_S)
+        self.config_follower.start()
+        self.keyed.start()
+        self.audit.start()
         self._list_poll.start(self.settings.timing.instance_list_s, now=True)
 
     def new_id(self) -> str:
@@ -110,15 +160,57 @@
         observed = ObservedAnswer(
             sink, action, self.request_metrics, call.service, self.clock.seconds
         )
-        request = self.relay.submit(traced, observed, self.clock.seconds())
+        relay = self.keyed if call.idempotency_key else self.relay
+        request = relay.submit(traced, observed, self.clock.seconds())
         self.register.add(request)
         return request
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that have no final answer yet."""
+        return self.relay.open_requests + self.keyed.open_requests
+
+    def abandon(self, request: OpenRequest) -> None:
+        """The caller of a request is gone."""
+        self.relay.abandon(request)
+        self.keyed.abandon(request)
+
+    def publish(self, base: int, document: Document, author: str) -> Deferred[int]:
+        """Put a document in force over version ``base``; see ``ConfigFollower``."""
+        return self.config_follower.publish(base, document, author, self.new_id())
+
     def drain(self, reason: str) -> None:
         """Take no new callers; serve those that still come until their list expires."""
         self.draining = True
         self.connector.announce_leaving()
         eliot.log_message(message_type="entry:drain", reason=reason)
+        self.audit.write(
+            AuditRecord(
+                kind=AuditKind.ENTRY_DRAINED,
+                identity=self.new_id(),
+                who=self.settings.instance_id,
+                time_s=time.time(),
+                why=reason,
+            )
+        )
+
+    def _take_config(self, held: VersionInForce) -> None:
+        self.config.replace(held.version, held.document)
+        eliot.log_message(message_type="config:in_force", version=held.version)
+
+    def _note_judged(self, verdict: Verdict) -> None:
+        record = config_audit(verdict, CONFIG_STREAM)
+        eliot.log_message(
+            message_type="config:judged",
+            version=verdict.record.version,
+            author=verdict.record.author,
+            result=record.kind.value,
+        )
+        own_id = self.settings.instance_id
+        names = {entry.instance_id for entry in self.known_entries()} | {own_id}
+        ranked = rank_by_rendezvous(record.identity.encode(), names)
+        if own_id in ranked[:_AUDITORS]:
+            self.audit.write(record)
 
     def _poll_instances(self) -> Any:
         listed = self._instances.read()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -4,13 +4,18 @@
 
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from corianderrelay.protocol.messages import (
     PROTOCOL_VERSION,
     Accepted,
     Acknowledge,
+    Attach,
     AttemptOutcome,
     Cancel,
     Chunk,
+    ConfigRequest,
+    ConfigSnapshot,
     Dispatch,
     End,
     Heartbeat,
@@ -19,7 +24,11 @@
     Ping,
     Pong,
     Refused,
+    Ticket,
+    TicketRequest,
+    Tombstoned,
 )
+from corianderrelay.state.answer_assembly import AnswerHead
 from corianderrelay.state.errors import FrameError
 
 from ..state.runner import Runner
@@ -28,11 +37,14 @@
     from collections.abc import Callable
     from typing import Protocol
 
-    from corianderrelay.protocol.messages import AnyMessage
+    from corianderrelay.protocol.config_exchange import ConfigExchange
+    from corianderrelay.protocol.messages import AnyMessage, Tombstone
     from corianderrelay.state.call import Call
 
+    from ..coordination.keyed_relay import KeyedRelay
     from ..coordination.relay import Relay
     from ..state.entry_directory import EntryDirectory
+    from ..state.keyed_actions import SendDispatch
 
     class MessageStream(Protocol):
         """What a session needs of a stream."""
@@ -44,22 +56,34 @@
             """Drop the connection."""
 
 
+_REMEMBERED_HEARTBEATS = 8
+
+
 class AgentSession:
     """The conversation with one agent over one stream.
 
     :param directory: learns which entries leave.
     :param seconds: returns the monotonic time.
+    :param fresh_s: for how long an echoed heartbeat proves that the agent is there.
     """
 
     def __init__(
         self,
         relay: Relay,
+        keyed: KeyedRelay,
         directory: EntryDirectory,
+        config: ConfigExchange,
         stream: MessageStream,
         seconds: Callable[[], float],
+        fresh_s: float,
     ) -> None:
+        self._fresh_s = fresh_s
+        self._sent_at_by_sequence: dict[int, float] = {}
+        self.echo = 0
         self._relay = relay
+        self._keyed = keyed
         self._directory = directory
+        self._config = config
         self._stream = stream
         self._seconds = seconds
         self._runner: Runner | None = None
@@ -71,6 +95,10 @@
             Refused: self._on_refused,
             Chunk: self._on_chunk,
             End: self._on_end,
+            Ticket: self._on_ticket,
+            Tombstoned: self._on_tombstoned,
+            ConfigRequest: self._on_config_request,
+            ConfigSnapshot: self._on_config_snapshot,
             Ping: self._on_ping,
             Pong: self._on_pong,
         }
@@ -99,15 +127,49 @@
             )
         handler(message)
 
+    def heartbeat(self, sequence: int, *, leaving: bool) -> None:
+        """Send a heartbeat and remember when, for the agent's echo."""
+        self._sent_at_by_sequence[sequence] = self._seconds()
+        self._sent_at_by_sequence.pop(sequence - _REMEMBERED_HEARTBEATS, None)
+        heartbeat = Heartbeat(
+            sequence,
+            config_version=self._config.version,
+            leaving=leaving,
+            echo=self.echo,
+        )
+        self._stream.send(heartbeat)
+
     def closed(self) -> None:
         """The stream is gone."""
         if self._relay.agents_by_id.get(self.agent_id) is self:
             self._relay.on_agent_lost(self.agent_id)
+            self._keyed.on_agent_lost(self.agent_id)
 
     def dispatch(self, attempt_id: str, call: Call, resume_from: int) -> None:
         """Send the call to the agent; see ``AgentPort``."""
+        self._stream.send(self._dispatch_of(attempt_id, call, resume_from))
+
+    def dispatch_keyed(self, call: Call, order: SendDispatch) -> None:
+        """Send a call whose claim holds its key; see ``AgentPort``."""
+        message = replace(
+            self._dispatch_of(order.nonce, call, 0),
+            claim_offset=order.claim_offset,
+            ticket_incarnation=order.incarnation,
+            ticket_id=order.ticket_id,
+        )
+        self._stream.send(message)
+
+    def ask_ticket(self, key: str) -> None:
+        """Ask for a ticket; see ``AgentPort``."""
+        self._stream.send(TicketRequest(key))
+
+    def tombstone(self, order: Tombstone) -> None:
+        """Ask the agent to stop a claim; see ``AgentPort``."""
+        self._stream.send(order)
+
+    def _dispatch_of(self, attempt_id: str, call: Call, resume_from: int) -> Dispatch:
         remaining_s = max(0.0, call.deadline_s - self._seconds())
-        message = Dispatch(
+        return Dispatch(
             attempt_id=attempt_id,
             request_id=call.request_id,
             workspace=call.workspace,
@@ -123,12 +185,15 @@
             key=call.idempotency_key,
             trace=call.trace,
         )
-        self._stream.send(message)
 
     def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt; see ``AgentPort``."""
         self._stream.send(Cancel(attempt_id))
 
+    def attach(self, attempt_id: str, after_sequence: int) -> None:
+        """Ask for frames again; see ``AgentPort``."""
+        self._stream.send(Attach(attempt_id, after_sequence))
+
     def acknowledge(self, attempt_id: str, sequence: int) -> None:
         """Acknowledge chunks; see ``AgentPort``."""
         self._stream.send(Acknowledge(attempt_id, sequence))
@@ -150,7 +215,8 @@
             slots=message.slots,
             reported_s=self._seconds(),
         )
-        self._relay.agents_by_id[message.instance_id] = self
+        self._runner.fresh_until_s = self._seconds() + self._fresh_s
+        self._relay.on_agent_ready(self)
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
         runner = self.runner
@@ -162,7 +228,24 @@
         runner.engine_up = message.engine_up
         runner.reported_s = self._seconds()
         runner.dispatched = 0
+        self.echo = max(self.echo, message.sequence)
+        sent_at = self._sent_at_by_sequence.get(message.echo)
+        if sent_at is not None:
+            fresh_until_s = sent_at + self._fresh_s
+            runner.fresh_until_s = max(runner.fresh_until_s, fresh_until_s)
+        self._relay.routers.report(runner)
         self._directory.mark_leaving(message.leaving_entries, runner.reported_s)
+        question = self._config.question(message.config_version, runner.reported_s)
+        if question is not None:
+            self._stream.send(question)
+
+    def _on_config_request(self, message: ConfigRequest) -> None:
+        answer = self._config.answer(message)
+        if answer is not None:
+            self._stream.send(answer)
+
+    def _on_config_snapshot(self, message: ConfigSnapshot) -> None:
+        self._config.take(message)
 
     def _on_leaving(self, message: Leaving) -> None:
         self.runner.leaving = True
@@ -170,22 +253,46 @@
     def _on_accepted(self, message: Accepted) -> None:
         """Nothing to do: the first chunk or the end tells the rest."""
 
+    def _on_ticket(self, message: Ticket) -> None:
+        self._keyed.on_ticket(message)
+
+    def _on_tombstoned(self, message: Tombstoned) -> None:
+        self._keyed.on_tombstoned(message)
+
     def _on_refused(self, message: Refused) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_refused(message.attempt_id, message.reason)
+            return
         self._relay.on_refused(message.attempt_id, message.retry_after_ms / 1000)
 
     def _on_chunk(self, message: Chunk) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_chunk(
+                message.attempt_id,
+                message.sequence,
+                message.data,
+                message.status,
+                message.content_type,
+            )
+            return
         self._relay.on_chunk(
             message.attempt_id,
             message.sequence,
             message.data,
             message.tokens,
-            message.status,
-            message.content_type,
+            AnswerHead(message.status, message.content_type),
         )
 
     def _on_end(self, message: End) -> None:
+        if self._keyed.owns(message.attempt_id):
+            self._keyed.on_end(
+                message.attempt_id, message.outcome, message.chunks, message.digest
+            )
+            return
         if message.outcome is AttemptOutcome.DONE:
             self._relay.on_end(message.attempt_id, message.chunks, message.digest)
+        elif message.outcome is AttemptOutcome.NOT_STARTED:
+            self._relay.on_refused(message.attempt_id, 0.0)
         else:
             self._relay.on_failed(
                 message.attempt_id, message.detail or message.outcome.value
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/settings.py
@@ -49,13 +49,14 @@
     caller_idle_s: Seconds = 60.0
     receive_body_s: Seconds = 30.0
     remembered_requests: Count = 20_000
+    named_entries: Annotated[int, Meta(ge=2)] = 16
 
 
 class TimingSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Periods and time limits, in seconds."""
 
     heartbeat_s: Seconds = 1.0
-    silent_after_s: Seconds = 3.5
+    silent_after_s: Seconds = 3.0
     entries_ttl_s: Seconds = 15.0
     instance_list_s: Seconds = 2.0
     keep_alive_s: Seconds = 10.0
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
@@ -36,7 +36,7 @@
     RequestStatusReply,
     WorkStateReply,
 )
-from ..state.entry_directory import ordered_entries
+from ..state.entry_directory import named_entries
 from .http_answer import StreamedAnswer, WholeAnswer, write_error, write_json
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
             raise result.err_value
         entry = self._entry
         call = result.ok_value
-        if entry.relay.open_requests >= entry.settings.limits.waiting_requests:
+        if entry.open_requests >= entry.settings.limits.waiting_requests:
             raise OverloadedError(
                 "this entry has as many open requests as it may have",
                 f"send it again after {_OVERLOADED_RETRY_AFTER_S:.0f} s, or to "
@@ -132,7 +132,7 @@
     ) -> None:
         if isinstance(sink, StreamedAnswer):
             sink.stop()
-        self._entry.relay.abandon(opened)
+        self._entry.abandon(opened)
 
     def _sink(self, request: Request, call: Call) -> StreamedAnswer | WholeAnswer:
         if call.streamed:
@@ -154,9 +154,10 @@
 
     def _entries(self, request: Request) -> None:
         zones = request.args.get(b"zone", [b""])
-        entries = ordered_entries(
+        entries = named_entries(
             self._entry.known_entries(),
             zones[0].decode("latin-1"),
+            self._entry.settings.limits.named_entries,
             self._entry.random,
         )
         ttl_s = self._entry.settings.timing.entries_ttl_s
