--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,140 @@
+"""Runs the benches one after the other and writes docs/measurements.md and plots.
+
+Each bench is a module of its own and is stopped at its time limit; the sum of the
+limits is five minutes.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from dataclasses import asdict, dataclass
+from datetime import date
+from pathlib import Path
+
+import click
+
+from bench.plots import plot_planner, plot_shares, plot_slopes
+
+_ROOT = Path(__file__).resolve().parent.parent
+_SEED = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Bench:
+    """A bench module, its arguments and its time limit."""
+
+    name: str
+    arguments: tuple[str, ...]
+    limit_s: int
+
+    @property
+    def command(self) -> str:
+        """Return the command that gives the same figures again."""
+        return " ".join(("python -m", f"bench.{self.name}", *self.arguments))
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a bench printed, line by line, and whether it ran to its end."""
+
+    bench: str
+    command: str
+    status: str
+    elapsed_s: float
+    lines: tuple[str, ...]
+
+
+BENCHES = (
+    Bench("planner_suite", ("--seed", str(_SEED)), 60),
+    Bench("shares", ("--workspaces", "10", "--seed", str(_SEED)), 40),
+    Bench("slopes", (), 15),
+    Bench("routing", (), 90),
+    Bench("map_switch", (), 40),
+    Bench("retries", (), 10),
+    Bench("configuration", (), 15),
+    Bench("relay", ("--streams", "100"), 30),
+)
+
+
+def run_bench(bench: Bench) -> Report:
+    """Run one bench in a process of its own."""
+    command = [sys.executable, "-m", f"bench.{bench.name}", *bench.arguments]
+    started_s = time.monotonic()
+    try:
+        done = subprocess.run(
+            command, cwd=_ROOT, capture_output=True, text=True, timeout=bench.limit_s
+        )
+        output = done.stdout
+        status = "done" if done.returncode == 0 else f"failed ({done.returncode})"
+    except subprocess.TimeoutExpired as stopped:
+        output = stopped.stdout.decode() if isinstance(stopped.stdout, bytes) else ""
+        status = f"stopped after {bench.limit_s} s"
+    elapsed_s = round(time.monotonic() - started_s, 1)
+    lines = tuple(output.splitlines())
+    return Report(bench.name, bench.command, status, elapsed_s, lines)
+
+
+def write_page(reports: list[Report], path: Path) -> None:
+    """Write the page of figures: each with its command, status and date."""
+    today = date.today().isoformat()
+    parts = ["# Measurements", "", "Written by `make bench`; do not edit by hand.", ""]
+    for report in reports:
+        parts += [
+            f"## {report.bench}",
+            "",
+            f"`{report.command}`, seed {_SEED}, {today}: {report.status}, "
+            f"{report.elapsed_s} s.",
+            "",
+            *_table(report.lines),
+            "",
+        ]
+    path.write_text("\n".join(parts).rstrip() + "\n")
+
+
+def _table(lines: tuple[str, ...]) -> list[str]:
+    """Return a table for lines of JSON with the same keys, else the lines."""
+    try:
+        rows = [json.loads(line) for line in lines]
+    except ValueError:
+        return ["```", *lines, "```"]
+    if not rows or any(not isinstance(row, dict) for row in rows):
+        return ["```", *lines, "```"]
+    keys = [*rows[0]]
+    body = [
+        "| " + " | ".join(str(row.get(key, "")) for key in keys) + " |" for row in rows
+    ]
+    return ["| " + " | ".join(keys) + " |", "|---" * len(keys) + "|", *body]
+
+
+@click.command()
+@click.option("--skip", multiple=True, help="Name of a bench to leave out.")
+@click.option("--only", multiple=True, help="Name of the only benches to run.")
+def main(skip: tuple[str, ...], only: tuple[str, ...]) -> None:
+    """Run the benches, print one JSON line each, and write the page and the plots."""
+    chosen = [
+        bench
+        for bench in BENCHES
+        if bench.name not in skip and (not only or bench.name in only)
+    ]
+    reports = []
+    for bench in chosen:
+        reports.append(run_bench(bench))
+        print(json.dumps(asdict(reports[-1])), flush=True)
+    plots = _ROOT / "docs" / "plots"
+    plots.mkdir(parents=True, exist_ok=True)
+    lines_by_bench = {
+        report.bench: [json.loads(line) for line in report.lines]
+        for report in reports
+        if report.bench in ("planner_suite", "shares", "slopes")
+    }
+    plot_planner(lines_by_bench.get("planner_suite", []), plots / "planner.png")
+    plot_shares(lines_by_bench.get("shares", []), plots / "shares.png")
+    plot_slopes(lines_by_bench.get("slopes", []), plots / "slopes.png")
+    write_page(reports, _ROOT / "docs" / "measurements.md")
+
+
+if __name__ == "__main__":
+    main()
