--- a/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/rank_switch.py
@@ -13,9 +13,11 @@
 
 import msgspec
 
-from .map_switch import roster_digest, roster_of
 from .rank_engine import EngineView
 from .rank_join import RankJoin
+from .rank_knowledge import RankKnowledge
+from .rank_reports import RankReport, ReportLog
+from .roster import roster_digest, roster_of
 from .switch_types import (
     Arm,
     Armed,
@@ -27,23 +29,18 @@
     JoinRefused,
     Outcome,
     OutcomeQuery,
-    PlacedMap,
     ReadGroupLog,
     Send,
     Settled,
     Stage,
     Staged,
-    place_map,
 )
 
 if TYPE_CHECKING:
     from .group_records import GroupState
     from .switch_types import AnySwitchMessage, EngineMapStatus, GroupMap, RankOrder
 
-RankReport = Staged | Armed | ArmRefused | Settled
-
 COORDINATOR_RANK = 0
-_OUTCOMES_KEPT = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,19 +66,16 @@
     __slots__ = (
         "joined",
         "superseded_by",
-        "epoch",
-        "maps",
         "rank",
         "_ranks",
         "_rules",
         "_join",
         "_engine",
         "_staging",
-        "_unsettled_by_id",
+        "_known",
         "_armed_for_digest",
-        "_outcome_by_id",
         "_settling",
-        "_told_by_attempt",
+        "_reported",
         "_asked_at",
         "_asked_peer",
         "_unknown_since",
@@ -94,19 +88,16 @@
     ) -> None:
         self.joined = False
         self.superseded_by: int | None = None
-        self.epoch = -1
-        self.maps: tuple[PlacedMap, ...] = ()
         self.rank = rank
         self._ranks = ranks
         self._rules = rules
         self._join = RankJoin(rank, ranks, incarnation)
         self._engine = EngineView()
         self._staging: tuple[AttemptId, GroupMap] | None = None
-        self._unsettled_by_id: dict[AttemptId, Attempt] = {}
+        self._known = RankKnowledge()
         self._armed_for_digest: dict[AttemptId, int] = {}
-        self._outcome_by_id: dict[AttemptId, bool] = {}
         self._settling: AttemptId | None = None
-        self._told_by_attempt: dict[AttemptId, set[type]] = {}
+        self._reported = ReportLog()
         self._asked_at = 0.0
         self._asked_peer = rank
         self._unknown_since: float | None = None
@@ -148,13 +139,7 @@
         """Take a fold of the groups stream up to some record."""
         if self.superseded:
             return []
-        self.epoch = max(self.epoch, state.epoch)
-        if self.joined:
-            self._adopt(state.maps)
-        for attempt_id in [*self._unsettled_by_id]:
-            committed = state.outcome_of(attempt_id)
-            if committed is not None:
-                self._settle(attempt_id, committed)
+        self._known.take_fold(state, self.joined)
         return self._act()
 
     def on_status(
@@ -195,7 +180,7 @@
             case JoinRefused():
                 return self._on_join_refused(message)
             case OutcomeQuery():
-                committed = self._outcome_of(message.attempt)
+                committed = self._known.outcomes.get(message.attempt)
                 answer = Outcome(message.attempt, bool(committed))
                 return [] if committed is None else [Send(rank, answer)]
         if not self.joined:
@@ -221,16 +206,16 @@
 
     def _open_queries(self) -> list[RankOrder]:
         orders: list[RankOrder] = [*self._join.queries()] if self._join.asking else []
-        if not self._unsettled_by_id:
+        if not self._known.unsettled_by_id:
             return orders
         self._asked_peer = (self._asked_peer + 1) % self._ranks
         asked = sorted({COORDINATOR_RANK, self._asked_peer})
-        for attempt_id in self._unsettled_by_id:
+        for attempt_id in self._known.unsettled_by_id:
             orders += [Send(rank, OutcomeQuery(attempt_id)) for rank in asked]
         return [*orders, ReadGroupLog()]
 
     def _rejoin_if_held_unknown(self, now: float) -> list[RankOrder]:
-        unknown = self.joined and self._engine.holds_unknown(self._held_for())
+        unknown = self.joined and self._engine.holds_unknown(self._known.held_for)
         if not unknown or self._join.asking:
             self._unknown_since = None
             return []
@@ -252,9 +237,9 @@
             asked_by=query.incarnation,
             incarnation=self.incarnation,
             joined=self.joined,
-            epoch=self.epoch,
-            maps=self.maps,
-            unsettled=tuple(self._unsettled_by_id.values()),
+            epoch=self._known.epoch,
+            maps=self._known.maps,
+            unsettled=tuple(self._known.unsettled_by_id.values()),
             roster=roster_of(self._join.newest_by_rank),
         )
         return [Send(rank, answer)]
@@ -262,11 +247,7 @@
     def _on_join_answer(self, rank: int, answer: JoinAnswer) -> list[RankOrder]:
         if not self._join.take_answer(rank, answer):
             return []
-        self.epoch = max(self.epoch, answer.epoch)
-        for attempt in answer.unsettled:
-            if self._outcome_of(attempt.id) is None:
-                self._unsettled_by_id.setdefault(attempt.id, attempt)
-        self._adopt(answer.maps)
+        self._known.take_answer(answer)
         if self._join.all_answered:
             self._finish_join()
         return self._act()
@@ -289,24 +270,20 @@
         return self._ask_anew(refused.newest)
 
     def _on_stage(self, message: Stage) -> None:
-        if message.attempt.epoch < self.epoch:
+        if message.attempt.epoch < self._known.epoch:
             return
-        self.epoch = message.attempt.epoch
+        self._known.epoch = message.attempt.epoch
         self._staging = (message.attempt, message.group_map)
-        self._forget_told(message.attempt, Staged)
-        self._told_by_attempt = {
-            attempt_id: kinds
-            for attempt_id, kinds in self._told_by_attempt.items()
-            if attempt_id in self._unsettled_by_id or attempt_id == message.attempt
-        }
+        self._reported.forget(message.attempt, Staged)
+        self._reported.keep({message.attempt, *self._known.unsettled_by_id})
 
     def _on_arm(self, message: Arm) -> list[RankOrder]:
         attempt = message.attempt
-        if attempt.id.epoch < self.epoch or attempt.id in self._outcome_by_id:
+        if attempt.id.epoch < self._known.epoch or attempt.id in self._known.outcomes:
             return []
         if self._join.asking:
             return []
-        if attempt.id not in self._unsettled_by_id:
+        if attempt.id not in self._known.unsettled_by_id:
             if self._engine.status is None:
                 return []
             refusal = self._arm_refusal(attempt, self._engine.status)
@@ -314,85 +291,51 @@
                 return [Send(COORDINATOR_RANK, refusal)]
             assert self._staging is not None
             whole = msgspec.structs.replace(attempt, group_map=self._staging[1])
-            self._unsettled_by_id[attempt.id] = whole
+            self._known.unsettled_by_id[attempt.id] = whole
         self._armed_for_digest[attempt.id] = message.roster_digest
-        self._forget_told(attempt.id, Armed, ArmRefused)
+        self._reported.forget(attempt.id, Armed, ArmRefused)
         return self._act()
 
     def _arm_refusal(
         self, attempt: Attempt, status: EngineMapStatus
     ) -> ArmRefused | None:
-        other = next(iter(self._unsettled_by_id), None)
+        other = next(iter(self._known.unsettled_by_id), None)
         staged = self._staging is not None and self._staging[0] == attempt.id
         if other is None and staged and status.next_step <= attempt.step:
             return None
         return ArmRefused(attempt.id, self.incarnation, status.next_step, other)
 
     def _on_outcome(self, message: Outcome) -> list[RankOrder]:
-        is_known = message.attempt in self._unsettled_by_id
-        is_known = is_known or self._outcome_of(message.attempt) is True
-        if message.committed and not is_known:
+        if message.committed and not self._known.explains(message.attempt):
             return self._ask_anew(self.incarnation)
-        self._settle(message.attempt, message.committed)
+        self._known.settle(message.attempt, message.committed)
         self._settling = message.attempt
-        self._forget_told(message.attempt, Settled)
+        self._reported.forget(message.attempt, Settled)
         return self._act()
 
-    def _settle(self, attempt_id: AttemptId, committed: bool) -> None:
-        self._outcome_by_id[attempt_id] = committed
-        while len(self._outcome_by_id) > _OUTCOMES_KEPT:
-            del self._outcome_by_id[next(iter(self._outcome_by_id))]
-        attempt = self._unsettled_by_id.get(attempt_id)
-        if attempt is None:
-            return
-        if committed:
-            self._adopt(place_map(attempt, self.maps))
-        self._stop_holding(attempt_id)
-
-    def _adopt(self, maps: tuple[PlacedMap, ...]) -> None:
-        version = self.maps[0].group_map.version if self.maps else 0
-        if not maps or maps[0].group_map.version <= version:
-            return
-        self.maps = maps
-        for placed in maps:
-            self._outcome_by_id[placed.attempt] = True
-            self._stop_holding(placed.attempt)
-
-    def _stop_holding(self, attempt_id: AttemptId) -> None:
-        self._armed_for_digest.pop(attempt_id, None)
-        attempt = self._unsettled_by_id.pop(attempt_id, None)
-        if attempt is not None:
-            self._engine.void(attempt.step)
-
-    def _outcome_of(self, attempt_id: AttemptId) -> bool | None:
-        return self._outcome_by_id.get(attempt_id)
-
-    def _held_for(self) -> frozenset[int]:
-        return frozenset(attempt.step for attempt in self._unsettled_by_id.values())
-
     def _act(self) -> list[RankOrder]:
+        self._engine.void(self._known.ended_steps)
+        self._known.ended_steps.clear()
+        self._armed_for_digest = {
+            attempt_id: digest
+            for attempt_id, digest in self._armed_for_digest.items()
+            if attempt_id in self._known.unsettled_by_id
+        }
         if not self.joined or self.superseded:
             return []
         staging = self._staging[1] if self._staging is not None else None
         is_known = self._engine.incarnation == self._known_for_engine
-        maps = self.maps if is_known else ()
-        order = self._engine.next_order(self._held_for(), maps, staging)
+        maps = self._known.maps if is_known else ()
+        order = self._engine.next_order(self._known.held_for, maps, staging)
         orders: list[RankOrder] = [
             Send(COORDINATOR_RANK, report)
             for report in self._reports()
-            if self._is_new(report)
+            if self._reported.is_new(report)
         ]
         if order is not None:
-            orders.append(self._engine.give(order, max(self.epoch, 0)))
+            orders.append(self._engine.give(order, max(self._known.epoch, 0)))
         return orders
 
-    def _is_new(self, report: RankReport) -> bool:
-        """Return whether the report was not made yet, and note that it is."""
-        told = self._told_by_attempt.setdefault(report.attempt, set())
-        is_new = type(report) not in told
-        told.add(type(report))
-        return is_new
-
     def _reports(self) -> list[RankReport]:
         status = self._engine.status
         if status is None:
@@ -407,9 +350,11 @@
         if self._staging is None:
             return []
         attempt_id, group_map = self._staging
-        is_new = attempt_id not in self._outcome_by_id
-        is_open = is_new and attempt_id not in self._unsettled_by_id
-        took_last = not self.maps or status.next_step >= self.maps[0].from_step
+        is_new = attempt_id not in self._known.outcomes
+        is_open = is_new and attempt_id not in self._known.unsettled_by_id
+        took_last = (
+            not self._known.maps or status.next_step >= self._known.maps[0].from_step
+        )
         if not is_open or not took_last:
             return []
         if group_map.digest not in status.staged_digests:
@@ -418,7 +363,7 @@
 
     def _armed_reports(self, status: EngineMapStatus) -> list[RankReport]:
         step_by_id = {
-            attempt_id: self._unsettled_by_id[attempt_id].step
+            attempt_id: self._known.unsettled_by_id[attempt_id].step
             for attempt_id in self._armed_for_digest
         }
         armed: list[RankReport] = [
@@ -440,16 +385,13 @@
 
     def _settled_report(self, status: EngineMapStatus) -> list[RankReport]:
         attempt_id = self._settling
-        if attempt_id is None or attempt_id not in self._outcome_by_id:
+        if attempt_id is None or attempt_id not in self._known.outcomes:
             return []
         if self._join.asking:
             return []
-        if not self._engine.has_settled(self._held_for(), self.maps):
+        if not self._engine.has_settled(self._known.held_for, self._known.maps):
             return []
         return [Settled(attempt_id, self.incarnation, status.next_step)]
 
-    def _forget_told(self, attempt_id: AttemptId, *kinds: type) -> None:
-        self._told_by_attempt.get(attempt_id, set()).difference_update(kinds)
-
 
 __all__ = ["COORDINATOR_RANK", "RankRules", "RankSwitch"]
