Try open connections that go silent for good, and work while an agent leaves

New metrics: entry_retries_denied, entry_usable_agents.

Seen failing: an agent that answers Attach without its frames (the answers do not arrive within 60 s).

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -180,6 +180,8 @@
                 self._carry_out(opened, opened.attempts.runner_lost(agent_id, now))
         for opened in list(self._open_by_id.values()):
             self._carry_out(opened, opened.attempts.deadline_passed(now))
+        self._metrics.retries_denied.set({}, self._budget.denied)
+        self._metrics.usable_agents.set({}, self.routers.usable_agents(now))
 
     def _running_at(self, runner_id: str) -> list[_Open]:
         return [
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
@@ -18,6 +18,8 @@
         "agents",
         "attempts",
         "attaches",
+        "retries_denied",
+        "usable_agents",
     )
 
     def __init__(self) -> None:
@@ -32,6 +34,12 @@
         self.attempts = Counter(
             "entry_attempts_total", "Attempts by service; first or further ones."
         )
+        self.retries_denied = Gauge(
+            "entry_retries_denied", "Retries that the retry budget has denied."
+        )
+        self.usable_agents = Gauge(
+            "entry_usable_agents", "Agents that may get new work."
+        )
         self.attaches = Counter(
             "entry_attaches_total", "Attempts whose frames were asked for again."
         )
@@ -47,6 +55,8 @@
             self.agents,
             self.attempts,
             self.attaches,
+            self.retries_denied,
+            self.usable_agents,
         ]
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -52,6 +52,10 @@
         router = self._router(runner.service)
         router.report(runner.instance_id, report, runner.reported_s)
 
+    def usable_agents(self, now: float) -> int:
+        """Return how many agents may get new work."""
+        return len(self._members.usable(now))
+
     def choice(self, call: Call) -> RunnerChoice:
         """Return the choice of runners for one call."""
         return RunnerChoice(self, self._router(call.service), call)
--- a/tests/features/steps/whole_answers_steps.py
+++ b/tests/features/steps/whole_answers_steps.py
@@ -14,6 +14,7 @@
 from demo.processes import fetch
 from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
 from tests.standins.engine_model import model_answer
+from tests.standins.silent_proxy import SilentProxy
 from tests.waiting import wait_until
 
 _RUNNERS = 4
@@ -53,10 +54,20 @@
     return "".join(choice["delta"].get("content", "") for choice in choices)
 
 
-@given("whole answers of {callers:d} callers that stream through both entries")
-def step_callers(context: Any, callers: int) -> None:
-    folder = context.cleanup.enter_context(temporary_folder())
-    system = context.system = DemoSystem(Path(folder))
+class _ProxiedSystem(DemoSystem):
+    """Registers agent-1 at a proxy that can lose track of its connections."""
+
+    proxy: SilentProxy
+
+    def _register(self, name: str, role: str, zone: str, port: int) -> None:
+        if name == "agent-1":
+            self.proxy = SilentProxy(port)
+            port = self.proxy.port
+        super()._register(name, role, zone, port)
+
+
+def _start(context: Any, system: DemoSystem, callers: int) -> None:
+    context.system = system
     context.cleanup.callback(system.kill)
     system.engine_options = ["--step-s", _STEP_S]
     system.start()
@@ -69,6 +80,26 @@
     ]
 
 
+@given("whole answers of {callers:d} callers that stream through both entries")
+def step_callers(context: Any, callers: int) -> None:
+    folder = context.cleanup.enter_context(temporary_folder())
+    _start(context, DemoSystem(Path(folder)), callers)
+
+
+@given("whole answers of {callers:d} callers that stream past a proxy before agent-1")
+def step_proxied(context: Any, callers: int) -> None:
+    folder = context.cleanup.enter_context(temporary_folder())
+    system = _ProxiedSystem(Path(folder))
+    _start(context, system, callers)
+    context.cleanup.callback(system.proxy.close)
+
+
+@when("whole answers are under way and the proxy's open connections go silent")
+def step_silent(context: Any) -> None:
+    time.sleep(_UNDER_WAY_S)
+    context.system.proxy.silence()
+
+
 @when("whole answers are under way and {name} is {verb}")
 def step_fails(context: Any, name: str, verb: str) -> None:
     time.sleep(_UNDER_WAY_S)
@@ -119,6 +150,12 @@
     assert _recoveries(context) > 0
 
 
+@then("whole answers have needed lost frames again and no further attempts")
+def step_attached(context: Any) -> None:
+    assert _counted(context, "entry_attaches_total") > 0
+    assert _counted(context, "entry_attempts_total", 'kind="further"') == 0
+
+
 @then("whole answers have needed no further attempts")
 def step_no_further(context: Any) -> None:
     assert _recoveries(context) == 0
@@ -138,3 +175,12 @@
         answers = list(pool.map(lambda number: _ask(entry, number), numbers))
     assert {status for status, _ in answers} == {200}
     assert _executions(context) == before
+
+
+@then("whole answers have left {count:d} usable agents at each entry")
+def step_usable(context: Any, count: int) -> None:
+    entries = len(context.system.entries)
+    wait_until(
+        lambda: _counted(context, "entry_usable_agents") == entries * count,
+        f"{count} usable agents at each entry",
+    )
