--- a/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/group_service.py
@@ -15,13 +15,13 @@
 from corianderrelay.coordination.periodic import Periodic
 from corianderrelay.coordination.tasks import spawn
 from corianderrelay.state.audit import switch_audit
-from corianderrelay.state.map_switch import SwitchRules
 from corianderrelay.state.rank_switch import COORDINATOR_RANK, RankRules
+from corianderrelay.state.switch_rules import SwitchRules
 from corianderrelay.state.switch_types import PopularityReport
 from corianderrelay.transport.log_http import HttpLogClient
 
 from .coordination.group_planning import GroupPlanning
-from .coordination.group_routes import GroupRoutes
+from .protocol.group_routes import GroupRoutes
 from .transport.group_client import GroupClient
 from .transport.map_engine_http import HttpMapEngine
 
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from corianderrelay.protocol.messages import Hello
-    from corianderrelay.state.map_switch import SwitchReport
+    from corianderrelay.state.switch_rules import SwitchReport
     from corianderrelay.state.switch_types import AnySwitchMessage
     from corianderrelay.transport.tls import TlsFiles
 
--- a/tests/features/steps/keyed_requests_steps.py
+++ b/tests/features/steps/keyed_requests_steps.py
@@ -10,14 +10,16 @@
 from hypothesis.stateful import run_state_machine_as_test
 from msgspec.structs import replace
 
-from corianderrelay.protocol.messages import Ticket, Tombstoned
+from corianderrelay.state.attempt_outcome import RefusalReason
 from corianderrelay.state.claim_keys import scoped_key
+from corianderrelay.state.claim_orders import KeyTicket, StopAnswer
 from corianderrelay.state.claim_records import ReleaseRecord
 from corianderrelay.state.claims import ClaimFold
 from corianderrelay_entry.state.keyed_actions import (
     AppendRecord,
     AskTicket,
     KeyedCall,
+    SendDispatch,
     SendTombstone,
     TellError,
 )
@@ -75,7 +77,7 @@
 
 
 def _grant(context: Any, now: float) -> None:
-    ticket = Ticket(_KEY, incarnation=1, ticket_id=1, lifetime_ms=5000)
+    ticket = KeyTicket(_KEY, incarnation=1, ticket_id=1, lifetime_ms=5000)
     context.actions = context.requests.ticket_granted(
         "request", ticket, now, _WALL_S + now
     )
@@ -149,10 +151,38 @@
 
 @when("the agent's answer about the first claim, not started, comes late")
 def step_late_answer(context: Any) -> None:
-    answer = Tombstoned(_KEY, incarnation=1, started=False, claim_offset=0)
+    answer = StopAnswer(_KEY, incarnation=1, started=False, claim_offset=0)
     context.actions = context.requests.tombstoned(answer, 101.0)
 
 
 @then("the second claim is not released")
 def step_not_released(context: Any) -> None:
     assert context.actions == [], context.actions
+
+
+@given("an entry that dispatched the claim of a dated key")
+def step_dispatched(context: Any) -> None:
+    step_claiming(context, "a dated")
+    _read_back(context, 2.0)
+    assert isinstance(context.actions[0], SendDispatch), context.actions
+
+
+@when("the agent refuses that claim as {reason}")
+def step_agent_refuses(context: Any, reason: str) -> None:
+    nonce = context.claim.nonce
+    context.actions = context.requests.refused(nonce, RefusalReason(reason), 3.0)
+
+
+@then("the caller is told nothing yet")
+def step_told_nothing(context: Any) -> None:
+    told = [one for one in context.actions if isinstance(one, TellError)]
+    assert not told, told
+    asked = [one for one in context.actions if isinstance(one, SendTombstone)]
+    assert len(asked) == 1, context.actions
+
+
+@then("the caller is told overloaded, ran no")
+def step_told_overloaded(context: Any) -> None:
+    assert _told(context) == ("overloaded", "no"), context.actions
+    released = [one.record for one in context.actions if isinstance(one, AppendRecord)]
+    assert released == [ReleaseRecord(_KEY, context.claim.nonce, "entry")], released
