--- a/tests/features/steps/whole_answers_steps.py
+++ b/tests/features/steps/whole_answers_steps.py
@@ -69,7 +69,6 @@
 def _start(context: Any, system: DemoSystem, callers: int) -> None:
     context.system = system
     context.cleanup.callback(system.kill)
-    system.group_ranks = 0
     system.engine_options = ["--step-s", _STEP_S]
     # Each engine steps alone: a dead rank of a lock-step group holds all others.
     system.group_ranks = 0
