Retry outside the group of the runner that failed

Cause: with one rank of a lock-step group killed, its streams were retried at the other rank, which waits for the dead one; both attempts were then spent and the answers did not come (scenario 'a rank of a lock-step group dies', TimeoutError after 60 s). Ruled out: more attempts for all (two engine deaths a request stay the bound; a stall ends no engine and is counted apart, at most two).

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(BIN)/mypy packages/corianderrelay-core/src packages/corianderrelay-entry/src \
 		packages/corianderrelay-agent/src tests bench demo
 	$(BIN)/lint-imports
+	$(BIN)/python -m bench.settings_reference --check
 
 format: install
 	$(BIN)/isort $(SOURCES)
--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -37,6 +37,7 @@
 
 _MAX_ATTEMPTS = 2
 _MAX_REFUSALS = 4
+_MAX_STALLS = 2
 _ACKNOWLEDGE_EVERY = 32
 _RETRY_AFTER_S = 1.0
 
@@ -65,6 +66,7 @@
         "_answer",
         "_excluded",
         "_refusals",
+        "_stalls",
         "_retry_after_s",
         "_may_have_run",
         "_attach_from",
@@ -88,6 +90,7 @@
         self._answer = AnswerAssembly()
         self._excluded: frozenset[str] = frozenset()
         self._refusals = 0
+        self._stalls = 0
         self._retry_after_s = _RETRY_AFTER_S
         self._may_have_run = False
         self._attach_from = -1
@@ -187,12 +190,13 @@
 
         Without another runner, or without budget, the attempt stays: it may go on yet.
         """
-        if self.over or runner_id != self.runner_id or not self._may_retry():
+        if self.over or runner_id != self.runner_id or not self._may_leave():
             return []
         other = self._chooser.choose(self._excluded | {runner_id}, now)
         if other is None or not self._budget.take():
             return []
         cancel = CancelAttempt(self.attempt_id, runner_id)
+        self._stalls += 1
         self._may_have_run = True
         self._exclude()
         return [cancel, *self._begin_at(other)]
@@ -247,8 +251,12 @@
         return self._begin(now)
 
     def _may_retry(self) -> bool:
-        left = self.attempts - self._refusals < _MAX_ATTEMPTS
-        return left and self._answer.resumable
+        # A stall ends no engine, so it leaves the attempts that may end one.
+        failures = self.attempts - self._refusals - self._stalls
+        return failures < _MAX_ATTEMPTS and self._answer.resumable
+
+    def _may_leave(self) -> bool:
+        return self._stalls < _MAX_STALLS and self._answer.resumable
 
     def _damaged(self, now: float) -> list[AttemptOrder]:
         if self._answer.released:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -39,11 +39,16 @@
         self._zone = zone
         self._random = random
         self._routers_by_service: dict[str, Router] = {}
+        self._groups_by_runner: dict[str, str] = {}
 
     def add(self, runner: Runner) -> None:
         """Learn of a runner and its zone; forget those that are gone for good."""
         for router in self._routers_by_service.values():
             router.keep_runners(self._members)
+        gone = [name for name in self._groups_by_runner if name not in self._members]
+        for runner_id in gone:
+            del self._groups_by_runner[runner_id]
+        self._groups_by_runner[runner.instance_id] = runner.group
         self._router(runner.service).add_runner(runner.instance_id, runner.zone)
 
     def report(self, runner: Runner) -> None:
@@ -77,7 +82,20 @@
             and agent.runner.usable
             and runner_id not in excluded
         ]
-        return router.pick(route, usable, now, self._random)
+        elsewhere = self._outside_groups_of(excluded, usable)
+        return router.pick(route, elsewhere or usable, now, self._random)
+
+    def _outside_groups_of(
+        self, excluded: frozenset[str], usable: list[str]
+    ) -> list[str]:
+        # The ranks of a group step together: one that is dead holds all the others.
+        groups = {self._groups_by_runner.get(runner_id, "") for runner_id in excluded}
+        left = groups - {""}
+        return [
+            runner_id
+            for runner_id in usable
+            if self._groups_by_runner.get(runner_id, "") not in left
+        ]
 
     def _router(self, service: str) -> Router:
         router = self._routers_by_service.get(service)
