--- a/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/cli.py
@@ -3,30 +3,21 @@
 from __future__ import annotations
 
 import sys
-from pathlib import Path
-from typing import TYPE_CHECKING, NoReturn
+from typing import TYPE_CHECKING
 
 import click
 from result import Err, Ok
 
+from corianderrelay.transport.command_line import refuse, settings_option
 from corianderrelay.transport.optional_tls import leave_tls_out_unless, tls_files
 from corianderrelay.transport.settings_file import read_settings
 
 from .state.settings import AgentSettings
 
 if TYPE_CHECKING:
-    from corianderrelay.state.errors import RelayError
-    from corianderrelay.transport.tls import TlsFiles
-
-_EXIT_REFUSED = 1
+    from pathlib import Path
 
-_settings_option = click.option(
-    "--settings",
-    "settings_file",
-    type=click.Path(path_type=Path),
-    required=True,
-    help="JSON file with this process's settings.",
-)
+    from corianderrelay.transport.tls import TlsFiles
 
 
 @click.group()
@@ -36,7 +27,7 @@
 
 
 @main.command()
-@_settings_option
+@settings_option
 def run(settings_file: Path) -> None:
     """Run beside one engine rank or plain service until SIGTERM."""
     settings, tls = _load(settings_file)
@@ -48,7 +39,7 @@
 
 
 @main.command("check-settings")
-@_settings_option
+@settings_option
 def check_settings(settings_file: Path) -> None:
     """Check the settings and name every fault."""
     _load(settings_file)
@@ -58,17 +49,12 @@
 def _load(settings_file: Path) -> tuple[AgentSettings, TlsFiles | None]:
     settings = read_settings(settings_file, AgentSettings)
     if isinstance(settings, Err):
-        _refuse(settings.err_value)
+        refuse(settings.err_value)
     tls = tls_files(settings.ok_value.streams.tls)
     loaded = Ok(None) if tls is None else tls.load()
     if isinstance(loaded, Err):
-        _refuse(loaded.err_value)
+        refuse(loaded.err_value)
     return settings.ok_value, tls
 
 
-def _refuse(error: RelayError) -> NoReturn:
-    click.echo(f"{error.kind}: {error}", err=True)
-    sys.exit(_EXIT_REFUSED)
-
-
 __all__ = ["main"]
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/protocol/entry_session.py
@@ -42,9 +42,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Protocol
 
     from corianderrelay.protocol.config_exchange import ConfigExchange
+    from corianderrelay.protocol.message_stream import MessageStream
     from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.errors import RelayError
     from corianderrelay.state.recent_marks import RecentMarks
@@ -52,15 +52,6 @@
     from ..coordination.attempts import Attempts
     from ..state.attempt import AnswerChunk, Attempt
 
-    class MessageStream(Protocol):
-        """What a session needs of a stream."""
-
-        def send(self, message: AnyMessage) -> None:
-            """Send a message."""
-
-        def close(self, reason: str) -> None:
-            """Drop the connection."""
-
 
 class EntrySession:
     """The conversation with one entry over one stream.
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/message_stream.py
@@ -0,0 +1,21 @@
+"""What a session needs of the stream that carries its messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from .messages import AnyMessage
+
+
+class MessageStream(Protocol):
+    """A stream of messages to one peer."""
+
+    def send(self, message: AnyMessage) -> None:
+        """Send a message."""
+
+    def close(self, reason: str) -> None:
+        """Drop the connection."""
+
+
+__all__ = ["MessageStream"]
--- /dev/null
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/command_line.py
@@ -0,0 +1,31 @@
+"""What the command lines of both binaries have in common."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+
+if TYPE_CHECKING:
+    from ..state.errors import RelayError
+
+_EXIT_REFUSED = 1
+
+settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    required=True,
+    help="JSON file with this process's settings.",
+)
+
+
+def refuse(error: RelayError) -> NoReturn:
+    """Print an error with its kind and remedy, and exit with 1."""
+    click.echo(f"{error.kind}: {error}", err=True)
+    sys.exit(_EXIT_REFUSED)
+
+
+__all__ = ["refuse", "settings_option"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -10,23 +10,16 @@
 import click
 from result import Err
 
+from corianderrelay.transport.command_line import refuse, settings_option
 from corianderrelay.transport.optional_tls import leave_tls_out_unless
 from corianderrelay.transport.settings_file import read_secret, read_settings
 
 from .audit_command import audit
 from .config_commands import config
-from .operator_options import ask, client, entry_options, refuse
+from .operator_options import ask, client, entry_options
 from .state.settings import EntrySettings
 from .transport.entry_tls import EntryTls
 
-_settings_option = click.option(
-    "--settings",
-    "settings_file",
-    type=click.Path(path_type=Path),
-    required=True,
-    help="JSON file with this process's settings.",
-)
-
 
 @click.group()
 @click.version_option(package_name="corianderrelay-entry")
@@ -35,7 +28,7 @@
 
 
 @main.command()
-@_settings_option
+@settings_option
 def serve(settings_file: Path) -> None:
     """Serve callers and operators until SIGTERM."""
     settings, token, tls = _load(settings_file)
@@ -46,7 +39,7 @@
 
 
 @main.command("check-settings")
-@_settings_option
+@settings_option
 def check_settings(settings_file: Path) -> None:
     """Check the settings and name every fault."""
     _load(settings_file)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/config_commands.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/config_commands.py
@@ -17,8 +17,9 @@
 from corianderrelay.state.document_check import check_document
 from corianderrelay.state.document_diff import diff_documents
 from corianderrelay.state.errors import SettingsError
+from corianderrelay.transport.command_line import refuse
 
-from .operator_options import ask, client, entry_options, json_option, refuse
+from .operator_options import ask, client, entry_options, json_option
 from .protocol.config_api import ConfigReply, PublishRequest
 
 _document_argument = click.argument(
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/operator_options.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/operator_options.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NoReturn
+from typing import TYPE_CHECKING, Any
 
 import click
 from result import Err, Result
 
+from corianderrelay.transport.command_line import refuse
 from corianderrelay.transport.settings_file import read_secret
 
 from .transport.operator_client import OperatorClient
@@ -18,8 +18,6 @@
 
     from corianderrelay.state.errors import RelayError
 
-_EXIT_REFUSED = 1
-
 
 def entry_options(command: Callable[..., None]) -> Callable[..., None]:
     """Add the options that name an entry and the operators' token."""
@@ -58,10 +56,4 @@
     return reply.ok_value
 
 
-def refuse(error: RelayError) -> NoReturn:
-    """Print the error and exit with status 1."""
-    click.echo(f"{error.kind}: {error}", err=True)
-    sys.exit(_EXIT_REFUSED)
-
-
-__all__ = ["ask", "client", "entry_options", "json_option", "refuse"]
+__all__ = ["ask", "client", "entry_options", "json_option"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/agent_session.py
@@ -37,9 +37,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Protocol
 
     from corianderrelay.protocol.config_exchange import ConfigExchange
+    from corianderrelay.protocol.message_stream import MessageStream
     from corianderrelay.protocol.messages import AnyMessage
     from corianderrelay.state.call import Call
     from corianderrelay.state.claim_orders import StopOrder
@@ -50,15 +50,6 @@
     from ..state.entry_directory import EntryDirectory
     from ..state.keyed_actions import SendDispatch
 
-    class MessageStream(Protocol):
-        """What a session needs of a stream."""
-
-        def send(self, message: AnyMessage) -> None:
-            """Send a message."""
-
-        def close(self, reason: str) -> None:
-            """Drop the connection."""
-
 
 class AgentSession:
     """The conversation with one agent over one stream.
--- a/tests/features/steps/config_fold_steps.py
+++ b/tests/features/steps/config_fold_steps.py
@@ -7,7 +7,6 @@
 
 import msgspec
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from corianderrelay.state.config_fold import ConfigFold, RejectReason, VersionInForce
@@ -21,6 +20,7 @@
 from corianderrelay.state.document import Document
 
 from tests.machines.config_machine import ConfigMachine
+from tests.machines.settings import machine_settings
 
 
 def _edit(version: int, base: int, nonce: str = "") -> ConfigRecord:
@@ -53,14 +53,7 @@
 def step_run_config_machine(context: Any, examples: int, steps: int) -> None:
     run_state_machine_as_test(
         ConfigMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            suppress_health_check=list(HealthCheck),
-        ),
+        settings=machine_settings(examples, steps),
     )
     context.machine_passed = True
 
--- a/tests/features/steps/group_commit_steps.py
+++ b/tests/features/steps/group_commit_steps.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 from twisted.internet.defer import DeferredList
 
@@ -14,6 +13,7 @@
 
 from tests.harness.reactor_loop import reactor, result_of
 from tests.machines.group_commit_machine import GroupCommitMachine
+from tests.machines.settings import machine_settings
 
 _STREAM = "claims-0"
 
@@ -22,14 +22,7 @@
 def step_machine(context: Any, examples: int, steps: int) -> None:
     run_state_machine_as_test(
         GroupCommitMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            suppress_health_check=list(HealthCheck),
-        ),
+        settings=machine_settings(examples, steps),
     )
     context.machine_ran = True
 
--- a/tests/features/steps/keyed_requests_steps.py
+++ b/tests/features/steps/keyed_requests_steps.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 from msgspec.structs import replace
 
@@ -27,20 +26,14 @@
 from corianderrelay_entry.state.keyed_requests import KeyedRequests
 
 from tests.machines.claims_machine import ClaimsMachine
+from tests.machines.settings import machine_settings
 
 
 @when("the claims machine runs {examples:d} examples of up to {steps:d} steps")
 def step_run_claims_machine(context: Any, examples: int, steps: int) -> None:
     run_state_machine_as_test(
         ClaimsMachine,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=steps,
-            suppress_health_check=list(HealthCheck),
-        ),
+        settings=machine_settings(examples, steps),
     )
     context.machine_passed = True
 
