Forget a request's body when it ends

Cause: an entry remembers 20,000 ended requests for their status, each with its whole body: with bodies of 200 KB that is 4 GB. Found by reading the register. Ruled out: remembering fewer (callers may ask later). Seen failing first: with the body kept, 'ended requests keep nothing' fails.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/keyed_relay.py
@@ -125,7 +125,7 @@
         request = OpenRequest(call, now)
         runner_id = self._choose_runner(call.service)
         if runner_id is None:
-            request.phase = RequestPhase.FAILED
+            request.end(RequestPhase.FAILED)
             sink.fail(_no_runner_error(call.service))
             return request
         keyed = KeyedCall(
@@ -287,7 +287,7 @@
 
     def _tell_answer(self, action: TellAnswer) -> None:
         opened = self._close(action.request_id)
-        opened.request.phase = RequestPhase.DONE
+        opened.request.end(RequestPhase.DONE)
         if opened.sink is not None:
             opened.sink.start(action.status, action.content_type)
             opened.sink.write(action.body)
@@ -295,7 +295,7 @@
 
     def _tell_error(self, action: TellError) -> None:
         opened = self._close(action.request_id)
-        opened.request.phase = RequestPhase.FAILED
+        opened.request.end(RequestPhase.FAILED)
         eliot.log_message(
             message_type="keyed:not_answered",
             request_id=action.request_id,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -109,7 +109,7 @@
         opened = self._open_by_id.get(request.call.request_id)
         if opened is None:
             return
-        request.phase = RequestPhase.ABANDONED
+        request.end(RequestPhase.ABANDONED)
         self._carry_out(opened, opened.attempts.caller_gone())
         self._close(opened)
 
@@ -217,11 +217,11 @@
                 case WriteAnswer():
                     opened.sink.write(order.data)
                 case FinishAnswer():
-                    opened.request.phase = RequestPhase.DONE
+                    opened.request.end(RequestPhase.DONE)
                     self._close(opened)
                     opened.sink.finish()
                 case FailAnswer():
-                    opened.request.phase = RequestPhase.FAILED
+                    opened.request.end(RequestPhase.FAILED)
                     self._close(opened)
                     opened.sink.fail(order.error)
                 case _:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/open_request.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/open_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -33,8 +34,6 @@
         "phase",
         "attempt_id",
         "runner_id",
-        "refused_by",
-        "retry_after_s",
         "next_sequence",
         "tokens",
         "_digest",
@@ -46,8 +45,6 @@
         self.phase = RequestPhase.WAITING
         self.attempt_id = ""
         self.runner_id = ""
-        self.refused_by: set[str] = set()
-        self.retry_after_s = 0.0
         self.next_sequence = 0
         self.tokens = 0
         self._digest = xxhash.xxh3_64()
@@ -59,6 +56,11 @@
         self.next_sequence = 0
         self._digest = xxhash.xxh3_64()
 
+    def end(self, phase: RequestPhase) -> None:
+        """Note the end; what is remembered of the request has no body any longer."""
+        self.phase = phase
+        self.call = dataclasses.replace(self.call, body=b"", prompt_prefix=b"")
+
     def add_chunk(self, data: bytes, tokens: int) -> None:
         """Count the next chunk of the current attempt."""
         self.next_sequence += 1
