Show recent changes on the console's status page; split the engine's call and answer

Seen failing first: with no records shown, 'names who changed what' never happens. Not shown yet: skew by rank, quarantines.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempts.py
@@ -5,8 +5,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from corianderrelay.state.errors import (
     DeadlineExceededError,
     OverloadedError,
@@ -15,13 +13,8 @@
 )
 
 from ..state.attempt import Attempt, AttemptPhase
-from ..state.server_sent_events import (
-    EventSplitter,
-    count_tokens,
-    split_after_last_token,
-    without_done,
-)
-from .engine import EngineCall
+from .engine_answer import EngineAnswer
+from .engine_call import engine_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +26,6 @@
     from .keyed_attempts import KeyedAttempts
 
 _LEAVING_RETRY_AFTER_S = 0.0
-_EVENT_STREAM = "text/event-stream"
 
 
 class Attempts:
@@ -254,11 +246,9 @@
     def _start(self, attempt: Attempt) -> None:
         order = attempt.order
         attempt.phase = AttemptPhase.RUNNING
-        call = EngineCall(
-            order.method, order.path, order.content_type, _body(order), _headers(order)
-        )
-        sink = _EngineAnswer(self, attempt)
-        self._calls_by_attempt[order.attempt_id] = self._engine.start(call, sink)
+        sink = EngineAnswer(self, attempt)
+        call = self._engine.start(engine_call(order), sink)
+        self._calls_by_attempt[order.attempt_id] = call
 
     def _end(self, attempt: Attempt) -> EntryPort | None:
         attempt.phase = AttemptPhase.ENDED
@@ -271,50 +261,4 @@
         return self.entries_by_id.get(attempt.entry_id)
 
 
-class _EngineAnswer:
-    """Passes the engine's answer on, a stream of events cut at event boundaries."""
-
-    __slots__ = ("_attempts", "_attempt", "_splitter")
-
-    def __init__(self, attempts: Attempts, attempt: Attempt) -> None:
-        self._attempts = attempts
-        self._attempt = attempt
-        self._splitter: EventSplitter | None = None
-
-    def on_head(self, status: int, content_type: str) -> None:
-        if content_type.startswith(_EVENT_STREAM):
-            self._splitter = EventSplitter()
-        self._attempts.on_head(self._attempt, status, content_type)
-
-    def on_data(self, data: bytes) -> None:
-        if self._splitter is None:
-            self._attempts.on_data(self._attempt, data, 0)
-            return
-        events = without_done(self._splitter.feed(data))
-        for part in split_after_last_token(events):
-            if part:
-                self._attempts.on_data(self._attempt, part, count_tokens(part))
-
-    def on_end(self) -> None:
-        self._attempts.on_done(self._attempt)
-
-    def on_failure(self, error: RelayError) -> None:
-        self._attempts.on_failure(self._attempt, error)
-
-
-def _headers(order: AttemptOrder) -> dict[str, str]:
-    headers = {"X-Request-Id": order.request_id, "X-Priority": str(order.priority)}
-    if order.key:
-        headers["Idempotency-Key"] = order.key
-    return headers
-
-
-def _body(order: AttemptOrder) -> bytes:
-    if not order.resume_from:
-        return order.body
-    fields = msgspec.json.decode(order.body, type=dict[str, msgspec.Raw])
-    fields["resume_from"] = msgspec.Raw(str(order.resume_from).encode())
-    return msgspec.json.encode(fields)
-
-
 __all__ = ["Attempts"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/console_pages.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/console_pages.py
@@ -103,9 +103,21 @@
             lstrip_blocks=True,
         )
 
-    def status(self, status: EntryStatusReply, document: Document, csrf: str) -> bytes:
-        """Return the read-only page."""
-        return self._render("status.html", status=status, document=document, csrf=csrf)
+    def status(
+        self,
+        status: EntryStatusReply,
+        document: Document,
+        csrf: str,
+        audit_lines: list[str],
+    ) -> bytes:
+        """Return the read-only page, with the latest audit records a line each."""
+        return self._render(
+            "status.html",
+            status=status,
+            document=document,
+            csrf=csrf,
+            audit_lines=audit_lines,
+        )
 
     def draft(self, page: DraftPage) -> bytes:
         """Return the page that lists a draft's items."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/console_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/console_site.py
@@ -10,17 +10,22 @@
 import binascii
 import hashlib
 import hmac
+from datetime import datetime, timezone
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlsplit
 
 import msgspec
 from result import Err
+from twisted.internet.defer import Deferred
 
+from corianderrelay.coordination.audit_reader import read_audit
+from corianderrelay.state.audit import AuditFilter
 from corianderrelay.state.document_check import check_document
 from corianderrelay.state.document_diff import diff_documents
 from corianderrelay.state.errors import (
     InvalidRequestError,
     NotFoundError,
+    RelayError,
     UnauthorizedError,
 )
 
@@ -38,15 +43,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
     from twisted.web.server import Request
 
+    from corianderrelay.state.audit import AuditRecord
+
     from ..entry import Entry
     from ..protocol.console_forms import Fields
 
 PREFIX = "/console"
 _MAX_AUTHOR_LENGTH = 100
+_MAX_AUDIT_RECORDS = 1000
+_SHOWN_AUDIT_RECORDS = 20
 _OWN_SITES = frozenset({"", "same-origin", "none"})
 _SECURITY_HEADERS = {
     b"content-security-policy": b"default-src 'none'; style-src 'unsafe-inline'; "
@@ -123,8 +131,17 @@
         action(request, fields)
 
     def _show_status(self, request: Request) -> None:
+        reading = read_audit(self._entry.log, AuditFilter(), _MAX_AUDIT_RECORDS)
+        records = Deferred.fromCoroutine(reading)
+        lines = records.addCallbacks(_audit_lines, _audit_unread)
+        lines.addCallback(self._send_status, request)
+
+    def _send_status(self, audit_lines: list[str], request: Request) -> None:
         page = self._pages.status(
-            entry_status(self._entry), self._entry.config.document, self._csrf
+            entry_status(self._entry),
+            self._entry.config.document,
+            self._csrf,
+            audit_lines,
         )
         _send_page(request, page)
 
@@ -260,6 +277,24 @@
         )
 
 
+def _audit_lines(records: list[AuditRecord]) -> list[str]:
+    latest = sorted(records, key=lambda record: record.time_s, reverse=True)
+    return [
+        f"{_utc(record.time_s)}: {record.kind.value} {record.subject} by {record.who}: "
+        f"{record.why}"
+        for record in latest[:_SHOWN_AUDIT_RECORDS]
+    ]
+
+
+def _audit_unread(failure: Failure) -> list[str]:
+    failure.trap(RelayError)
+    return [f"The audit trail can't be read now: {failure.getErrorMessage()}"]
+
+
+def _utc(time_s: float) -> str:
+    return datetime.fromtimestamp(time_s, timezone.utc).isoformat(timespec="seconds")
+
+
 def _send_page(request: Any, page: bytes) -> None:
     request.setHeader(b"content-type", b"text/html; charset=utf-8")
     request.setHeader(b"content-length", str(len(page)).encode())
--- a/tests/features/processes/console.feature
+++ b/tests/features/processes/console.feature
@@ -7,6 +7,12 @@
     And the operator publishes the draft as "Kari"
     Then both entries have a later version with the workspace "new-shop" in force
 
+  Scenario: The status page names who changed what
+    Given a console draft started from the version in force
+    When the operator adds the workspace "audited-shop" with the service "orders"
+    And the operator publishes the draft as "Ingrid"
+    Then the status page of each entry names the change by "Ingrid"
+
   Scenario Outline: A faulty form names the field and keeps the draft: <field>
     Given a console draft started from the version in force
     When the operator saves a <collection> form with <field> set to <value>
--- a/tests/features/steps/console_steps.py
+++ b/tests/features/steps/console_steps.py
@@ -144,6 +144,22 @@
     assert name in fresh.draft["workspaces"], fresh.draft
 
 
+def _status_pages(context: Any) -> list[str]:
+    consoles = [_console(context, entry) for entry in range(2)]
+    for console in consoles:
+        console.open()
+    return [console.page for console in consoles]
+
+
+@then('the status page of each entry names the change by "{author}"')
+def step_status_names(context: Any, author: str) -> None:
+    assert context.console.status == 303, context.console.page
+    wait_until(
+        lambda: all(f"by {author}" in page for page in _status_pages(context)),
+        "the audit record is shown",
+    )
+
+
 @when("the operator saves a {collection} form with {field} set to {value}")
 def step_save_faulty(context: Any, collection: str, field: str, value: str) -> None:
     written = "" if value == "(empty)" else value
