--- a/tests/features/steps/group_switch_steps.py
+++ b/tests/features/steps/group_switch_steps.py
@@ -32,6 +32,7 @@
     folder = context.cleanup.enter_context(temporary_folder())
     context.group = GroupSystem(Path(folder))
     context.cleanup.callback(context.group.kill)
+    context.group.start()
     context.first_map = context.group.wait_for_new_map(_NO_MAP)
     context.maps = [context.first_map]
 
--- a/tests/harness/group_system.py
+++ b/tests/harness/group_system.py
@@ -30,8 +30,12 @@
         self._processes: list[Process] = []
         self._agents_by_rank: dict[int, Process] = {}
         self._coordinator_port = 0
-        self.log_url = self._stand_in("log", "log")
+        self.log_url = ""
         self.engine_urls: list[str] = []
+
+    def start(self) -> None:
+        """Start the log, the engines and their agents."""
+        self.log_url = self._stand_in("log", "log")
         for rank in range(RANKS):
             self.engine_urls.append(self._start_engine(rank))
         for rank in range(RANKS):
