Measure the entry's slopes again with everything wired

Cause: the bench's stand-in agents echoed no heartbeats, so the entry never took them for members and bench.entry_slopes ended without a reading. Each has a port and an echo now.

--- a/bench/entry_slopes.py
+++ b/bench/entry_slopes.py
@@ -34,9 +34,10 @@
         self.agents = agents
 
     def _start_agents(self) -> None:
-        process = self._start("fake-agents", ["-m", "bench.fake_agents"])
-        port = process.wait_for_line("listening")["listening"]
-        for number in range(self.agents):
+        command = ["-m", "bench.fake_agents", "--agents", str(self.agents)]
+        process = self._start("fake-agents", command)
+        ports = process.wait_for_line("listening")["listening"]
+        for number, port in enumerate(ports):
             self._register(f"agent-{number}", "agent", "oslo-a", port)
 
 
--- a/bench/fake_agents.py
+++ b/bench/fake_agents.py
@@ -1,12 +1,11 @@
 """Many idle agents in one process, for measuring what an entry spends on them.
 
-``python -m bench.fake_agents --heartbeat-s S`` prints ``{"listening": port}``; each
-connection is greeted as another agent.
+``python -m bench.fake_agents --agents N --heartbeat-s S`` prints ``{"listening":
+[port, ...]}``, one port for each agent.
 """
 
 from __future__ import annotations
 
-import itertools
 import json
 from typing import Any
 
@@ -18,24 +17,25 @@
 from corianderrelay.transport.framed_stream import FramedStream
 
 
-class _FakeAgents(protocol.Factory):
+class _FakeAgent(protocol.Factory):
+    """One agent: it greets, echoes heartbeats, and has nothing to run."""
+
     noisy = False
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, number: int) -> None:
         self._reactor = reactor
-        self._numbers = itertools.count()
-        self._streams: list[FramedStream] = []
+        self._number = number
+        self._echo_by_stream: dict[FramedStream, int] = {}
         self._sequence = 0
 
     def buildProtocol(self, addr: Any) -> FramedStream:
         return FramedStream(self, self._reactor)
 
     def stream_opened(self, stream: FramedStream) -> None:
-        number = next(self._numbers)
         hello = Hello(
             PROTOCOL_VERSION,
-            f"agent-{number}",
-            number,
+            f"agent-{self._number}",
+            self._number,
             "oslo-a",
             "agent",
             service="assistant",
@@ -43,29 +43,34 @@
             slots=32,
         )
         stream.send(hello)
-        self._streams.append(stream)
+        self._echo_by_stream[stream] = 0
 
     def message_received(self, stream: FramedStream, message: Any) -> None:
-        """Entries' heartbeats need no answer."""
+        if isinstance(message, Heartbeat):
+            self._echo_by_stream[stream] = message.sequence
 
     def stream_closed(self, stream: FramedStream, reason: str) -> None:
-        self._streams.remove(stream)
+        del self._echo_by_stream[stream]
 
     def beat(self) -> None:
         self._sequence += 1
-        for stream in self._streams:
-            stream.send(Heartbeat(self._sequence, running=3, queued=1))
+        for stream, echo in self._echo_by_stream.items():
+            stream.send(Heartbeat(self._sequence, running=3, queued=1, echo=echo))
 
 
 @click.command()
+@click.option("--agents", default=1)
 @click.option("--heartbeat-s", default=1.0)
-def main(heartbeat_s: float) -> None:
-    """Greet each connection as an agent and send heartbeats."""
+def main(agents: int, heartbeat_s: float) -> None:
+    """Listen as so many agents, each on a port of its own, and send heartbeats."""
     reactor: Any = installed_reactor
-    agents = _FakeAgents(reactor)
-    Periodic(reactor, agents.beat).start(heartbeat_s)
-    listening = reactor.listenTCP(0, agents, interface="127.0.0.1")
-    print(json.dumps({"listening": listening.getHost().port}), flush=True)
+    fakes = [_FakeAgent(reactor, number) for number in range(agents)]
+    beats = [Periodic(reactor, fake.beat) for fake in fakes]
+    for beat in beats:
+        beat.start(heartbeat_s)
+    ports = [reactor.listenTCP(0, fake, interface="127.0.0.1") for fake in fakes]
+    listening = [port.getHost().port for port in ports]
+    print(json.dumps({"listening": listening}), flush=True)
     reactor.run()
 
 
