--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/corianderrelay-core packages/corianderrelay-entry packages/corianderrelay-agent
-SOURCES := packages tests bench demo
+PACKAGES := packages/corianderrelay-core packages/corianderrelay-entry packages/corianderrelay-agent platform
+SOURCES := packages platform tests bench demo
 STAMP := $(VENV)/.installed
 
 .PHONY: install demo run test lint format bench clean
@@ -30,7 +30,7 @@
 	$(BIN)/isort --check-only $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/mypy packages/corianderrelay-core/src packages/corianderrelay-entry/src \
-		packages/corianderrelay-agent/src tests bench demo
+		packages/corianderrelay-agent/src platform/src tests bench demo
 	$(BIN)/lint-imports
 	$(BIN)/python -m bench.settings_reference --check
 
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out requests that go straight to a runner, over HTTP."""
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms of the direct path."""
+
+from __future__ import annotations
+
+from aioprometheus.collectors import Collector, Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0]
+
+
+class DirectMetrics:
+    """Collectors that requests and beliefs pass through."""
+
+    __slots__ = (
+        "requests",
+        "answers",
+        "refusals",
+        "sends",
+        "abandoned",
+        "first_byte_s",
+        "whole_answer_s",
+        "waited_s",
+        "waiting",
+        "running",
+        "usable_runners",
+        "peers",
+        "config_version",
+        "config_age_s",
+        "log_failures",
+    )
+
+    def __init__(self) -> None:
+        self.requests = Counter("direct_requests_total", "Requests by route kind.")
+        self.answers = Counter("direct_answers_total", "Answers passed on, by status.")
+        self.refusals = Counter("direct_refusals_total", "Own answers, by status.")
+        self.sends = Counter("direct_sends_total", "Sends to runners; first or again.")
+        self.abandoned = Counter("direct_abandoned_total", "Callers that left.")
+        self.first_byte_s = Histogram(
+            "direct_first_byte_seconds",
+            "Time from a whole request to the first byte of its answer.",
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.whole_answer_s = Histogram(
+            "direct_whole_answer_seconds",
+            "Time from a whole request to the end of its answer.",
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.waited_s = Histogram(
+            "direct_waited_seconds",
+            "Time that a request waited for a place.",
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.waiting = Gauge("direct_waiting", "Requests that wait, by service.")
+        self.running = Gauge("direct_running", "Own requests at runners.")
+        self.usable_runners = Gauge("direct_usable_runners", "Runners, by service.")
+        self.peers = Gauge("direct_entries_alive", "Other entries that are heard.")
+        self.config_version = Gauge("direct_config_version", "Version in force.")
+        self.config_age_s = Gauge(
+            "direct_config_proof_age_seconds", "Age of the proof that it is the newest."
+        )
+        self.log_failures = Counter(
+            "direct_log_failures_total", "Failed calls to the platform's log."
+        )
+
+    def collectors(self) -> list[Collector]:
+        """Return all collectors, to be registered."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+__all__ = ["DirectMetrics"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -0,0 +1,108 @@
+"""An open request of the direct path with what carries it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ...state.direct.attempts import DirectAttempts
+    from ...state.direct.call import DirectCall, RunnerHead
+    from ...state.direct.catalog import Route
+    from .direct_relay import DirectRelay
+    from .ports import DirectSink, RunnerSend
+
+
+class OpenDirectCall:
+    """One request between its arrival and its final answer.
+
+    :param number: identifies it in this process; callers' ids may come twice.
+    :param workspace: the name that the runner is told; ``None`` on public routes.
+    :param keyed: whether it may run only while its key is valid.
+    """
+
+    __slots__ = (
+        "number",
+        "call",
+        "sink",
+        "route",
+        "service",
+        "workspace",
+        "keyed",
+        "priority",
+        "attempts",
+        "events",
+        "send",
+        "runner_id",
+        "status",
+        "first_byte_at",
+        "last_event_at",
+    )
+
+    attempts: DirectAttempts
+
+    def __init__(
+        self,
+        number: int,
+        call: DirectCall,
+        sink: DirectSink,
+        route: Route,
+        service: str,
+        workspace: str | None,
+        keyed: bool,
+    ) -> None:
+        self.number = number
+        self.call = call
+        self.sink = sink
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.keyed = keyed
+        self.priority = route.priority
+        self.events: SendEvents | None = None
+        self.send: RunnerSend | None = None
+        self.runner_id = ""
+        self.status = 0
+        self.first_byte_at = 0.0
+        self.last_event_at = 0.0
+
+
+class SendEvents:
+    """Passes the events of one send on, until the request has left that runner."""
+
+    __slots__ = ("_relay", "_opened")
+
+    def __init__(self, relay: DirectRelay, opened: OpenDirectCall) -> None:
+        self._relay = relay
+        self._opened: OpenDirectCall | None = opened
+
+    def detach(self) -> None:
+        """Drop what still comes of this send."""
+        self._opened = None
+
+    def on_not_sent(self, reason: str) -> None:
+        """No byte of the request reached the runner."""
+        if self._opened is not None:
+            self._relay.on_not_sent(self._opened, reason)
+
+    def on_head(self, head: RunnerHead) -> None:
+        """The head of the answer has come."""
+        if self._opened is not None:
+            self._relay.on_head(self._opened, head)
+
+    def on_data(self, data: bytes) -> None:
+        """A piece of the answer's body has come."""
+        if self._opened is not None:
+            self._relay.on_data(self._opened, data)
+
+    def on_end(self) -> None:
+        """The answer is whole by its framing."""
+        if self._opened is not None:
+            self._relay.on_end(self._opened)
+
+    def on_broken(self, reason: str) -> None:
+        """The request may have reached the runner, and no whole answer came."""
+        if self._opened is not None:
+            self._relay.on_broken(self._opened, reason)
+
+
+__all__ = ["OpenDirectCall", "SendEvents"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -0,0 +1,137 @@
+"""Follows the runners' own records in the platform's log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from corianderrelay.state.errors import LogUnavailableError
+
+from .decision_log import Decision
+from .ports import LogGapError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.runner_list import RegisteredRunner, RunnerList
+    from .decision_log import DecisionLog
+    from .direct_metrics import DirectMetrics
+    from .ports import RunnerSource
+
+# Each heartbeat is a record, so a waiting read would return at once. Half of the
+# shortest time in which a leaving runner must be known, less a slow call.
+_PERIOD_S = 0.7
+_RETRY_S = 0.3
+
+
+class RunnerWatch:
+    """Reads the records that were added since the last read.
+
+    :param on_gone: called with the id of a runner that is gone or has started anew.
+    """
+
+    def __init__(
+        self,
+        source: RunnerSource,
+        runners: RunnerList,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: DirectMetrics,
+        on_gone: Callable[[str], None],
+    ) -> None:
+        self._source = source
+        self._runners = runners
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._on_gone = on_gone
+        self._offset: int | None = None
+        self._reachable = True
+        self.known = False
+
+    def start(self) -> None:
+        """Begin to follow."""
+        if self._offset is None:
+            newest = self._source.newest().addCallback(self._replace)
+            newest.addErrback(self._failed)
+        else:
+            changes = self._source.follow(self._offset).addCallback(self._apply)
+            changes.addErrback(self._failed)
+
+    def expire(self) -> None:
+        """Forget the runners whose records lapsed and did not come back."""
+        for runner_id in self._runners.expire(self._clock.seconds()):
+            self._gone(runner_id, "its record lapsed and did not come back")
+
+    def _replace(self, answer: tuple[list[RegisteredRunner], int]) -> None:
+        runners, self._offset = answer
+        self._answered()
+        before = {runner.runner_id for runner in self._runners.all()}
+        for runner in runners:
+            self._note(runner, self._runners.get(runner.runner_id))
+        self._runners.replace(runners, self._clock.seconds())
+        after = {runner.runner_id for runner in self._runners.all()}
+        for runner_id in before - after:
+            self._gone(runner_id, "it is not among the newest records")
+        self.known = True
+        self._clock.callLater(_PERIOD_S, self.start)
+
+    def _apply(self, answer: tuple[Mapping[str, RegisteredRunner | None], int]) -> None:
+        changes, self._offset = answer
+        self._answered()
+        for runner_id, runner in changes.items():
+            if runner is not None:
+                self._note(runner, self._runners.put(runner))
+            elif self._runners.get(runner_id) is not None:
+                self._runners.remove(runner_id, self._clock.seconds())
+                if self._runners.get(runner_id) is None:
+                    self._gone(runner_id, "its record was removed")
+        self._clock.callLater(_PERIOD_S, self.start)
+
+    def _answered(self) -> None:
+        self._runners.log_answered(self._clock.seconds())
+        if not self._reachable:
+            self._reachable = True
+            self._log.note(Decision.DEPENDENCY_BACK, dependency="runner records")
+
+    def _note(self, runner: RegisteredRunner, before: RegisteredRunner | None) -> None:
+        if before is None or before.started_ms != runner.started_ms:
+            if before is not None:
+                self._on_gone(runner.runner_id)
+            self._log.note(
+                Decision.RUNNER_KNOWN,
+                runner=runner.runner_id,
+                service=runner.service,
+                address=f"{runner.host}:{runner.port}",
+                zone=runner.zone,
+                started_ms=runner.started_ms,
+            )
+        if runner.leaving and (before is None or not before.leaving):
+            self._log.note(Decision.RUNNER_LEAVING, runner=runner.runner_id)
+
+    def _gone(self, runner_id: str, reason: str) -> None:
+        self._on_gone(runner_id)
+        self._log.note(Decision.RUNNER_GONE, runner=runner_id, reason=reason)
+
+    def _failed(self, failure: Failure) -> None:
+        self._metrics.log_failures.inc({"reader": "runners"})
+        if failure.check(LogGapError):
+            self._offset = None
+        else:
+            self._runners.log_lost()
+            if self._reachable:
+                self._reachable = False
+                expected = failure.check(LogUnavailableError) is not None
+                self._log.note(
+                    Decision.DEPENDENCY_LOST,
+                    dependency="runner records",
+                    reason=failure.getErrorMessage(),
+                    expected=expected,
+                )
+        self._clock.callLater(_RETRY_S, self.start)
+
+
+__all__ = ["RunnerWatch"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -0,0 +1,268 @@
+"""Joins the runner list, placement, admission and budgets of all services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.catalog import RequestKind
+from ...state.direct.lockstep_placement import LockstepPlacement
+from ...state.direct.pass_pace import PassPace
+from ...state.direct.repeat_budget import RepeatBudget
+from ...state.direct.surge_admission import SurgeAdmission
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ...state.direct.catalog import Route
+    from ...state.direct.entry_peers import EntryPeers
+    from ...state.direct.runner_list import RegisteredRunner, RunnerList
+    from ...state.direct.settings import DirectBounds
+    from .open_direct_call import OpenDirectCall
+
+_FIRST_EVENT_S = 0.15  # usual time from a send to its first event
+_PLAIN_ANSWER_S = 0.1
+_SERVER_ERROR = 500
+
+
+class ServicePlaces:
+    """Who runs where, over all services.
+
+    :param peers: the other entries and what they run.
+    """
+
+    def __init__(
+        self,
+        runners: RunnerList,
+        peers: EntryPeers,
+        bounds: DirectBounds,
+        random: Random,
+    ) -> None:
+        self._runners = runners
+        self._peers = peers
+        self._bounds = bounds
+        self._random = random
+        self._placement = LockstepPlacement(random)
+        self._admission_by_service: dict[str, SurgeAdmission[OpenDirectCall]] = {}
+        self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._pace_by_service: dict[str, PassPace] = {}
+
+    def service_of(self, route: Route) -> str:
+        """Draw the service of a request."""
+        return route.service(self._random)
+
+    def runner(self, runner_id: str) -> RegisteredRunner:
+        """Return a runner that was picked."""
+        runner = self._runners.get(runner_id)
+        assert runner is not None, "a runner is picked from the list it stands in"
+        return runner
+
+    def picker(self, opened: OpenDirectCall) -> CallPicker:
+        """Return what picks the runners of one request."""
+        return CallPicker(self, opened)
+
+    def pick(
+        self, opened: OpenDirectCall, excluded: frozenset[str], now: float
+    ) -> str | None:
+        """Return the best usable runner of the request's service."""
+        candidates = [
+            runner
+            for runner in self._runners.usable(opened.service)
+            if runner.runner_id not in excluded
+        ]
+        lockstep = opened.route.kind is RequestKind.STREAM
+        return self._placement.pick(candidates, lockstep, now)
+
+    def take_repeat(self, opened: OpenDirectCall, now: float) -> bool:
+        """Pay for sending a request once more."""
+        return self._budget(opened.service).take(len(self._peers) + 1, now)
+
+    def arrived(self, opened: OpenDirectCall, now: float) -> None:
+        """Count a request of a caller."""
+        self._budget(opened.service).request_arrived(now)
+
+    def hear_peers(self, now: float) -> None:
+        """Take what the other entries run."""
+        self._placement.hear(self._peers.alive(now))
+
+    def own_running(self) -> dict[str, int]:
+        """Return this entry's requests at each runner."""
+        return self._placement.own_running()
+
+    def own_waiting(self) -> dict[str, int]:
+        """Return this entry's waiting requests by service."""
+        return {
+            service: len(admission)
+            for service, admission in self._admission_by_service.items()
+            if len(admission)
+        }
+
+    def free(self, service: str) -> int:
+        """Return the places of a service that nobody is known to have."""
+        return sum(
+            max(runner.slots - self._placement.running(runner.runner_id), 0)
+            for runner in self._runners.usable(service)
+        )
+
+    def has_place(self, opened: OpenDirectCall, now: float) -> bool:
+        """Whether the request may start at once."""
+        waiting = len(self._admission(opened.service))
+        return self.free(opened.service) > waiting
+
+    def wait(self, opened: OpenDirectCall, now: float) -> bool:
+        """Let the request wait; false if its place would come too late."""
+        if not self._runners.usable(opened.service):
+            return False
+        stream = opened.route.kind is RequestKind.STREAM
+        needed_s = _FIRST_EVENT_S if stream else _PLAIN_ANSWER_S
+        latest_s = opened.call.received_at + opened.route.objective_s - needed_s
+        admission = self._admission(opened.service)
+        return admission.wait(opened, opened.priority, latest_s, now)
+
+    def stop_waiting(self, opened: OpenDirectCall) -> None:
+        """Forget a request that has ended while it waited."""
+        self._admission(opened.service).remove(opened)
+
+    def admitted(self, now: float) -> list[OpenDirectCall]:
+        """Take the waiting requests for which there are places."""
+        return [
+            opened
+            for service, admission in self._admission_by_service.items()
+            if len(admission)
+            for opened in admission.admit(self.free(service))
+        ]
+
+    def overdue(self, now: float) -> list[OpenDirectCall]:
+        """Take the waiting requests that cannot be in time any longer."""
+        return [
+            opened
+            for admission in self._admission_by_service.values()
+            if len(admission)
+            for opened in admission.overdue(now)
+        ]
+
+    def retry_after_s(self, service: str) -> float:
+        """Return when a refused caller can expect a place."""
+        return self._admission(service).retry_after_s()
+
+    def sent(self, opened: OpenDirectCall, runner_id: str, now: float) -> None:
+        """Note that a runner has the request."""
+        opened.runner_id = runner_id
+        self._placement.standing(runner_id).running += 1
+
+    def ended(self, opened: OpenDirectCall, now: float) -> None:
+        """Note that the runner does not have the request any longer."""
+        self._placement.standing(opened.runner_id).running -= 1
+        opened.runner_id = ""
+        self._admission(opened.service).ended(now)
+
+    def progressed(self, opened: OpenDirectCall, events: int, now: float) -> None:
+        """Note whole events of a stream."""
+        if not opened.last_event_at:
+            standing = self._placement.standing(opened.runner_id)
+            standing.answered(now - opened.attempts.sent_at, now)
+        else:
+            self._pace(opened.service).paused(now - opened.last_event_at, now)
+        opened.last_event_at = now
+
+    def answered(self, opened: OpenDirectCall, status: int, now: float) -> None:
+        """Note the whole answer of a plain service."""
+        if opened.route.kind is RequestKind.STREAM or not opened.runner_id:
+            return
+        standing = self._placement.standing(opened.runner_id)
+        if status >= _SERVER_ERROR:
+            standing.failed(now)
+        else:
+            standing.answered(now - opened.attempts.sent_at, now)
+
+    def failed(self, runner_id: str, now: float) -> None:
+        """Note a failure of a runner."""
+        if runner_id:
+            self._placement.standing(runner_id).failed(now)
+
+    def rejected(self, runner_id: str, at_fault: str, now: float) -> None:
+        """Note a rejection; the runner that it names is to blame, not its sender."""
+        if at_fault:
+            self._placement.standing(at_fault).failed(now)
+
+    def forget_runner(self, runner_id: str) -> None:
+        """Drop what is known of a runner that is gone."""
+        self._placement.forget(runner_id)
+
+    def describe(self, service: str, now: float) -> dict[str, object]:
+        """Return what decided about a place, for the log."""
+        usable = self._runners.usable(service)
+        return {
+            "usable_runners": len(usable),
+            "free_places": self.free(service),
+            "waiting": len(self._admission(service)),
+            "entries_heard": len(self._peers.alive(now)),
+            "expected_wait_s": round(self._admission(service).expected_wait_s(0), 4),
+        }
+
+    def describe_runner(self, runner_id: str, now: float) -> dict[str, object]:
+        """Return what is believed of a runner, for the log."""
+        standing = self._placement.standing(runner_id)
+        return {
+            "running_here": standing.running,
+            "running_all": self._placement.running(runner_id),
+            "success_rate": round(standing.success_rate(now), 3),
+        }
+
+    def describe_pace(self, now: float) -> list[dict[str, object]]:
+        """Return the pace of each group that streams, for the log."""
+        return [
+            {
+                "service": service,
+                "pauses": pace.seen(now),
+                "median_s": round(pace.quantile_s(0.5, now), 4),
+                "worst_s": round(pace.quantile_s(1.0, now), 4),
+                "running": sum(
+                    self._placement.running(runner.runner_id)
+                    for runner in self._runners.usable(service)
+                ),
+                "waiting": len(self._admission(service)),
+            }
+            for service, pace in self._pace_by_service.items()
+        ]
+
+    def _pace(self, service: str) -> PassPace:
+        found = self._pace_by_service.get(service)
+        if found is None:
+            found = self._pace_by_service[service] = PassPace()
+        return found
+
+    def _admission(self, service: str) -> SurgeAdmission[OpenDirectCall]:
+        found = self._admission_by_service.get(service)
+        if found is None:
+            found = self._admission_by_service[service] = SurgeAdmission()
+        return found
+
+    def _budget(self, service: str) -> RepeatBudget:
+        found = self._budget_by_service.get(service)
+        if found is None:
+            bounds = self._bounds
+            found = self._budget_by_service[service] = RepeatBudget(
+                bounds.repeat_ratio, bounds.repeat_allowance, bounds.repeat_window_s
+            )
+        return found
+
+
+class CallPicker:
+    """Picks the runners of one request; see ``RunnerPicker``."""
+
+    __slots__ = ("_places", "_opened")
+
+    def __init__(self, places: ServicePlaces, opened: OpenDirectCall) -> None:
+        self._places = places
+        self._opened = opened
+
+    def pick(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a usable runner that is not excluded, or ``None``."""
+        return self._places.pick(self._opened, excluded, now)
+
+    def take_repeat(self, now: float) -> bool:
+        """Pay for sending the request once more."""
+        return self._places.take_repeat(self._opened, now)
+
+
+__all__ = ["CallPicker", "ServicePlaces"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that entries of a direct deployment exchange."""
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -0,0 +1,168 @@
+"""Runs an entry of a direct deployment: listening ports, signals and shutdown."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING, Any
+
+from corianderrelay.state.drain import Drain, StopProcess
+from corianderrelay.transport.json_log import start_log
+
+from .coordination.direct.decision_log import Decision
+from .direct_entry import DirectEntry, DirectSources
+from .transport.direct.caller_http import CallerFactory
+from .transport.direct.plain_site import PlainAnswer, PlainSite
+from .transport.direct.quiet_stream import QuietStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .state.direct.settings import Address, DirectSettings
+
+_BACKLOG = 512  # callers open many connections at once when an entry goes away
+_DRAIN_POLL_S = 0.05
+_DIRECTORY_TTL_HELD_TIMES = 3.0  # some callers keep an answer three times as long
+_LAST_GRACE_S = 0.5  # time to exit before the kill
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+
+
+class DirectService:
+    """The process of one entry.
+
+    :param answer_directory: takes a request target and the entries' addresses, returns
+        the platform's form of the answer, or ``None`` if the target is not known.
+    :param ready_path: path at which the platform asks for readiness.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        sources: DirectSources,
+        reactor: Any,
+        answer_directory: Callable[[bytes, list[str]], PlainAnswer | None],
+        ready_path: bytes,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._answer_directory = answer_directory
+        self._ready_path = ready_path
+        self._entry = DirectEntry(settings, sources, reactor)
+        self._callers = CallerFactory(self._entry, reactor)
+        grace_s = settings.bounds.grace_s
+        stay_s = min(
+            _DIRECTORY_TTL_HELD_TIMES * directory_ttl_s(settings),
+            grace_s - _LAST_GRACE_S,
+        )
+        self._drain = Drain(stay_s, grace_s - _LAST_GRACE_S)
+
+    def run(self) -> int:
+        """Serve until the process is told to stop; return its exit code."""
+        stream: Any = QuietStream(sys.stdout.fileno())
+        start_log(stream, self._settings.entry_id, "entry")
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return 0
+
+    def _start(self) -> None:
+        settings = self._settings
+        reactor = self._reactor
+        reactor.listenUDP(
+            settings.peers.port, self._entry.peer_socket, settings.peers.host
+        )
+        self._listen(settings.callers, self._callers)
+        self._listen_plain(settings.readiness, self._answer_ready)
+        self._listen_plain(settings.metrics, self._answer_metrics)
+        if settings.directory is not None:
+            self._listen_plain(settings.directory, self._answer_entries)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        self._entry.log.note(
+            Decision.PROCESS_STARTED,
+            pid=os.getpid(),
+            zone=settings.zone,
+            callers=str(settings.callers),
+        )
+        self._entry.start()
+
+    def _listen(self, address: Address, factory: CallerFactory) -> None:
+        self._reactor.listenTCP(
+            address.port, factory, backlog=_BACKLOG, interface=address.host
+        )
+
+    def _listen_plain(
+        self, address: Address, answer: Callable[[bytes, bytes], PlainAnswer]
+    ) -> None:
+        self._listen(address, CallerFactory(PlainSite(answer), self._reactor))
+
+    def _answer_ready(self, method: bytes, target: bytes) -> PlainAnswer:
+        if target.partition(b"?")[0] != self._ready_path:
+            return _NOT_FOUND, [], b""
+        return (_OK if self._entry.ready else _UNAVAILABLE), [], b""
+
+    def _answer_entries(self, method: bytes, target: bytes) -> PlainAnswer:
+        answer = self._answer_directory(target, self._entry.entry_addresses())
+        return (_NOT_FOUND, [], b"") if answer is None else answer
+
+    def _answer_metrics(self, method: bytes, target: bytes) -> PlainAnswer:
+        body, headers_by_name = self._entry.metrics.render()
+        headers = [
+            (name.encode(), value.encode()) for name, value in headers_by_name.items()
+        ]
+        return _OK, headers, body
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._leave_or_stop, signal.Signals(number).name)
+
+    def _on_hangup(self, number: int, frame: object) -> None:
+        self._reactor.callFromThread(self._note_reload)
+
+    def _note_reload(self) -> None:
+        # All that may change while the process runs comes from the log.
+        self._entry.log.note(Decision.PROCESS_RELOADED, changed=[])
+
+    def _leave_or_stop(self, name: str) -> None:
+        now = self._reactor.seconds()
+        order = self._drain.signal(name, self._entry.relay.open_requests, now)
+        if isinstance(order, StopProcess):
+            self._stop(order)
+            return
+        self._entry.log.note(
+            Decision.PROCESS_LEAVING,
+            reason=name,
+            open_requests=self._entry.relay.open_requests,
+        )
+        self._entry.leave()
+        self._check_drained()
+
+    def _check_drained(self) -> None:
+        order = self._drain.check(
+            self._entry.relay.open_requests, self._reactor.seconds()
+        )
+        if order is None:
+            self._reactor.callLater(_DRAIN_POLL_S, self._check_drained)
+        else:
+            self._stop(order)
+
+    def _stop(self, order: StopProcess) -> None:
+        self._entry.log.note(
+            Decision.PROCESS_STOPPED, reason=order.reason, cut_off=order.cut_off
+        )
+        self._reactor.stop()
+
+
+def directory_ttl_s(settings: DirectSettings) -> float:
+    """Return for how long callers may keep a directory answer, in seconds.
+
+    Those that keep it three times as long must have a new one before an entry that
+    leaves is gone.
+    """
+    longest = (settings.bounds.grace_s - 2 * _LAST_GRACE_S) / _DIRECTORY_TTL_HELD_TIMES
+    return float(max(min(int(longest), settings.bounds.directory_ttl_s), 1))
+
+
+__all__ = ["DirectService", "directory_ttl_s"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
@@ -0,0 +1,169 @@
+"""The configuration in force on the direct path: routes, services, workspaces."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+
+class RequestKind(Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """What a service's configuration says of its engines.
+
+    :param step_s: time of a token step without writers, in seconds.
+    :param step_per_writer_s: seconds that each writing request adds to a step.
+    :param context_s_per_token: seconds that each token of context adds to a step.
+    :param prefill_tokens_per_s: pace at which prompts are read.
+    :param chunk_tokens: most prompt tokens that one step reads.
+    :param steps_per_pass: steps that ranks make between two synchronisations.
+    :param mean_prompt_tokens: usual length of a prompt.
+    :param mean_answer_tokens: usual length of an answer.
+    """
+
+    step_s: float = 0.0
+    step_per_writer_s: float = 0.0
+    context_s_per_token: float = 0.0
+    prefill_tokens_per_s: float = 0.0
+    chunk_tokens: int = 0
+    steps_per_pass: int = 1
+    mean_prompt_tokens: float = 0.0
+    mean_answer_tokens: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A set of interchangeable runners.
+
+    :param max_connections: connections that a runner takes from all callers together.
+    :param engine: ``None`` for a plain service.
+    """
+
+    name: str
+    max_connections: int = 0
+    engine: EngineModel | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests for a host and a path go, and what may be done with them.
+
+    :param targets: services and their weights; one service has all the weight.
+    :param attempts: most runners that one request may be sent to.
+    :param timeout_s: longest time for which a caller is kept waiting.
+    :param objective_s: time to the answer (a stream's first event) that is aimed at.
+    :param gap_objective_s: longest pause between events that is aimed at.
+    :param priority: 0 is the most urgent.
+    :param generates: whether requests tell the tokens of their prompts.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    targets: tuple[tuple[str, float], ...]
+    attempts: int
+    timeout_s: float
+    objective_s: float
+    gap_objective_s: float = 0.0
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+    generates: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may be sent again after it may have run."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def service(self, random: Random) -> str:
+        """Draw one of the route's services by their weights."""
+        if len(self.targets) == 1:
+            return self.targets[0][0]
+        names = [name for name, _ in self.targets]
+        return random.choices(names, [weight for _, weight in self.targets])[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Whose key a caller presents.
+
+    :param priority: goes before the route's priority; ``None`` without one.
+    """
+
+    name: str
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers send and how long they take."""
+
+    header_bytes: int = 32_768
+    body_bytes: int = 1_048_576
+    receive_head_s: float = 10.0
+    idle_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Catalog:
+    """One version of the configuration; lookups are by exact key.
+
+    :param workspaces_by_key: empty if callers need no key.
+    """
+
+    version: int
+    routes_by_host: dict[str, dict[str, Route]]
+    services_by_name: dict[str, Service]
+    workspaces_by_key: dict[str, Workspace]
+    needs_key: bool = False
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the host's route with the longest prefix of ``path``.
+
+        :param path: path without a query; prefixes begin and end with a slash.
+        """
+        routes_by_prefix = self.routes_by_host.get(host)
+        if routes_by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes_by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def routes_by_host(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
+    """Index routes by host, then by prefix."""
+    indexed: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        indexed.setdefault(route.host, {})[route.path_prefix] = route
+    return indexed
+
+
+__all__ = [
+    "CallerLimits",
+    "Catalog",
+    "EngineModel",
+    "RequestKind",
+    "Route",
+    "Service",
+    "Workspace",
+    "routes_by_host",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
@@ -0,0 +1,93 @@
+"""Places requests on runners: over the ranks of a group by what runs, else by cost.
+
+All ranks of a group pass together and the slowest holds the others, so a stream goes
+to the rank with the fewest streams of all entries. Runners of plain services answer by
+themselves; there the expected time and the share of failures decide.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .runner_standing import RunnerStanding
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from .entry_peers import EntryNews
+    from .runner_list import RegisteredRunner
+
+_TRUSTED_RATE = 0.7  # below it a runner gets work only when the others are full
+
+
+class LockstepPlacement:
+    """One entry's view of the work at runners."""
+
+    __slots__ = ("_standing_by_id", "_elsewhere_by_id", "_random")
+
+    def __init__(self, random: Random) -> None:
+        self._standing_by_id: dict[str, RunnerStanding] = {}
+        self._elsewhere_by_id: dict[str, int] = {}
+        self._random = random
+
+    def standing(self, runner_id: str) -> RunnerStanding:
+        """Return what is known of a runner."""
+        found = self._standing_by_id.get(runner_id)
+        if found is None:
+            found = self._standing_by_id[runner_id] = RunnerStanding()
+        return found
+
+    def forget(self, runner_id: str) -> None:
+        """Drop what is known of a runner that is gone or has started anew."""
+        standing = self._standing_by_id.get(runner_id)
+        if standing is not None and standing.running == 0:
+            del self._standing_by_id[runner_id]
+
+    def hear(self, peers: Iterable[EntryNews]) -> None:
+        """Take what the other entries say that they run."""
+        self._elsewhere_by_id = {}
+        for news in peers:
+            for runner_id, running in news.running_by_runner.items():
+                known = self._elsewhere_by_id.get(runner_id, 0)
+                self._elsewhere_by_id[runner_id] = known + running
+
+    def running(self, runner_id: str) -> int:
+        """Return the requests of all entries at a runner, as far as known."""
+        standing = self._standing_by_id.get(runner_id)
+        own = standing.running if standing is not None else 0
+        return own + self._elsewhere_by_id.get(runner_id, 0)
+
+    def own_running(self) -> dict[str, int]:
+        """Return this entry's requests at each runner that has some."""
+        return {
+            runner_id: standing.running
+            for runner_id, standing in self._standing_by_id.items()
+            if standing.running
+        }
+
+    def pick(
+        self, candidates: list[RegisteredRunner], lockstep: bool, now: float
+    ) -> str | None:
+        """Return the best of the candidates, or ``None`` without any."""
+        if not candidates:
+            return None
+        cost = self._rank_cost if lockstep else self._plain_cost
+        best = min(
+            candidates,
+            key=lambda each: (*cost(each, now), self._random.random()),
+        )
+        return best.runner_id
+
+    def _rank_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
+        standing = self.standing(runner.runner_id)
+        distrusted = standing.success_rate(now) < _TRUSTED_RATE
+        return distrusted, float(self.running(runner.runner_id))
+
+    def _plain_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
+        standing = self.standing(runner.runner_id)
+        full = self.running(runner.runner_id) >= max(runner.slots, 1)
+        return full, standing.cost(self.running(runner.runner_id), now)
+
+
+__all__ = ["LockstepPlacement"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
@@ -0,0 +1,44 @@
+"""The pace of a lock-step group, as the pauses between events of its streams show.
+
+All ranks pass together, so any stream of the group tells how long a pass takes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+_WINDOW_S = 1.0  # some ten passes; popularity of experts changes within seconds
+
+
+class PassPace:
+    """Pauses between events that were seen of late."""
+
+    __slots__ = ("_pauses",)
+
+    def __init__(self) -> None:
+        self._pauses: deque[tuple[float, float]] = deque()
+
+    def paused(self, pause_s: float, now: float) -> None:
+        """Note the pause before an event."""
+        self._pauses.append((now, pause_s))
+        self._trim(now)
+
+    def quantile_s(self, share: float, now: float) -> float:
+        """Return the pause that this share of the pauses does not exceed."""
+        self._trim(now)
+        if not self._pauses:
+            return 0.0
+        ordered = sorted(pause_s for _, pause_s in self._pauses)
+        return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+    def seen(self, now: float) -> int:
+        """Return the number of pauses in the window."""
+        self._trim(now)
+        return len(self._pauses)
+
+    def _trim(self, now: float) -> None:
+        while self._pauses and now - self._pauses[0][0] > _WINDOW_S:
+            self._pauses.popleft()
+
+
+__all__ = ["PassPace"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -0,0 +1,113 @@
+"""Runners as they register themselves in the platform's log.
+
+Entries may lapse while the log is out, though their runners live. A removal that is
+seen within a moment of the log's return is therefore held back for that moment.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_LAPSE_HOLD_S = 2.2  # live runners are listed again about 2 s after an outage
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredRunner:
+    """One runner's own record.
+
+    :param started_ms: Unix milliseconds of its start; a new start is a new life.
+    :param slots: requests that it runs at once.
+    :param leaving: whether it has said that it will stop.
+    """
+
+    runner_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    leaving: bool = False
+    started_ms: int = 0
+
+
+class RunnerList:
+    """The runners that may get new work."""
+
+    __slots__ = ("_runners_by_id", "_lapsed_by_id", "_hold_until", "_out")
+
+    def __init__(self) -> None:
+        self._runners_by_id: dict[str, RegisteredRunner] = {}
+        self._lapsed_by_id: dict[str, float] = {}
+        self._hold_until = float("-inf")
+        self._out = False
+
+    def __len__(self) -> int:
+        return len(self._runners_by_id)
+
+    def get(self, runner_id: str) -> RegisteredRunner | None:
+        """Return what is known of a runner."""
+        return self._runners_by_id.get(runner_id)
+
+    def log_lost(self) -> None:
+        """The log did not answer."""
+        self._out = True
+
+    def log_answered(self, now: float) -> None:
+        """The log has answered; after an outage, lapsed records are held a while."""
+        if self._out:
+            self._out = False
+            self._hold_until = now + _LAPSE_HOLD_S
+
+    def put(self, runner: RegisteredRunner) -> RegisteredRunner | None:
+        """Take a runner's newest record and return the one before it."""
+        before = self._runners_by_id.get(runner.runner_id)
+        self._runners_by_id[runner.runner_id] = runner
+        self._lapsed_by_id.pop(runner.runner_id, None)
+        return before
+
+    def remove(self, runner_id: str, now: float) -> None:
+        """Take a runner's removal."""
+        if runner_id not in self._runners_by_id:
+            return
+        if now < self._hold_until:
+            self._lapsed_by_id.setdefault(runner_id, self._hold_until)
+        else:
+            self._forget(runner_id)
+
+    def replace(self, runners: Iterable[RegisteredRunner], now: float) -> None:
+        """Take the newest records of all runners, as after dropped history."""
+        listed = {runner.runner_id: runner for runner in runners}
+        for runner in listed.values():
+            self.put(runner)
+        for runner_id in [name for name in self._runners_by_id if name not in listed]:
+            self.remove(runner_id, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Forget the runners whose hold is over, and return them."""
+        over = [name for name, until in self._lapsed_by_id.items() if now >= until]
+        for runner_id in over:
+            self._forget(runner_id)
+        return over
+
+    def usable(self, service: str) -> list[RegisteredRunner]:
+        """Return the service's runners that may get new work."""
+        return [
+            runner
+            for runner in self._runners_by_id.values()
+            if runner.service == service and not runner.leaving
+        ]
+
+    def all(self) -> list[RegisteredRunner]:
+        """Return every runner that is known."""
+        return list(self._runners_by_id.values())
+
+    def _forget(self, runner_id: str) -> None:
+        self._runners_by_id.pop(runner_id, None)
+        self._lapsed_by_id.pop(runner_id, None)
+
+
+__all__ = ["RegisteredRunner", "RunnerList"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of the direct path: callers, runners and other entries."""
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -0,0 +1,325 @@
+"""The callers' HTTP/1.1 connections, parsed by h11.
+
+A connection carries one request at a time. A caller that closes its connection has
+left: its request is abandoned at once, also while it waits.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+import h11
+from twisted.internet.protocol import (
+    Factory,
+    Protocol as TwistedProtocol,
+    connectionDone,
+)
+
+from .socket_options import detect_silence
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock, DelayedCall
+
+    from ...state.direct.call import Headers
+    from ...state.direct.catalog import CallerLimits
+
+_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
+_TOO_LARGE = 413
+_HEADERS_TOO_LARGE = 431
+_MAX_UNSENT_BYTES = 4_194_304  # a caller that reads nothing must not fill the memory
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+
+
+class CallerRequest:
+    """A whole request as it was read.
+
+    :param headers: end-to-end headers, names in lower case.
+    """
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class OpenCall(Protocol):
+    """A request that the connection's owner is working on."""
+
+    def caller_gone(self) -> None:
+        """The caller has closed its connection."""
+
+
+class CallerHandler(Protocol):
+    """What callers' connections need of the entry."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The bounds that are in force."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections are to be closed after their answer."""
+
+    def handle(self, request: CallerRequest, connection: CallerConnection) -> OpenCall:
+        """Work on a request; the answer goes to ``connection``."""
+
+    def rejected(self, status: int, reason: str) -> None:
+        """Note that bytes of a caller were not a request."""
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that concern more than one connection."""
+    named = [
+        value.strip().lower()
+        for name, values in headers
+        if name.lower() == b"connection"
+        for value in values.split(b",")
+    ]
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
+    ]
+
+
+class CallerConnection(TwistedProtocol):
+    """One caller's connection; implements the sink of its present answer."""
+
+    def __init__(self, handler: CallerHandler, clock: Clock) -> None:
+        self._handler = handler
+        self._clock = clock
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
+        )
+        self._request: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._open: OpenCall | None = None
+        self._timer: DelayedCall | None = None
+        self._closed = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._open is None and self._request is None
+
+    def connectionMade(self) -> None:
+        """Wait for the first request."""
+        detect_silence(self.transport)
+        cast("Any", self.transport).setTcpNoDelay(True)
+        cast("Any", self.factory).connections.add(self)
+        self._expect(self._handler.limits.idle_s)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what has come."""
+        if self._closed:
+            return
+        try:
+            self._http.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """The caller has left, or this side has closed."""
+        self._closed = True
+        cast("Any", self.factory).connections.discard(self)
+        self._cancel_timer()
+        open_call, self._open = self._open, None
+        if open_call is not None:
+            open_call.caller_gone()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if self._closed:
+            return
+        length = (b"Content-Length", str(len(body)).encode())
+        self._send_head(status, [*headers, length])
+        if body:
+            self._send(h11.Data(data=body))
+        self.finish()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Begin an answer whose length is not known."""
+        if not self._closed:
+            self._send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the answer."""
+        if self._closed:
+            return
+        self._send(h11.Data(data=data))
+        if len(getattr(self.transport, "dataBuffer", b"")) > _MAX_UNSENT_BYTES:
+            self.abort()
+
+    def finish(self) -> None:
+        """The answer is whole: go on with the connection's next request."""
+        self._open = None
+        if self._closed:
+            return
+        self._send(h11.EndOfMessage())
+        if self._http.our_state is h11.MUST_CLOSE:
+            self._close()
+            return
+        self._http.start_next_cycle()
+        self._request = None
+        self._expect(self._handler.limits.idle_s)
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._open = None
+        self._closed = True
+        self._cancel_timer()
+        cast("Any", self.transport).abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close a kept connection on which no request has begun."""
+        if self.idle and not self._closed and not self._http.trailing_data[0]:
+            self._close()
+
+    def _parse(self) -> None:
+        while self._open is None and not self._closed:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                if self._http.trailing_data[0] and self._request is None:
+                    self._expect(self._handler.limits.receive_head_s)
+                return
+            if isinstance(event, h11.Request):
+                self._begin(event)
+            elif isinstance(event, h11.Data):
+                self._take_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._handle()
+            else:
+                return
+
+    def _begin(self, request: h11.Request) -> None:
+        self._request = request
+        self._body = []
+        self._body_bytes = 0
+        self._expect(self._handler.limits.receive_head_s)
+        declared = dict(request.headers).get(b"content-length", b"0")
+        if int(declared) > self._handler.limits.body_bytes:
+            self._reject(_TOO_LARGE, "the body is over the limit")
+        elif self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take_body(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._handler.limits.body_bytes:
+            self._reject(_TOO_LARGE, "the body is over the limit")
+
+    def _handle(self) -> None:
+        request = cast("h11.Request", self._request)
+        self._cancel_timer()
+        read = CallerRequest(
+            request.method,
+            request.target,
+            end_to_end(list(request.headers)),
+            b"".join(self._body),
+        )
+        self._body = []
+        opened = self._handler.handle(read, self)
+        # The answer may have been sent already, and the next request begun.
+        if self._http.our_state is h11.SEND_RESPONSE and self._request is request:
+            self._open = opened
+        elif self._http.our_state is h11.SEND_BODY and self._request is request:
+            self._open = opened
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        if self._handler.leaving:
+            headers = [*headers, (b"Connection", b"close")]
+        self._send(h11.Response(status_code=status, headers=headers))
+
+    def _send(self, event: Any) -> None:
+        data = self._http.send(event)
+        if data:
+            cast("Any", self.transport).write(data)
+
+    def _reject(self, status: int, reason: str) -> None:
+        self._handler.rejected(status, reason)
+        self._cancel_timer()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            closing = (b"Connection", b"close")
+            empty = (b"Content-Length", b"0")
+            self._send(h11.Response(status_code=status, headers=[closing, empty]))
+            self._send(h11.EndOfMessage())
+        self._close()
+
+    def _close(self) -> None:
+        self._closed = True
+        self._cancel_timer()
+        cast("Any", self.transport).loseConnection()
+
+    def _expect(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = self._clock.callLater(seconds, self._expired)
+
+    def _expired(self) -> None:
+        self._timer = None
+        if self._request is not None:
+            self._reject(_REQUEST_TIMEOUT, "the request took too long to arrive")
+        else:
+            self._close()
+
+    def _cancel_timer(self) -> None:
+        timer, self._timer = self._timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+class CallerFactory(Factory):
+    """Makes the callers' connections and knows the open ones."""
+
+    noisy = False
+
+    def __init__(self, handler: CallerHandler, clock: Clock) -> None:
+        self._handler = handler
+        self._clock = clock
+        self.connections: set[CallerConnection] = set()
+
+    def buildProtocol(self, addr: Any) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        connection = CallerConnection(self._handler, self._clock)
+        connection.factory = self
+        return connection
+
+    def close_idle(self) -> None:
+        """Close all kept connections on which no request has begun."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+__all__ = [
+    "CallerConnection",
+    "CallerFactory",
+    "CallerHandler",
+    "CallerRequest",
+    "OpenCall",
+    "end_to_end",
+]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/plain_site.py
@@ -0,0 +1,45 @@
+"""Serves small whole answers, such as readiness, on the callers' HTTP transport."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.catalog import CallerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .caller_http import CallerConnection, CallerRequest
+
+PlainAnswer = tuple[int, list[tuple[bytes, bytes]], bytes]
+
+
+class _Answered:
+    """A request that was answered while it was read."""
+
+    def caller_gone(self) -> None:
+        """Do nothing: there is no work to stop."""
+
+
+class PlainSite:
+    """Answers each request with what a function returns.
+
+    :param answer: takes method and target, returns status, headers and body.
+    """
+
+    leaving = False
+    limits = CallerLimits()
+
+    def __init__(self, answer: Callable[[bytes, bytes], PlainAnswer]) -> None:
+        self._answer = answer
+
+    def handle(self, request: CallerRequest, connection: CallerConnection) -> _Answered:
+        """Answer a request."""
+        connection.answer(*self._answer(request.method, request.target))
+        return _Answered()
+
+    def rejected(self, status: int, reason: str) -> None:
+        """Do nothing: these addresses serve the platform's own checks."""
+
+
+__all__ = ["PlainAnswer", "PlainSite"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -0,0 +1,329 @@
+"""Connections to runners, parsed by h11, with an exact account of their bytes.
+
+A connection is used again only if every byte on it belonged to an answer that was
+asked for. Bytes that come while none is due close it. An answer to an earlier request
+that comes late is known by its id and passed over.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any, cast
+
+import h11
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+
+from .caller_http import end_to_end
+from .socket_options import detect_silence
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...coordination.direct.ports import Dialect, RunnerRequest, SendListener
+    from ...state.direct.call import Headers
+    from ...state.direct.runner_list import RegisteredRunner
+
+_CONNECT_TIMEOUT_S = 0.4  # a path takes a few ms; a lost opening packet takes 1 s
+_MAX_IDLE_S = 8.0  # shorter than the idle limits that servers usually have
+_KEEP_ALIVE_MARGIN_S = 1.0  # the server counts from earlier than this side
+_MAX_IDLE_PER_RUNNER = 6
+_MAX_HEAD_BYTES = 65_536
+
+
+class RunnerConnection(Protocol):
+    """One connection to one runner; at most one request at a time."""
+
+    def __init__(self, owner: RunnerPool, runner_id: str) -> None:
+        self._owner = owner
+        self._runner_id = runner_id
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._request: RunnerRequest | None = None
+        self._listener: SendListener | None = None
+        self._passing_over = False
+        self._keep_s = _MAX_IDLE_S
+        self.idle_until = 0.0
+        self.open = False
+
+    def connectionMade(self) -> None:
+        """The connection is there."""
+        self.open = True
+        detect_silence(self.transport)
+        cast("Any", self.transport).setTcpNoDelay(True)
+
+    def carry(self, request: RunnerRequest, listener: SendListener) -> None:
+        """Send a request on the connection."""
+        self._request = request
+        self._listener = listener
+        self._write_request(to_wire=True)
+
+    def cancel(self) -> None:
+        """Close the connection: nobody wants its answer."""
+        self._listener = None
+        self._drop()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what has come."""
+        if self._request is None:
+            self._drop()
+            return
+        try:
+            self._http.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._break(f"the runner's bytes are not an answer: {error}")
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """The runner has closed, or the connection has failed."""
+        self.open = False
+        self._owner.lost(self._runner_id, self)
+        if self._listener is None:
+            return
+        if not reason.check(connectionDone.type):
+            self._break(f"the connection was lost: {reason.getErrorMessage()}")
+            return
+        try:
+            self._http.receive_data(b"")
+            self._parse()
+        except h11.RemoteProtocolError:
+            pass  # an answer that was cut off is reported below
+        if self._listener is not None:
+            self._break("the runner closed the connection within an answer")
+
+    def _write_request(self, *, to_wire: bool) -> None:
+        request = cast("RunnerRequest", self._request)
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        events: list[Any] = [
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        ]
+        if request.body:
+            events.append(h11.Data(data=request.body))
+        events.append(h11.EndOfMessage())
+        data = b"".join(self._http.send(event) or b"" for event in events)
+        if to_wire:
+            cast("Any", self.transport).write(data)
+
+    def _parse(self) -> None:
+        while self._request is not None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                if not self._passing_over and self._listener is not None:
+                    self._listener.on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._take_end()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _take_head(self, response: h11.Response) -> None:
+        headers: Headers = list(response.headers)
+        request = cast("RunnerRequest", self._request)
+        dialect = self._owner.dialect
+        answered = dialect.answered_id(headers)
+        if answered is not None and answered != request.request_id:
+            self._passing_over = True
+            return
+        self._keep_s = _keep_alive_s(headers)
+        if self._listener is not None:
+            head = dialect.decode_head(response.status_code, end_to_end(headers))
+            self._listener.on_head(head)
+
+    def _take_end(self) -> None:
+        if self._passing_over:
+            self._await_own_answer()
+            return
+        listener, self._listener = self._listener, None
+        self._request = None
+        self._keep_or_drop()
+        if listener is not None:
+            listener.on_end()
+
+    def _await_own_answer(self) -> None:
+        left_over, closed = self._http.trailing_data
+        self._passing_over = False
+        if closed or self._http.their_state is h11.MUST_CLOSE:
+            self._break("another request's answer came, and then the end")
+            return
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._write_request(to_wire=False)
+        if left_over:
+            self._http.receive_data(left_over)
+
+    def _keep_or_drop(self) -> None:
+        both_done = (
+            self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        )
+        if not both_done or self._http.trailing_data[0] or not self.open:
+            self._drop()
+            return
+        self._http.start_next_cycle()
+        self._owner.rest(self._runner_id, self, self._keep_s)
+
+    def _break(self, reason: str) -> None:
+        listener, self._listener = self._listener, None
+        self._request = None
+        self._drop()
+        if listener is not None:
+            listener.on_broken(reason)
+
+    def _drop(self) -> None:
+        self._request = None
+        if self.open:
+            self.open = False
+            cast("Any", self.transport).abortConnection()
+
+
+class _Connecting(ClientFactory):
+    """Opens one connection for one request."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        pool: RunnerPool,
+        runner_id: str,
+        request: RunnerRequest,
+        listener: SendListener,
+    ) -> None:
+        self._pool = pool
+        self._runner_id = runner_id
+        self._request = request
+        self._listener: SendListener | None = listener
+        self._connection: RunnerConnection | None = None
+        self.connector: Any = None
+
+    def buildProtocol(self, addr: Any) -> RunnerConnection | None:
+        """The connection is there: send the request, if it is still wanted."""
+        if self._listener is None:
+            return None
+        self._connection = _FirstUse(
+            self._pool, self._runner_id, self._request, self._listener
+        )
+        return self._connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """No connection came about."""
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.on_not_sent(reason.getErrorMessage())
+
+    def cancel(self) -> None:
+        """Stop connecting, or close the connection."""
+        self._listener = None
+        if self._connection is not None:
+            self._connection.cancel()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+
+class _FirstUse(RunnerConnection):
+    """A new connection, which sends its first request as soon as it is open."""
+
+    def __init__(
+        self,
+        owner: RunnerPool,
+        runner_id: str,
+        request: RunnerRequest,
+        listener: SendListener,
+    ) -> None:
+        super().__init__(owner, runner_id)
+        self._first = (request, listener)
+
+    def connectionMade(self) -> None:
+        """Send the request."""
+        super().connectionMade()
+        self.carry(*self._first)
+
+
+class RunnerPool:
+    """Opens connections to runners and keeps idle ones for a while.
+
+    :param dialect: names the headers of answers.
+    """
+
+    def __init__(self, reactor: Any, clock: Clock, dialect: Dialect) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self.dialect = dialect
+        self._idle_by_runner: dict[str, deque[RunnerConnection]] = {}
+        self.opened = 0
+
+    def send(
+        self, runner: RegisteredRunner, request: RunnerRequest, listener: SendListener
+    ) -> RunnerConnection | _Connecting:
+        """Send one request on an idle connection, or on a new one.
+
+        A request that may run once gets a new connection: on a kept one a close that
+        crosses the request could not be told from a lost answer.
+        """
+        kept = self._take_idle(runner.runner_id) if request.repeatable else None
+        if kept is not None:
+            kept.carry(request, listener)
+            return kept
+        self.opened += 1
+        connecting = _Connecting(self, runner.runner_id, request, listener)
+        connecting.connector = self._reactor.connectTCP(
+            runner.host, runner.port, connecting, timeout=_CONNECT_TIMEOUT_S
+        )
+        return connecting
+
+    def rest(self, runner_id: str, connection: RunnerConnection, keep_s: float) -> None:
+        """Keep a connection for the runner's next request."""
+        idle = self._idle_by_runner.setdefault(runner_id, deque())
+        connection.idle_until = self._clock.seconds() + keep_s
+        idle.append(connection)
+        if len(idle) > _MAX_IDLE_PER_RUNNER:
+            idle.popleft().cancel()
+
+    def lost(self, runner_id: str, connection: RunnerConnection) -> None:
+        """Forget a connection that has ended."""
+        idle = self._idle_by_runner.get(runner_id)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+
+    def drop(self, runner_id: str) -> None:
+        """Close the idle connections to a runner that is gone."""
+        for connection in self._idle_by_runner.pop(runner_id, ()):
+            connection.cancel()
+
+    def trim(self) -> None:
+        """Close the connections that have been idle for too long."""
+        now = self._clock.seconds()
+        for idle in self._idle_by_runner.values():
+            while idle and now >= idle[0].idle_until:
+                idle.popleft().cancel()
+
+    def _take_idle(self, runner_id: str) -> RunnerConnection | None:
+        idle = self._idle_by_runner.get(runner_id)
+        now = self._clock.seconds()
+        while idle:
+            connection = idle.pop()
+            if connection.open and now < connection.idle_until:
+                return connection
+            connection.cancel()
+        return None
+
+
+def _keep_alive_s(headers: Headers) -> float:
+    """Return for how long an idle connection may be used again."""
+    stated = next(
+        (value for name, value in headers if name.lower() == b"keep-alive"), b""
+    )
+    for parameter in stated.split(b","):
+        name, _, value = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return min(max(int(value) - _KEEP_ALIVE_MARGIN_S, 0.0), _MAX_IDLE_S)
+    return _MAX_IDLE_S
+
+
+__all__ = ["RunnerConnection", "RunnerPool"]
