Limit a group's streams by the pauses that are seen

Cause: with all places taken a pass takes 155 ms and every pause exceeds the aim of 120 ms. The pauses grow evenly with the streams in the group (58 ms at 22, 110 at 59, 155 at 75), so what a stream adds is learned and limited. Ruled out: uneven ranks (busiest/mean 1.10) and the entries' own processor time (0.03 cores).

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -17,7 +17,7 @@
 
     from corianderrelay.coordination.clock import Clock
 
-    from ...state.direct.catalog import Catalog
+    from ...state.direct.catalog import Catalog, EngineModel
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import ConfigSource
@@ -72,6 +72,12 @@
         """The version in force."""
         return None if self.catalog is None else self.catalog.version
 
+    def engine(self, service: str) -> EngineModel | None:
+        """Return what is configured of a service's engines."""
+        if self.catalog is None or service not in self.catalog.services_by_name:
+            return None
+        return self.catalog.services_by_name[service].engine
+
     def start(self) -> None:
         """Begin to follow."""
         self._ask()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from ...state.direct.catalog import RequestKind
 from ...state.direct.lockstep_placement import LockstepPlacement
+from ...state.direct.pace_limit import PaceLimit
 from ...state.direct.pass_pace import PassPace
 from ...state.direct.repeat_budget import RepeatBudget
 from ...state.direct.surge_admission import SurgeAdmission
@@ -13,21 +14,41 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from ...state.direct.catalog import Route
+    from ...state.direct.catalog import EngineModel, Route
     from ...state.direct.entry_peers import EntryPeers
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from ...state.direct.settings import DirectBounds
     from .open_direct_call import OpenDirectCall
 
-_FIRST_EVENT_S = 0.15  # usual time from a send to its first event
-_PLAIN_ANSWER_S = 0.1
+_FIRST_EVENT_MARGIN = 1.3  # a first event takes longer than usual as often as not
+_PLAIN_ANSWER_S = 0.1  # usual time of a plain service's answer
+_PAUSE_QUANTILE = 0.9  # one long pause spoils a whole stream
 _SERVER_ERROR = 500
 
 
+class Engines(Protocol):
+    """Knows the engines of services."""
+
+    def engine(self, service: str) -> EngineModel | None:
+        """Return what is configured of a service's engines."""
+
+
+class _Group:
+    """The runners of a service that pass together."""
+
+    __slots__ = ("pace", "limit", "aim_s")
+
+    def __init__(self) -> None:
+        self.pace = PassPace()
+        self.limit = PaceLimit()
+        self.aim_s = 0.0
+
+
 class ServicePlaces:
     """Who runs where, over all services.
 
     :param peers: the other entries and what they run.
+    :param engines: what the configuration says of engines.
     """
 
     def __init__(
@@ -36,7 +57,9 @@
         peers: EntryPeers,
         bounds: DirectBounds,
         random: Random,
+        engines: Engines,
     ) -> None:
+        self._engines = engines
         self._runners = runners
         self._peers = peers
         self._bounds = bounds
@@ -44,7 +67,7 @@
         self._placement = LockstepPlacement(random)
         self._admission_by_service: dict[str, SurgeAdmission[OpenDirectCall]] = {}
         self._budget_by_service: dict[str, RepeatBudget] = {}
-        self._pace_by_service: dict[str, PassPace] = {}
+        self._groups_by_service: dict[str, _Group] = {}
 
     def service_of(self, route: Route) -> str:
         """Draw the service of a request."""
@@ -79,6 +102,8 @@
     def arrived(self, opened: OpenDirectCall, now: float) -> None:
         """Count a request of a caller."""
         self._budget(opened.service).request_arrived(now)
+        if opened.route.kind is RequestKind.STREAM:
+            self._group(opened.service).aim_s = opened.route.gap_objective_s
 
     def hear_peers(self, now: float) -> None:
         """Take what the other entries run."""
@@ -98,10 +123,7 @@
 
     def free(self, service: str) -> int:
         """Return the places of a service that nobody is known to have."""
-        return sum(
-            max(runner.slots - self._placement.running(runner.runner_id), 0)
-            for runner in self._runners.usable(service)
-        )
+        return self._limit(service) - self._running(service)
 
     def has_place(self, opened: OpenDirectCall, now: float) -> bool:
         """Whether the request may start at once."""
@@ -113,7 +135,10 @@
         if not self._runners.usable(opened.service):
             return False
         stream = opened.route.kind is RequestKind.STREAM
-        needed_s = _FIRST_EVENT_S if stream else _PLAIN_ANSWER_S
+        needed_s = _PLAIN_ANSWER_S
+        if stream:
+            expected_s = self._group(opened.service).pace.first_event_s
+            needed_s = _FIRST_EVENT_MARGIN * expected_s
         latest_s = opened.call.received_at + opened.route.objective_s - needed_s
         admission = self._admission(opened.service)
         return admission.wait(opened, opened.priority, latest_s, now)
@@ -159,9 +184,12 @@
         """Note whole events of a stream."""
         if not opened.last_event_at:
             standing = self._placement.standing(opened.runner_id)
-            standing.answered(now - opened.attempts.sent_at, now)
+            first_s = now - opened.attempts.sent_at
+            standing.answered(first_s, now)
+            self._group(opened.service).pace.began(first_s)
         else:
-            self._pace(opened.service).paused(now - opened.last_event_at, now)
+            pause_s = now - opened.last_event_at
+            self._group(opened.service).pace.paused(pause_s, now)
         opened.last_event_at = now
 
     def answered(self, opened: OpenDirectCall, status: int, now: float) -> None:
@@ -208,27 +236,52 @@
             "success_rate": round(standing.success_rate(now), 3),
         }
 
-    def describe_pace(self, now: float) -> list[dict[str, object]]:
-        """Return the pace of each group that streams, for the log."""
+    def measure_pace(self, now: float) -> list[dict[str, object]]:
+        """Learn the pace of each group that streams; return what was learned."""
         return [
-            {
-                "service": service,
-                "pauses": pace.seen(now),
-                "median_s": round(pace.quantile_s(0.5, now), 4),
-                "worst_s": round(pace.quantile_s(1.0, now), 4),
-                "running": sum(
-                    self._placement.running(runner.runner_id)
-                    for runner in self._runners.usable(service)
-                ),
-                "waiting": len(self._admission(service)),
-            }
-            for service, pace in self._pace_by_service.items()
+            {"service": service, **self._measure(service, group, now)}
+            for service, group in self._groups_by_service.items()
         ]
 
-    def _pace(self, service: str) -> PassPace:
-        found = self._pace_by_service.get(service)
+    def _measure(self, service: str, group: _Group, now: float) -> dict[str, object]:
+        running = self._running(service)
+        pause_s = group.pace.quantile_s(_PAUSE_QUANTILE, now)
+        group.limit.measured(pause_s, running, self._fixed_pass_s(service))
+        return {
+            "pauses": group.pace.seen(now),
+            "pause_s": round(pause_s, 4),
+            "worst_s": round(group.pace.quantile_s(1.0, now), 4),
+            "first_event_s": round(group.pace.first_event_s, 4),
+            "running": running,
+            "limit": self._limit(service),
+            "waiting": len(self._admission(service)),
+        }
+
+    def _limit(self, service: str) -> int:
+        """Return the requests that the service's runners may have at once."""
+        usable = self._runners.usable(service)
+        places = sum(runner.slots for runner in usable)
+        group = self._groups_by_service.get(service)
+        if group is None:
+            return places
+        return group.limit.streams(
+            group.aim_s, self._fixed_pass_s(service), places, len(usable)
+        )
+
+    def _running(self, service: str) -> int:
+        return sum(
+            self._placement.running(runner.runner_id)
+            for runner in self._runners.usable(service)
+        )
+
+    def _fixed_pass_s(self, service: str) -> float:
+        engine = self._engines.engine(service)
+        return 0.0 if engine is None else engine.step_s * engine.steps_per_pass
+
+    def _group(self, service: str) -> _Group:
+        found = self._groups_by_service.get(service)
         if found is None:
-            found = self._pace_by_service[service] = PassPace()
+            found = self._groups_by_service[service] = _Group()
         return found
 
     def _admission(self, service: str) -> SurgeAdmission[OpenDirectCall]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -36,6 +36,7 @@
 
 _TICK_S = 0.05  # a request is ended within this time of its deadline
 _HOUSEKEEPING_S = 0.5
+_MEASURING_S = 0.25  # some passes; what a stream costs changes within seconds
 
 
 class DirectSources:
@@ -93,7 +94,7 @@
             self._take_news,
         )
         self.places = ServicePlaces(
-            self.runners, self.exchange.peers, settings.bounds, random
+            self.runners, self.exchange.peers, settings.bounds, random, self.config
         )
         self.connections = RunnerPool(reactor, reactor, sources.dialect)
         self.runner_watch = RunnerWatch(
@@ -115,6 +116,7 @@
         )
         self._tick = Periodic(reactor, self.relay.tick)
         self._housekeeping = Periodic(reactor, self._keep_house)
+        self._measuring = Periodic(reactor, self._measure_pace)
 
     @property
     def limits(self) -> CallerLimits:
@@ -139,6 +141,7 @@
         self.exchange.start()
         self._tick.start(_TICK_S)
         self._housekeeping.start(_HOUSEKEEPING_S)
+        self._measuring.start(_MEASURING_S)
         self._tell_peers()
 
     def leave(self) -> None:
@@ -197,12 +200,14 @@
         self.connections.drop(runner_id)
         self.places.forget_runner(runner_id)
 
+    def _measure_pace(self) -> None:
+        for measured in self.places.measure_pace(self._reactor.seconds()):
+            self.log.note(Decision.PACE_SEEN, **measured)
+
     def _keep_house(self) -> None:
         self.runner_watch.expire()
         self.connections.trim()
         now = self._reactor.seconds()
-        for pace in self.places.describe_pace(now):
-            self.log.note(Decision.PACE_SEEN, **pace)
         collectors = self.collectors
         collectors.peers.set({}, len(self.exchange.peers.alive(now)))
         collectors.running.set({}, sum(self.places.own_running().values()))
