Let requests wait only for what their first event leaves of the aim

Cause: a place that came free at another entry was not waited for, so callers were refused and came back late. Free places are now shared by what waits at each entry, news go out each 40 ms, and a caller that was refused before comes behind those that can still be in time.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -208,7 +208,7 @@
         return (opened.call.key or "") in catalog.workspaces_by_key
 
     def _refuse_full(self, opened: OpenDirectCall, reason: str, now: float) -> None:
-        retry_after_s = self._places.retry_after_s(opened.service)
+        retry_after_s = self._places.retry_after_s(opened.service, now)
         orders = opened.attempts.refuse_unsent(reason, retry_after_s)
         self._carry_out(opened, orders, now)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ...state.direct.catalog import RequestKind
+
 if TYPE_CHECKING:
     from ...state.direct.attempts import DirectAttempts
     from ...state.direct.call import DirectCall, RunnerHead
@@ -65,6 +67,14 @@
         self.first_byte_at = 0.0
         self.last_event_at = 0.0
 
+    @property
+    def returned(self) -> bool:
+        """Whether the caller has waited before: it will wait less than is usual."""
+        patience_s = self.call.patience_s
+        if patience_s is None or self.route.kind is not RequestKind.STREAM:
+            return False
+        return patience_s < self.route.timeout_s
+
 
 class SendEvents:
     """Passes the events of one send on, until the request has left that runner."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -9,7 +9,7 @@
 from ...state.direct.pace_limit import PaceLimit
 from ...state.direct.pass_pace import PassPace
 from ...state.direct.repeat_budget import RepeatBudget
-from ...state.direct.surge_admission import SurgeAdmission
+from ...state.direct.surge_admission import Elsewhere, SurgeAdmission
 
 if TYPE_CHECKING:
     from random import Random
@@ -20,8 +20,8 @@
     from ...state.direct.settings import DirectBounds
     from .open_direct_call import OpenDirectCall
 
-_FIRST_EVENT_MARGIN = 1.3  # a first event takes longer than usual as often as not
 _PLAIN_ANSWER_S = 0.1  # usual time of a plain service's answer
+_RETURNED_WAIT_S = 0.1  # about a pass; more would hold up a caller for nothing
 _PAUSE_QUANTILE = 0.9  # one long pause spoils a whole stream
 _SERVER_ERROR = 500
 
@@ -128,20 +128,28 @@
     def has_place(self, opened: OpenDirectCall, now: float) -> bool:
         """Whether the request may start at once."""
         waiting = len(self._admission(opened.service))
+        waiting += self._elsewhere(opened.service, now).waiting
         return self.free(opened.service) > waiting
 
     def wait(self, opened: OpenDirectCall, now: float) -> bool:
         """Let the request wait; false if its place would come too late."""
         if not self._runners.usable(opened.service):
             return False
-        stream = opened.route.kind is RequestKind.STREAM
+        returned = opened.returned
+        return self._admission(opened.service).wait(
+            opened,
+            returned=returned,
+            priority=opened.priority,
+            latest_s=now + _RETURNED_WAIT_S if returned else self._latest_s(opened),
+            elsewhere=self._elsewhere(opened.service, now),
+            now=now,
+        )
+
+    def _latest_s(self, opened: OpenDirectCall) -> float:
         needed_s = _PLAIN_ANSWER_S
-        if stream:
-            expected_s = self._group(opened.service).pace.first_event_s
-            needed_s = _FIRST_EVENT_MARGIN * expected_s
-        latest_s = opened.call.received_at + opened.route.objective_s - needed_s
-        admission = self._admission(opened.service)
-        return admission.wait(opened, opened.priority, latest_s, now)
+        if opened.route.kind is RequestKind.STREAM:
+            needed_s = self._group(opened.service).pace.first_event_s
+        return opened.call.received_at + opened.route.objective_s - needed_s
 
     def stop_waiting(self, opened: OpenDirectCall) -> None:
         """Forget a request that has ended while it waited."""
@@ -153,7 +161,9 @@
             opened
             for service, admission in self._admission_by_service.items()
             if len(admission)
-            for opened in admission.admit(self.free(service))
+            for opened in admission.admit(
+                self.free(service), self._elsewhere(service, now), self._random
+            )
         ]
 
     def overdue(self, now: float) -> list[OpenDirectCall]:
@@ -165,9 +175,10 @@
             for opened in admission.overdue(now)
         ]
 
-    def retry_after_s(self, service: str) -> float:
+    def retry_after_s(self, service: str, now: float) -> float:
         """Return when a refused caller can expect a place."""
-        return self._admission(service).retry_after_s()
+        elsewhere = self._elsewhere(service, now)
+        return self._admission(service).retry_after_s(elsewhere)
 
     def sent(self, opened: OpenDirectCall, runner_id: str, now: float) -> None:
         """Note that a runner has the request."""
@@ -219,12 +230,15 @@
     def describe(self, service: str, now: float) -> dict[str, object]:
         """Return what decided about a place, for the log."""
         usable = self._runners.usable(service)
+        elsewhere = self._elsewhere(service, now)
+        admission = self._admission(service)
         return {
             "usable_runners": len(usable),
             "free_places": self.free(service),
-            "waiting": len(self._admission(service)),
-            "entries_heard": len(self._peers.alive(now)),
-            "expected_wait_s": round(self._admission(service).expected_wait_s(0), 4),
+            "waiting": len(admission),
+            "waiting_elsewhere": elsewhere.waiting,
+            "entries_heard": elsewhere.entries,
+            "expected_wait_s": round(admission.expected_wait_s(0, elsewhere), 4),
         }
 
     def describe_runner(self, runner_id: str, now: float) -> dict[str, object]:
@@ -268,6 +282,11 @@
             group.aim_s, self._fixed_pass_s(service), places, len(usable)
         )
 
+    def _elsewhere(self, service: str, now: float) -> Elsewhere:
+        alive = self._peers.alive(now)
+        waiting = sum(news.waiting_by_service.get(service, 0) for news in alive)
+        return Elsewhere(len(alive), waiting)
+
     def _running(self, service: str) -> int:
         return sum(
             self._placement.running(runner.runner_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -11,8 +11,8 @@
 _MIN_ALIVE_S = 1.5  # an entry that stops is missed before callers' lists expire
 _ALIVE_PERIODS = 4  # lost datagrams change nothing
 _FORGET_S = 20.0  # an entry that is replaced comes back under another address
-_DATAGRAMS_PER_S = 50.0  # bounds processor time and bytes whatever the entries' number
-_MIN_PERIOD_S = 0.1
+_DATAGRAMS_PER_S = 125.0  # bounds processor time and bytes whatever the entries' number
+_MIN_PERIOD_S = 0.04  # half of the shortest pass: more often tells nothing new
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
@@ -9,26 +9,30 @@
 
 _WINDOW_S = 1.0  # some ten passes; popularity of experts changes within seconds
 _USUAL_FIRST_EVENT_S = 0.15  # until the first stream has begun
-_WEIGHT = 0.1  # share of the newest stream in the expected time
+_FIRST_EVENTS = 32  # some seconds of an entry's streams
+_FIRST_EVENT_SHARE = 0.9  # of the streams; a later one is late for its caller
 
 
 class PassPace:
     """Pauses between events that were seen of late."""
 
-    __slots__ = ("_pauses", "_first_event_s")
+    __slots__ = ("_pauses", "_first_events")
 
     def __init__(self) -> None:
         self._pauses: deque[tuple[float, float]] = deque()
-        self._first_event_s = _USUAL_FIRST_EVENT_S
+        self._first_events: deque[float] = deque(maxlen=_FIRST_EVENTS)
 
     @property
     def first_event_s(self) -> float:
-        """Time from a send to its first event that is expected now, in seconds."""
-        return self._first_event_s
+        """Time from a send to its first event that few streams exceed, in seconds."""
+        if not self._first_events:
+            return _USUAL_FIRST_EVENT_S
+        ordered = sorted(self._first_events)
+        return ordered[int(_FIRST_EVENT_SHARE * len(ordered))]
 
     def began(self, first_event_s: float) -> None:
         """Note the time from a send to its first event."""
-        self._first_event_s += _WEIGHT * (first_event_s - self._first_event_s)
+        self._first_events.append(first_event_s)
 
     def paused(self, pause_s: float, now: float) -> None:
         """Note the pause before an event."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/surge_admission.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/surge_admission.py
@@ -1,17 +1,23 @@
 """Who gets a place when more ask than the runners of a service can serve in time.
 
-A place is free while the running requests of all entries are fewer than the runners'
-places. A request that can still be in time waits in order of priority and arrival; one
-that cannot is refused at once, with the time at which a place is expected.
+A place is free while the running requests of all entries are fewer than the runners
+may have. A request that can still be in time waits in order of priority and arrival;
+one that cannot is refused at once, with the time at which a place is expected. A caller
+that was refused before can no longer be in time; it waits behind those that can, for as
+long as it has told, since it will not ask again.
 """
 
 from __future__ import annotations
 
 import itertools
 from dataclasses import dataclass
-from typing import Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from random import Random
 
 _PACE_WEIGHT = 0.1  # share of the newest interval in the mean time between ends
+_USUAL_INTERVAL_S = 0.2  # between the ends of one entry's requests, until two are seen
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 2.0  # a surge changes within seconds; a longer wait says nothing
 
@@ -22,25 +28,38 @@
 class Waiting(Generic[T]):
     """A request without a place.
 
+    :param returned: whether its caller was refused before.
     :param latest_s: monotonic time at which waiting on is of no use.
     """
 
     item: T
+    returned: bool
     priority: int
-    arrived_s: float
     latest_s: float
     order: int
 
 
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What the other entries say of a service.
+
+    :param entries: how many of them are there.
+    :param waiting: requests that wait at them.
+    """
+
+    entries: int = 0
+    waiting: int = 0
+
+
 class SurgeAdmission(Generic[T]):
     """The waiting requests of one service at one entry."""
 
-    __slots__ = ("_waiting", "_counter", "_end_interval_s", "_ended_at")
+    __slots__ = ("_waiting", "_counter", "_interval_s", "_ended_at")
 
     def __init__(self) -> None:
         self._waiting: list[Waiting[T]] = []
         self._counter = itertools.count()
-        self._end_interval_s = 0.0
+        self._interval_s = _USUAL_INTERVAL_S
         self._ended_at: float | None = None
 
     def __len__(self) -> int:
@@ -50,31 +69,51 @@
         """Note that a request of this entry has given its place back."""
         if self._ended_at is not None:
             interval_s = now - self._ended_at
-            self._end_interval_s += _PACE_WEIGHT * (interval_s - self._end_interval_s)
+            self._interval_s += _PACE_WEIGHT * (interval_s - self._interval_s)
         self._ended_at = now
 
-    def expected_wait_s(self, ahead: int) -> float:
-        """Return the time until a place is expected with so many requests ahead."""
-        return (ahead + 1) * self._end_interval_s
+    def expected_wait_s(self, ahead: int, elsewhere: Elsewhere) -> float:
+        """Return the time until a place is expected with so many own ones ahead.
+
+        Places that come free at any entry are shared by all that wait.
+        """
+        interval_s = self._interval_s / (elsewhere.entries + 1)
+        return (ahead + elsewhere.waiting + 1) * interval_s
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, elsewhere: Elsewhere) -> float:
         """Return when a refused caller can expect a place, in seconds."""
-        wait_s = self.expected_wait_s(len(self._waiting))
+        wait_s = self.expected_wait_s(len(self._waiting), elsewhere)
         return min(max(wait_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
 
-    def wait(self, item: T, priority: int, latest_s: float, now: float) -> bool:
+    def wait(
+        self,
+        item: T,
+        *,
+        returned: bool,
+        priority: int,
+        latest_s: float,
+        elsewhere: Elsewhere,
+        now: float,
+    ) -> bool:
         """Let a request wait; return false if its place would come too late."""
-        ahead = sum(1 for each in self._waiting if each.priority <= priority)
-        if now + self.expected_wait_s(ahead) > latest_s:
+        new = Waiting(item, returned, priority, latest_s, next(self._counter))
+        ahead = sum(1 for each in self._waiting if _rank(each) < _rank(new))
+        if now + self.expected_wait_s(ahead, elsewhere) > latest_s:
             return False
-        waiting = Waiting(item, priority, now, latest_s, next(self._counter))
-        self._waiting.append(waiting)
-        self._waiting.sort(key=lambda each: (each.priority, each.order))
+        self._waiting.append(new)
+        self._waiting.sort(key=_rank)
         return True
 
-    def admit(self, free: int) -> list[T]:
-        """Take as many waiting requests as there are free places."""
-        admitted = self._waiting[: max(free, 0)]
+    def admit(self, free: int, elsewhere: Elsewhere, random: Random) -> list[T]:
+        """Take this entry's part of the free places for its waiting requests.
+
+        Entries that hear of the same free place share it by what waits at each.
+        """
+        if free <= 0 or not self._waiting:
+            return []
+        all_waiting = len(self._waiting) + elsewhere.waiting
+        part = int(free * len(self._waiting) / all_waiting + random.random())
+        admitted = self._waiting[: min(part, free)]
         del self._waiting[: len(admitted)]
         return [each.item for each in admitted]
 
@@ -92,4 +131,8 @@
         return found
 
 
-__all__ = ["SurgeAdmission", "Waiting"]
+def _rank(waiting: Waiting[T]) -> tuple[bool, int, int]:
+    return waiting.returned, waiting.priority, waiting.order
+
+
+__all__ = ["Elsewhere", "SurgeAdmission", "Waiting"]
