--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -72,16 +72,24 @@
         self._open: dict[int, OpenDirectCall] = {}
         self._next_number = 0
         self._progress_by_service: dict[str, float] = {}
+        self._takes_more = True
 
     @property
     def open_requests(self) -> int:
         """Number of requests without a final answer."""
         return len(self._open)
 
+    def take_no_more(self) -> None:
+        """Refuse what still comes: it could not end before this process does."""
+        self._takes_more = False
+
     def submit(self, call: DirectCall, sink: DirectSink) -> OpenDirectCall | None:
         """Take a request; return it while it is open."""
         now = self._clock.seconds()
         catalog = self._config.catalog
+        if not self._takes_more:
+            self._refuse_unrouted(call, sink, _UNAVAILABLE, "this entry is leaving")
+            return None
         if catalog is None:
             self._refuse_unrouted(call, sink, _UNAVAILABLE, "no configuration yet")
             return None
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -0,0 +1,311 @@
+"""Keeps the experts of lock-step groups balanced while what is popular drifts.
+
+One entry does so at a time, as far as entries know of each other; the orders to ranks
+are safe when two do. Groups are found by what runners report of themselves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.drifting_popularity import DriftingPopularity
+from ...state.direct.group_coordinator import GroupCoordinator, turned_map
+from ...state.direct.replica_plan import ReplicaRules, pass_skew, plan_replicas
+from ...state.direct.sequenced_switch import SwitchPhase, SwitchRules
+from .decision_log import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.catalog import EngineModel, ExpertModel
+    from ...state.direct.rank_orders import (
+        ExpertSets,
+        OrderOutcome,
+        RankOrder,
+        RankReport,
+    )
+    from ...state.direct.runner_list import RunnerList
+    from .decision_log import DecisionLog
+    from .rank_port import RankCalls
+
+_READ_EVERY_S = 0.4  # popularity jumps within seconds; a reading costs the group little
+_FIND_EVERY_S = 2.0  # until all runners of a service belong to a known group
+_LOOK_EVERY_S = 10.0  # a hold that another left shows as a stall long before
+_LONGEST_COPY_S = 1.3  # popularity may jump again within a few seconds
+_WORTH_SWITCHING = 1.3  # pass times, present over planned, that pay for the copies
+_USUAL_PASS_S = 0.06  # until the first pauses are seen
+
+
+class _Group:
+    """One group and what was read of it."""
+
+    __slots__ = (
+        "coordinator",
+        "popularity",
+        "members",
+        "source",
+        "read_at",
+        "looked_at",
+        "noted",
+    )
+
+    def __init__(
+        self, coordinator: GroupCoordinator, members: dict[str, int], now: float
+    ) -> None:
+        self.coordinator = coordinator
+        self.popularity = DriftingPopularity()
+        self.members = members
+        self.source = next(iter(members))
+        self.read_at = now
+        self.looked_at = now
+        self.noted: tuple[int, SwitchPhase] | None = None
+
+
+class GroupBalancer:
+    """The groups of one service.
+
+    :param identity: names this entry.
+    :param pass_s: returns the present time of a pass, 0 if it is not known.
+    :param running: returns the requests that a runner is believed to have.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        service: str,
+        runners: RunnerList,
+        calls: RankCalls,
+        clock: Clock,
+        random: Random,
+        log: DecisionLog,
+        pass_s: Callable[[], float],
+        running: Callable[[str], int],
+    ) -> None:
+        self._identity = identity
+        self._service = service
+        self._runners = runners
+        self._calls = calls
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._pass_s = pass_s
+        self._running = running
+        self._groups_by_name: dict[str, _Group] = {}
+        self._found_by_id: dict[str, RankReport] = {}
+        self._find_at = 0.0
+
+    @property
+    def switching(self) -> bool:
+        """Whether a switch is under way."""
+        return any(group.coordinator.busy for group in self._groups_by_name.values())
+
+    def tick(self, engine: EngineModel, may_switch: bool) -> None:
+        """Go on with what is under way; begin nothing new unless ``may_switch``."""
+        experts = engine.experts
+        if experts is None:
+            return
+        now = self._clock.seconds()
+        self._find_groups(engine, now)
+        for group in self._groups_by_name.values():
+            known = group.coordinator.map_version is not None
+            every_s = _LOOK_EVERY_S if known else _FIND_EVERY_S
+            if may_switch and now - group.looked_at >= every_s:
+                group.looked_at = now
+                group.coordinator.look(now)
+            if may_switch and not group.coordinator.busy:
+                self._read_counts(group, experts, now)
+            self._drive(group, now)
+
+    def _find_groups(self, engine: EngineModel, now: float) -> None:
+        known = {
+            runner_id
+            for group in self._groups_by_name.values()
+            for runner_id in group.members
+        }
+        usable = self._runners.usable(self._service)
+        missing = [each for each in usable if each.runner_id not in known]
+        if not missing or now < self._find_at:
+            return
+        self._find_at = now + _FIND_EVERY_S
+        for runner in missing:
+            report = self._calls.report(runner)
+            report.addCallbacks(
+                self._take_found, lambda _: None, callbackArgs=(engine,)
+            )
+
+    def _take_found(self, report: RankReport | None, engine: EngineModel) -> None:
+        if report is None or not report.group:
+            return
+        self._found_by_id[report.runner_id] = report
+        ranks = {
+            each.rank: each.runner_id
+            for each in self._found_by_id.values()
+            if each.group == report.group
+            and each.epoch == report.epoch
+            and self._runners.get(each.runner_id) is not None
+        }
+        if len(ranks) < report.size or engine.experts is None:
+            return
+        now = self._clock.seconds()
+        ordered = [ranks[rank] for rank in sorted(ranks)]
+        experts = engine.experts
+        coordinator = GroupCoordinator(
+            ordered,
+            turned_map(report.size, experts.experts, experts.sets),
+            self._identity,
+            SwitchRules(report_lag_s=engine.report_lag_s),
+            self._random,
+        )
+        members = {runner_id: rank for rank, runner_id in enumerate(ordered)}
+        group = _Group(coordinator, members, now)
+        self._groups_by_name[report.group] = group
+        self._log.note(
+            Decision.GROUP_FOUND,
+            group=report.group,
+            epoch=report.epoch,
+            ranks=report.size,
+            map_version=report.map_version,
+        )
+        coordinator.look(now)
+
+    def _read_counts(self, group: _Group, experts: ExpertModel, now: float) -> None:
+        if now - group.read_at < _READ_EVERY_S:
+            return
+        if not self._running(group.source):
+            # Counts compare only with the same rank's earlier ones.
+            group.source = max(group.members, key=self._running)
+        busiest = group.source
+        runner = self._runners.get(busiest)
+        if runner is None or not self._running(busiest):
+            return
+        group.read_at = now
+        counts = self._calls.counts(runner)
+        counts.addCallbacks(
+            self._take_counts, self._note_lost, callbackArgs=(group, busiest, experts)
+        )
+
+    def _take_counts(
+        self, counts: list[int], group: _Group, runner_id: str, experts: ExpertModel
+    ) -> None:
+        size = experts.experts
+        by_set = [counts[first : first + size] for first in range(0, len(counts), size)]
+        if len(counts) != size * experts.sets:
+            return
+        coordinator = group.coordinator
+        tokens = group.popularity.read(runner_id, coordinator.epoch or 0, by_set)
+        if tokens is None or coordinator.busy:
+            return
+        in_use = coordinator.map_in_use
+        if in_use is None:
+            self._read_map(group)
+            return
+        self._plan(group, tokens, experts)
+
+    def _plan(
+        self, group: _Group, tokens: list[list[float]], experts: ExpertModel
+    ) -> None:
+        coordinator = group.coordinator
+        in_use = coordinator.map_in_use
+        if in_use is None:
+            return
+        first = turned_map(len(in_use), experts.experts, experts.sets)
+        rules = ReplicaRules(
+            experts.places,
+            experts.new_in_set,
+            max(int(_LONGEST_COPY_S / experts.copy_s), 1),
+        )
+        plan = plan_replicas(tokens, first, in_use, rules)
+        present, planned = pass_skew(tokens, in_use), pass_skew(tokens, plan)
+        if present < _WORTH_SWITCHING * planned:
+            return
+        self._log.note(
+            Decision.MAP_PLANNED,
+            group_epoch=coordinator.epoch,
+            map_version=coordinator.map_version,
+            skew=round(present, 3),
+            planned_skew=round(planned, 3),
+        )
+        coordinator.want(plan)
+
+    def _read_map(self, group: _Group) -> None:
+        """Learn the map that another coordinator has put in use."""
+        held: dict[int, ExpertSets] = {}
+        version = group.coordinator.map_version
+
+        def take(experts: ExpertSets, rank: int) -> None:
+            held[rank] = experts
+            if len(held) == len(group.members):
+                in_use = tuple(held[each] for each in sorted(held))
+                group.coordinator.know_map(version, in_use)
+
+        for runner_id, rank in group.members.items():
+            runner = self._runners.get(runner_id)
+            if runner is not None:
+                experts = self._calls.experts(runner)
+                experts.addCallbacks(take, self._note_lost, callbackArgs=(rank,))
+
+    def _drive(self, group: _Group, now: float) -> None:
+        coordinator = group.coordinator
+        for runner_id in coordinator.asks(now):
+            runner = self._runners.get(runner_id)
+            if runner is None:
+                continue
+            report = self._calls.report(runner)
+            report.addCallbacks(
+                self._take_report, self._note_lost, callbackArgs=(group, now)
+            )
+        pass_s = self._pass_s() or _USUAL_PASS_S
+        for order in coordinator.orders(pass_s, now):
+            runner = self._runners.get(order.runner_id)
+            if runner is None:
+                continue
+            outcome = self._calls.order(runner, order)
+            outcome.addCallback(self._take_outcome, group, order)
+        self._note_phase(group)
+
+    def _take_report(
+        self, report: RankReport | None, group: _Group, asked_at: float
+    ) -> None:
+        if report is not None:
+            group.coordinator.reported(report, asked_at, self._clock.seconds())
+            self._drive(group, self._clock.seconds())
+
+    def _take_outcome(
+        self, outcome: OrderOutcome, group: _Group, order: RankOrder
+    ) -> None:
+        now = self._clock.seconds()
+        self._log.note(
+            Decision.RANK_ORDERED,
+            runner=order.runner_id,
+            order=order.kind.value,
+            epoch=order.epoch,
+            version=order.version,
+            step=order.step,
+            outcome=outcome.value,
+        )
+        group.coordinator.answered(order, outcome, now)
+        self._drive(group, now)
+
+    def _note_phase(self, group: _Group) -> None:
+        switch = group.coordinator.switch or group.coordinator.ended
+        if switch is None or group.noted == (switch.version, switch.phase):
+            return
+        group.noted = (switch.version, switch.phase)
+        self._log.note(
+            Decision.MAP_SWITCH,
+            phase=switch.phase.value,
+            version=switch.version,
+            step=switch.step,
+            reason=switch.reason,
+        )
+
+    def _note_lost(self, failure: Failure) -> None:
+        self._log.note(Decision.RANK_SILENT, reason=failure.getErrorMessage())
+
+
+__all__ = ["GroupBalancer"]
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
@@ -0,0 +1,96 @@
+"""Which entry balances the groups of which service."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from .group_balancer import GroupBalancer
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.entry_peers import EntryPeers
+    from ...state.direct.runner_list import RunnerList
+    from .config_watch import ConfigWatch
+    from .decision_log import DecisionLog
+    from .rank_port import RankCalls
+    from .service_places import ServicePlaces
+
+_SETTLE_S = 2.0  # an entry that has just started does not know the others yet
+
+
+class GroupBalancing:
+    """Balances groups while this entry is the first of those that are there."""
+
+    def __init__(
+        self,
+        entry_id: str,
+        runners: RunnerList,
+        peers: EntryPeers,
+        config: ConfigWatch,
+        places: ServicePlaces,
+        calls: RankCalls,
+        clock: Clock,
+        random: Random,
+        log: DecisionLog,
+    ) -> None:
+        self._entry_id = entry_id
+        self._runners = runners
+        self._peers = peers
+        self._config = config
+        self._places = places
+        self._calls = calls
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._first_since: float | None = None
+        self._balancers_by_service: dict[str, GroupBalancer] = {}
+
+    def tick(self, ready: bool) -> None:
+        """Go on with switches; begin new ones if it is this entry's turn."""
+        now = self._clock.seconds()
+        catalog = self._config.catalog
+        if catalog is None:
+            return
+        may_switch = self._is_first(ready, now)
+        for service in catalog.services_by_name.values():
+            engine = service.engine
+            if engine is None or engine.experts is None:
+                continue
+            balancer = self._balancers_by_service.get(service.name)
+            if balancer is None:
+                if not may_switch:
+                    continue
+                balancer = self._balancer(service.name)
+            if may_switch or balancer.switching:
+                balancer.tick(engine, may_switch)
+
+    def _is_first(self, ready: bool, now: float) -> bool:
+        ids = [news.entry_id for news in self._peers.alive(now) if news.ready]
+        if not ready or any(entry_id < self._entry_id for entry_id in ids):
+            self._first_since = None
+            return False
+        if self._first_since is None:
+            self._first_since = now
+        return now - self._first_since >= _SETTLE_S
+
+    def _balancer(self, service: str) -> GroupBalancer:
+        balancer = GroupBalancer(
+            self._entry_id,
+            service,
+            self._runners,
+            self._calls,
+            self._clock,
+            self._random,
+            self._log,
+            partial(self._places.pass_s, service),
+            self._places.running,
+        )
+        self._balancers_by_service[service] = balancer
+        return balancer
+
+
+__all__ = ["GroupBalancing"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -36,12 +36,13 @@
 class _Group:
     """The runners of a service that pass together."""
 
-    __slots__ = ("pace", "limit", "aim_s")
+    __slots__ = ("pace", "limit", "aim_s", "pass_s")
 
     def __init__(self) -> None:
         self.pace = PassPace()
         self.limit = PaceLimit()
         self.aim_s = 0.0
+        self.pass_s = 0.0
 
 
 class ServicePlaces:
@@ -257,10 +258,20 @@
             for service, group in self._groups_by_service.items()
         ]
 
+    def pass_s(self, service: str) -> float:
+        """Return the time of a pass of the service's groups; 0 if not known."""
+        group = self._groups_by_service.get(service)
+        return 0.0 if group is None else group.pass_s
+
+    def running(self, runner_id: str) -> int:
+        """Return the requests of all entries at a runner, as far as known."""
+        return self._placement.running(runner_id)
+
     def _measure(self, service: str, group: _Group, now: float) -> dict[str, object]:
         running = self._running(service)
         pause_s = group.pace.quantile_s(_PAUSE_QUANTILE, now)
-        group.limit.measured(pause_s, running, self._fixed_pass_s(service))
+        group.pass_s = group.pace.quantile_s(0.5, now)
+        group.limit.measured(pause_s, running, self._fixed_pass_s(service), now)
         return {
             "pauses": group.pace.seen(now),
             "pause_s": round(pause_s, 4),
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -14,6 +14,7 @@
 from .coordination.direct.decision_log import Decision, DecisionLog
 from .coordination.direct.direct_metrics import DirectMetrics
 from .coordination.direct.direct_relay import DirectRelay
+from .coordination.direct.group_balancing import GroupBalancing
 from .coordination.direct.peer_exchange import PeerExchange
 from .coordination.direct.runner_watch import RunnerWatch
 from .coordination.direct.service_places import ServicePlaces
@@ -30,6 +31,7 @@
         EntryRegistry,
         RunnerSource,
     )
+    from .coordination.direct.rank_port import RankCalls
     from .state.direct.entry_peers import EntryNews
     from .state.direct.settings import DirectSettings
     from .transport.direct.caller_http import CallerConnection, CallerRequest
@@ -43,9 +45,10 @@
     """What the platform keeps for the entries.
 
     :param dialect: names of headers towards callers and runners.
+    :param ranks: calls to runners that step together.
     """
 
-    __slots__ = ("config", "runners", "entries", "dialect")
+    __slots__ = ("config", "runners", "entries", "dialect", "ranks")
 
     def __init__(
         self,
@@ -53,7 +56,9 @@
         runners: RunnerSource,
         entries: EntryRegistry,
         dialect: Dialect,
+        ranks: RankCalls,
     ) -> None:
+        self.ranks = ranks
         self.config = config
         self.runners = runners
         self.entries = entries
@@ -114,7 +119,19 @@
             self.log,
             self.collectors,
         )
+        self.balancing = GroupBalancing(
+            settings.entry_id,
+            self.runners,
+            self.exchange.peers,
+            self.config,
+            self.places,
+            sources.ranks,
+            reactor,
+            random,
+            self.log,
+        )
         self._tick = Periodic(reactor, self.relay.tick)
+        self._balance = Periodic(reactor, self._balance_groups)
         self._housekeeping = Periodic(reactor, self._keep_house)
         self._measuring = Periodic(reactor, self._measure_pace)
 
@@ -142,6 +159,7 @@
         self._tick.start(_TICK_S)
         self._housekeeping.start(_HOUSEKEEPING_S)
         self._measuring.start(_MEASURING_S)
+        self._balance.start(_TICK_S)
         self._tell_peers()
 
     def leave(self) -> None:
@@ -200,6 +218,9 @@
         self.connections.drop(runner_id)
         self.places.forget_runner(runner_id)
 
+    def _balance_groups(self) -> None:
+        self.balancing.tick(self.ready)
+
     def _measure_pace(self) -> None:
         for measured in self.places.measure_pace(self._reactor.seconds()):
             self.log.note(Decision.PACE_SEEN, **measured)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -24,6 +24,7 @@
 _BACKLOG = 512  # callers open many connections at once when an entry goes away
 _DRAIN_POLL_S = 0.05
 _DIRECTORY_TTL_HELD_TIMES = 3.0  # some callers keep an answer three times as long
+_ARRIVALS_SHARE = 0.5  # of the time until the kill; the rest is for what runs
 _LAST_GRACE_S = 0.5  # time to exit before the kill
 _OK = 200
 _NOT_FOUND = 404
@@ -53,11 +54,8 @@
         self._entry = DirectEntry(settings, sources, reactor)
         self._callers = CallerFactory(self._entry, reactor)
         grace_s = settings.bounds.grace_s
-        stay_s = min(
-            _DIRECTORY_TTL_HELD_TIMES * directory_ttl_s(settings),
-            grace_s - _LAST_GRACE_S,
-        )
-        self._drain = Drain(stay_s, grace_s - _LAST_GRACE_S)
+        self._stay_s = _DIRECTORY_TTL_HELD_TIMES * directory_ttl_s(settings)
+        self._drain = Drain(self._stay_s, grace_s - _LAST_GRACE_S)
 
     def run(self) -> int:
         """Serve until the process is told to stop; return its exit code."""
@@ -137,6 +135,7 @@
             open_requests=self._entry.relay.open_requests,
         )
         self._entry.leave()
+        self._reactor.callLater(self._stay_s, self._entry.relay.take_no_more)
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -158,11 +157,11 @@
 def directory_ttl_s(settings: DirectSettings) -> float:
     """Return for how long callers may keep a directory answer, in seconds.
 
-    Those that keep it three times as long must have a new one before an entry that
-    leaves is gone.
+    Those that keep it three times as long must have a new one early enough that a
+    stream they begin here can end before this process is killed.
     """
-    longest = (settings.bounds.grace_s - 2 * _LAST_GRACE_S) / _DIRECTORY_TTL_HELD_TIMES
-    return float(max(min(int(longest), settings.bounds.directory_ttl_s), 1))
+    longest_s = _ARRIVALS_SHARE * settings.bounds.grace_s / _DIRECTORY_TTL_HELD_TIMES
+    return float(max(min(int(longest_s), int(settings.bounds.directory_ttl_s)), 1))
 
 
 __all__ = ["DirectService", "directory_ttl_s"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
@@ -19,6 +19,24 @@
     STREAM = "stream"
 
 
+@dataclass(frozen=True, slots=True)
+class ExpertModel:
+    """What a service's configuration says of its engines' experts.
+
+    :param sets: sets of layers, each with its own map.
+    :param experts: experts of a set.
+    :param places: experts of a set that a rank holds.
+    :param new_in_set: experts of a set that a rank may copy for one map.
+    :param copy_s: time to copy one expert, in seconds.
+    """
+
+    sets: int
+    experts: int
+    places: int
+    new_in_set: int
+    copy_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class EngineModel:
     """What a service's configuration says of its engines.
@@ -31,6 +49,8 @@
     :param steps_per_pass: steps that ranks make between two synchronisations.
     :param mean_prompt_tokens: usual length of a prompt.
     :param mean_answer_tokens: usual length of an answer.
+    :param report_lag_s: how old a runner's report is, in seconds.
+    :param experts: ``None`` if the engines do not step together.
     """
 
     step_s: float = 0.0
@@ -41,6 +61,8 @@
     steps_per_pass: int = 1
     mean_prompt_tokens: float = 0.0
     mean_answer_tokens: float = 0.0
+    report_lag_s: float = 0.0
+    experts: ExpertModel | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +183,7 @@
     "CallerLimits",
     "Catalog",
     "EngineModel",
+    "ExpertModel",
     "RequestKind",
     "Route",
     "Service",
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
@@ -0,0 +1,268 @@
+"""Looks after the expert map of one group: when to look, to switch, and to unwind.
+
+Several entries may coordinate a group at the same time; the switches themselves make
+that safe. A hold that stays is taken for one whose coordinator is gone.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from .sequenced_switch import SequencedSwitch, SwitchPhase, SwitchRules
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from .rank_orders import ExpertSets, OrderOutcome, RankOrder, RankReport
+
+_RANDOM_BITS = 20  # tells versions apart that two coordinators choose at once
+_LOOK_EVERY_S = 0.3  # between surveys while something is in the way
+_REPORT_ANSWER_S = 1.0  # after it a rank that has not answered is asked again
+_ABANDONED_S = 0.8  # several times what a switch holds the group
+_LEAD_S = 0.06  # time of a hold order and of arming, with a margin
+_LEAD_PASSES = 2
+_COPY_POLL_S = 0.15
+
+
+class GroupCoordinator:
+    """One entry's coordination of one group.
+
+    :param runner_ids: the group's runners, in order of rank.
+    :param first_map: the map of the group when it has just formed.
+    :param identity: of this entry; entries should hold groups at different ranks.
+    """
+
+    def __init__(
+        self,
+        runner_ids: Sequence[str],
+        first_map: tuple[ExpertSets, ...],
+        identity: str,
+        rules: SwitchRules,
+        random: Random,
+    ) -> None:
+        self.runner_ids = tuple(runner_ids)
+        self._holder = crc32(identity.encode()) % len(runner_ids)
+        self._first_map = first_map
+        self._rules = rules
+        self._random = random
+        self._reports_by_id: dict[str, tuple[RankReport, float]] = {}
+        self._asked_at_by_id: dict[str, float] = {}
+        self._survey_from: float | None = None
+        self._next_survey_at = 0.0
+        self._held_since: tuple[int, float] | None = None
+        self._wanted: tuple[ExpertSets, ...] | None = None
+        self._newest_version = 0
+        self._last_step = 0
+        self._switching: tuple[ExpertSets, ...] = ()
+        self.switch: SequencedSwitch | None = None
+        self.ended: SequencedSwitch | None = None
+        self.map_in_use: tuple[ExpertSets, ...] | None = None
+        self.map_version: int | None = None
+        self.epoch: int | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a switch is wanted or under way."""
+        return self._wanted is not None or self._under_way() is not None
+
+    def want(self, experts_by_rank: tuple[ExpertSets, ...]) -> None:
+        """Switch to this map as soon as the group allows it."""
+        self._wanted = experts_by_rank
+
+    def know_map(
+        self, version: int | None, experts_by_rank: tuple[ExpertSets, ...]
+    ) -> None:
+        """Take what the ranks hold, as they say, if that version is still in use."""
+        if version == self.map_version and not self.busy:
+            self.map_in_use = experts_by_rank
+
+    def look(self, now: float) -> None:
+        """Look at the group's ranks, in case a switch was left behind."""
+        if self._under_way() is None and self._survey_from is None:
+            self._survey_from = now
+
+    def asks(self, now: float) -> list[str]:
+        """Return the ranks to ask for a report now."""
+        switch = self._under_way()
+        if switch is not None:
+            wanted = switch.looks(now)
+            pause_s = _COPY_POLL_S
+        else:
+            if self._wanted is not None and self._survey_from is None:
+                self._survey_from = max(now, self._next_survey_at)
+            if self._survey_from is None or now < self._survey_from:
+                return []
+            wanted = [
+                runner_id
+                for runner_id in self.runner_ids
+                if not self._is_fresh(runner_id)
+            ]
+            pause_s = _REPORT_ANSWER_S
+        due = [
+            runner_id
+            for runner_id in wanted
+            if now - self._asked_at_by_id.get(runner_id, -math.inf) >= pause_s
+        ]
+        self._asked_at_by_id.update((runner_id, now) for runner_id in due)
+        return due
+
+    def orders(self, pass_s: float, now: float) -> list[RankOrder]:
+        """Return the orders to send now.
+
+        :param pass_s: how long a pass takes at present, in seconds.
+        """
+        switch = self._under_way()
+        if switch is None:
+            return []
+        if switch.phase is SwitchPhase.PREPARING and switch.all_prepared:
+            switch.hold_at(self._step_ahead(pass_s, now), now)
+        orders = switch.orders(now)
+        self._take_end(now)
+        return orders
+
+    def answered(self, order: RankOrder, outcome: OrderOutcome, now: float) -> None:
+        """Take the outcome of an order."""
+        switch = self._under_way()
+        if switch is not None:
+            switch.answered(order, outcome, now)
+            self._take_end(now)
+
+    def reported(self, report: RankReport, asked_at: float, now: float) -> None:
+        """Take a rank's report."""
+        self._reports_by_id[report.runner_id] = (report, asked_at)
+        self._newest_version = max(
+            self._newest_version,
+            report.map_version,
+            report.prepared or 0,
+            report.armed or 0,
+        )
+        switch = self._under_way()
+        if switch is not None:
+            switch.reported(report, asked_at, now)
+            self._take_end(now)
+        elif self._survey_from is not None and all(
+            map(self._is_fresh, self.runner_ids)
+        ):
+            self._survey_from = None
+            self._take_survey(now)
+
+    def _take_survey(self, now: float) -> None:
+        reports = [self._reports_by_id[each][0] for each in self.runner_ids]
+        self._next_survey_at = now + _LOOK_EVERY_S
+        if not _is_one_group(reports):
+            return
+        self._note_map(reports)
+        held = next((each for each in reports if each.held_step is not None), None)
+        if held is not None:
+            self._take_hold(reports, held, now)
+            return
+        self._held_since = None
+        if any(each.armed is not None for each in reports) or self._wanted is None:
+            return
+        wanted, self._wanted = self._wanted, None
+        switch = SequencedSwitch(
+            self.runner_ids,
+            reports[0].epoch,
+            self._next_version(),
+            wanted,
+            self._first_map,
+            self._holder,
+            self._rules,
+            now,
+        )
+        self._start(switch, wanted)
+
+    def _take_hold(
+        self, reports: list[RankReport], held: RankReport, now: float
+    ) -> None:
+        step = held.held_step or 0
+        if self._held_since is None or self._held_since[0] != step:
+            self._held_since = (step, now)
+        if now - self._held_since[1] < _ABANDONED_S:
+            self._survey_from = now + _LOOK_EVERY_S
+            return
+        switch = SequencedSwitch.unwinding(
+            reports, self._next_version(), self._first_map, self._rules, now
+        )
+        self._start(switch, self._first_map)
+
+    def _start(
+        self, switch: SequencedSwitch, experts_by_rank: tuple[ExpertSets, ...]
+    ) -> None:
+        self.switch = switch
+        self._switching = experts_by_rank
+        self._held_since = None
+
+    def _take_end(self, now: float) -> None:
+        switch = self.switch
+        if switch is None or not switch.over:
+            return
+        if switch.phase is SwitchPhase.SWITCHED:
+            self.map_in_use = self._switching
+            self.map_version = switch.version
+        self._next_survey_at = now + self._rules.report_lag_s + _LOOK_EVERY_S
+        self._survey_from = self._next_survey_at
+        self.switch = None
+        self.ended = switch
+
+    def _note_map(self, reports: list[RankReport]) -> None:
+        report = reports[0]
+        if report.epoch != self.epoch:
+            self.epoch = report.epoch
+            self._last_step = 0
+            self.map_version = None
+        if report.map_version != self.map_version:
+            self.map_version = report.map_version
+            self.map_in_use = self._first_map if report.map_version == 0 else None
+
+    def _next_version(self) -> int:
+        above = (self._newest_version >> _RANDOM_BITS) + 1
+        version = (above << _RANDOM_BITS) | self._random.getrandbits(_RANDOM_BITS - 1)
+        self._newest_version = version
+        return version
+
+    def _step_ahead(self, pass_s: float, now: float) -> int:
+        """Return a pass that begins a little after all ranks can be armed."""
+        lag_s = self._rules.report_lag_s
+        steps = (
+            report.step + (now - asked_at + lag_s + _LEAD_S) / pass_s
+            for report, asked_at in self._reports_by_id.values()
+        )
+        ahead = math.ceil(max(steps)) + _LEAD_PASSES
+        # A release of an earlier hold may still be on its way: no step is used twice.
+        self._last_step = max(ahead, self._last_step + 1)
+        return self._last_step
+
+    def _is_fresh(self, runner_id: str) -> bool:
+        known = self._reports_by_id.get(runner_id)
+        since = self._survey_from
+        return known is not None and since is not None and known[1] >= since
+
+    def _under_way(self) -> SequencedSwitch | None:
+        return None if self.switch is None or self.switch.over else self.switch
+
+
+def turned_map(ranks: int, experts: int, sets: int) -> tuple[ExpertSets, ...]:
+    """Return the map of a group that has formed: experts in turn over the ranks."""
+    return tuple(
+        tuple(tuple(range(rank, experts, ranks)) for _ in range(sets))
+        for rank in range(ranks)
+    )
+
+
+def _is_one_group(reports: list[RankReport]) -> bool:
+    first = reports[0]
+    return len(reports) == first.size and all(
+        report.whole
+        and report.epoch == first.epoch
+        and report.group == first.group
+        and report.rank == rank
+        and report.map_version == first.map_version
+        for rank, report in enumerate(reports)
+    )
+
+
+__all__ = ["GroupCoordinator", "turned_map"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pace_limit.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pace_limit.py
@@ -2,30 +2,34 @@
 
 A pass takes a fixed time and a part for each stream in the group. That part changes
 with the experts that requests choose, so it is learned from the pauses that are seen.
+It can jump while streams run that were admitted before, so the limit goes by what it
+was at its usual worst of late.
 """
 
 from __future__ import annotations
 
+from collections import deque
+
 _TARGET_SHARE = 0.85  # of the pause that is aimed at; the rest is for long prompts
 _LEARNING = 0.3  # share of the newest measurement; measured some times a second
 _MIN_STREAMS_MEASURED = 6  # with fewer, the fixed part hides what a stream adds
+_REMEMBERED_S = 8.0  # longer than popularity usually stays
+_USUAL_WORST = 0.8  # share of the remembered measurements that stay below
 _START_SHARE = 0.5  # of all places, until the first measurement
 
 
 class PaceLimit:
     """Learns what a stream adds to a pass and limits the streams by it."""
 
-    __slots__ = ("_per_stream_s",)
+    __slots__ = ("_per_stream_s", "_remembered")
 
     def __init__(self) -> None:
         self._per_stream_s: float | None = None
+        self._remembered: deque[tuple[float, float]] = deque()
 
-    @property
-    def per_stream_s(self) -> float | None:
-        """Seconds that each stream adds to a pass, as far as learned."""
-        return self._per_stream_s
-
-    def measured(self, pause_s: float, streams: int, fixed_s: float) -> None:
+    def measured(
+        self, pause_s: float, streams: int, fixed_s: float, now: float
+    ) -> None:
         """Take a pause that was seen while so many streams were in the group.
 
         :param fixed_s: time of a pass without streams, in seconds.
@@ -36,6 +40,15 @@
         if self._per_stream_s is None:
             self._per_stream_s = per_stream_s
         self._per_stream_s += _LEARNING * (per_stream_s - self._per_stream_s)
+        self._remembered.append((now, self._per_stream_s))
+        while now - self._remembered[0][0] > _REMEMBERED_S:
+            self._remembered.popleft()
+
+    def usual_worst_s(self) -> float:
+        """Return the seconds that a stream adds to a pass when that is much."""
+        ordered = sorted(per_stream_s for _, per_stream_s in self._remembered)
+        worst_s = ordered[int(_USUAL_WORST * len(ordered))]
+        return max(worst_s, self._per_stream_s or 0.0)
 
     def streams(self, aim_s: float, fixed_s: float, places: int, ranks: int) -> int:
         """Return the most streams that the group should carry.
@@ -43,11 +56,11 @@
         :param aim_s: longest pause that is aimed at; 0 if there is none.
         :param places: streams that the group's runners take at once.
         """
-        if self._per_stream_s is None:
+        if not self._remembered:
             return max(int(_START_SHARE * places), ranks)
         if aim_s <= 0.0:
             return places
-        wanted = (_TARGET_SHARE * aim_s - fixed_s) / self._per_stream_s
+        wanted = (_TARGET_SHARE * aim_s - fixed_s) / self.usual_worst_s()
         return min(max(int(wanted), ranks), places)
 
 
--- /dev/null
+++ b/tests/machines/group_coordinator_simulation.py
@@ -0,0 +1,147 @@
+"""Two coordinators switch the maps of one group while orders and reports go astray."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+
+from corianderrelay_entry.state.direct.group_coordinator import GroupCoordinator
+from corianderrelay_entry.state.direct.rank_orders import OrderOutcome, RankOrder
+from corianderrelay_entry.state.direct.sequenced_switch import SwitchRules
+
+from .sequenced_group import FaultyNetwork, ModelGroup
+
+_LAG_S = 0.2
+_STEP_S = 0.01
+_PASS_S = 0.06
+_RANKS = 4
+_FAULTY_S = 25.0
+_CALM_S = 25.0
+
+
+class _Coordinator:
+    """A coordinator that can freeze: what comes meanwhile is taken afterwards."""
+
+    def __init__(self, names: list[str], random: Random) -> None:
+        self.random = random
+        self.map = tuple(((rank,),) for rank in range(len(names)))
+        identity = str(random.random())
+        self.core = GroupCoordinator(names, self.map, identity, SwitchRules(), random)
+        self.frozen_until = 0.0
+        self.inbox: list[object] = []
+        self.next_want_at = random.uniform(0.0, 3.0)
+        self.next_look_at = random.uniform(0.0, 3.0)
+
+
+class GroupSimulation:
+    """One seeded run."""
+
+    def __init__(self, seed: int, coordinators: int = 2) -> None:
+        self.random = Random(seed)
+        late_share = self.random.choice([0.0, 0.05, 0.3])
+        lost_share = self.random.choice([0.0, 0.05, 0.3])
+        self.group = ModelGroup(_RANKS, copy_s=self.random.choice([0.0, 0.5, 1.2]))
+        self.network = FaultyNetwork(self.random, late_share, lost_share)
+        self.crash_share = self.random.choice([0.0, 0.0, 0.002])
+        self.freeze_share = self.random.choice([0.0, 0.005, 0.02])
+        self.coordinators = [
+            _Coordinator(self.group.names, Random(seed * 10 + number))
+            for number in range(coordinators)
+        ]
+        self.held_s = 0.0
+
+    def run(self) -> None:
+        """Play the faults, then calm; a held group must be let go in the end."""
+        steps = int((_FAULTY_S + _CALM_S) / _STEP_S)
+        next_pass_at = 0.0
+        for number in range(steps):
+            now = number * _STEP_S
+            faulty = now < _FAULTY_S
+            self.group.advance(now)
+            self.network.run(now)
+            if now >= next_pass_at:
+                self.group.begin_pass()
+                next_pass_at = now + _PASS_S
+            self.held_s += _STEP_S if self.group.held else 0.0
+            if faulty and self.random.random() < self.crash_share:
+                self.group.form_anew()
+            for coordinator in self.coordinators:
+                self._drive(coordinator, faulty, now)
+        assert not self.group.held, "the group is held for good"
+
+    def _drive(self, coordinator: _Coordinator, faulty: bool, now: float) -> None:
+        if now < coordinator.frozen_until:
+            return
+        if faulty and self.random.random() < self.freeze_share:
+            coordinator.frozen_until = now + self.random.uniform(0.1, 4.0)
+            return
+        core = coordinator.core
+        if faulty and now >= coordinator.next_want_at and not core.busy:
+            coordinator.next_want_at = now + self.random.uniform(0.5, 4.0)
+            core.want(coordinator.map)
+        if now >= coordinator.next_look_at:
+            coordinator.next_look_at = now + 1.0
+            core.look(now)
+        for name in core.asks(now):
+            self._ask(coordinator, name, faulty, now)
+        for order in core.orders(_PASS_S, now):
+            self._send(coordinator, order, faulty, now)
+
+    def _ask(
+        self, coordinator: _Coordinator, name: str, faulty: bool, now: float
+    ) -> None:
+        if faulty and self.network.lost():
+            return
+        asked_at = now
+
+        def answer(then: float) -> None:
+            report = self.group.report(name, _LAG_S, then)
+            back = partial(self._take_report, coordinator, report, asked_at)
+            self.network.later(self.network.delay_s(), back, then)
+
+        self.network.later(self.network.delay_s(), answer, now)
+
+    def _take_report(
+        self, coordinator: _Coordinator, report: object, asked_at: float, now: float
+    ) -> None:
+        if now < coordinator.frozen_until:
+            again = partial(self._take_report, coordinator, report, asked_at)
+            self.network.later(coordinator.frozen_until - now, again, now)
+            return
+        coordinator.core.reported(report, asked_at, now)  # type: ignore[arg-type]
+
+    def _send(
+        self, coordinator: _Coordinator, order: RankOrder, faulty: bool, now: float
+    ) -> None:
+        if faulty and self.network.very_late():
+            late_s = self.network.very_late_s()
+            self.network.later(late_s, partial(self._obey, order), now)
+            return
+
+        def arrive(then: float) -> None:
+            outcome = self.group.obey(order, then)
+            if faulty and self.network.lost():
+                return
+            back = partial(self._take_answer, coordinator, order, outcome)
+            self.network.later(self.network.delay_s(), back, then)
+
+        self.network.later(self.network.delay_s(), arrive, now)
+
+    def _obey(self, order: RankOrder, now: float) -> None:
+        self.group.obey(order, now)
+
+    def _take_answer(
+        self,
+        coordinator: _Coordinator,
+        order: RankOrder,
+        outcome: OrderOutcome,
+        now: float,
+    ) -> None:
+        if now < coordinator.frozen_until:
+            again = partial(self._take_answer, coordinator, order, outcome)
+            self.network.later(coordinator.frozen_until - now, again, now)
+            return
+        coordinator.core.answered(order, outcome, now)
+
+
+__all__ = ["GroupSimulation"]
--- /dev/null
+++ b/tests/machines/sequenced_group.py
@@ -0,0 +1,196 @@
+"""A lock-step group that obeys orders, as the coordinators' tests see it.
+
+Each order is checked against the rank's state when it arrives, which may be late.
+Reports are as old as the lag. A pass with two maps is an error at once.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from corianderrelay_entry.state.direct.rank_orders import (
+    ExpertSets,
+    OrderKind,
+    OrderOutcome,
+    RankOrder,
+    RankReport,
+)
+
+
+@dataclass
+class ModelRank:
+    """One rank's own state."""
+
+    map_version: int = 0
+    newest_version: int = 0
+    copying: tuple[int, float] | None = None
+    prepared: int | None = None
+    armed: tuple[int, int] | None = None
+    held_step: int | None = None
+
+
+class ModelGroup:
+    """All ranks of a group; ``names`` are in order of rank."""
+
+    def __init__(self, size: int, copy_s: float) -> None:
+        self.names = [f"rank-{number}" for number in range(size)]
+        self.ranks = {name: ModelRank() for name in self.names}
+        self.copy_s = copy_s
+        self.epoch = 1
+        self.step = 0
+        self.switches = 0
+        self.maps: dict[int, tuple[ExpertSets, ...]] = {}
+        self.history: list[tuple[float, dict[str, RankReport]]] = []
+
+    def form_anew(self) -> None:
+        """A rank has crashed and come back: a new epoch with nothing prepared."""
+        self.epoch += 1
+        for name in self.names:
+            self.ranks[name] = ModelRank()
+
+    @property
+    def held(self) -> bool:
+        """Whether the next pass may not begin."""
+        return any(
+            rank.held_step is not None and self.step + 1 >= rank.held_step
+            for rank in self.ranks.values()
+        )
+
+    def begin_pass(self) -> None:
+        """Begin the next pass unless it is held; all ranks must agree on the map."""
+        if self.held:
+            return
+        self.step += 1
+        for rank in self.ranks.values():
+            if rank.armed is not None and rank.armed[1] == self.step:
+                rank.map_version, rank.armed, rank.prepared = rank.armed[0], None, None
+                self.switches += 1
+        versions = {rank.map_version for rank in self.ranks.values()}
+        assert len(versions) == 1, f"pass {self.step} begins with maps {versions}"
+
+    def advance(self, now: float) -> None:
+        """Finish the copies that are due and remember what ranks report."""
+        for rank in self.ranks.values():
+            if rank.copying is not None and now >= rank.copying[1]:
+                rank.prepared, rank.copying = rank.copying[0], None
+        reports = {name: self._report(name) for name in self.names}
+        self.history.append((now, reports))
+        del self.history[:-200]
+
+    def report(self, name: str, lag_s: float, now: float) -> RankReport:
+        """Return what a rank reports now."""
+        old = [reports for at, reports in self.history if at <= now - lag_s]
+        reports = old[-1] if old else self.history[0][1]
+        return reports[name]
+
+    def obey(self, order: RankOrder, now: float) -> OrderOutcome:
+        """Carry an order out, or refuse it."""
+        rank = self.ranks[order.runner_id]
+        if order.epoch != self.epoch:
+            return OrderOutcome.REFUSED
+        fits = self._already(order, rank) or self._fits(order, rank, now)
+        return OrderOutcome.DONE if fits else OrderOutcome.REFUSED
+
+    def _already(self, order: RankOrder, rank: ModelRank) -> bool:
+        match order.kind:
+            case OrderKind.PREPARE:
+                copying = rank.copying is not None and rank.copying[0] == order.version
+                return copying or rank.prepared == order.version
+            case OrderKind.ARM:
+                return rank.armed == (order.version, order.step)
+            case OrderKind.DISARM:
+                return rank.armed is None and rank.map_version != order.version
+            case OrderKind.HOLD:
+                return rank.held_step == order.step
+        return False
+
+    def _fits(self, order: RankOrder, rank: ModelRank, now: float) -> bool:
+        match order.kind:
+            case OrderKind.PREPARE:
+                if order.version <= rank.newest_version or rank.armed is not None:
+                    return False
+                known = self.maps.setdefault(order.version, order.experts_by_rank)
+                assert known == order.experts_by_rank, "a version with two contents"
+                rank.newest_version = order.version
+                rank.prepared = None
+                rank.copying = (order.version, now + self.copy_s)
+            case OrderKind.ARM:
+                if rank.prepared != order.version or order.step <= self.step:
+                    return False
+                if rank.armed is not None:
+                    return False
+                rank.armed = (order.version, order.step)
+            case OrderKind.DISARM:
+                if rank.armed is None or rank.armed[0] != order.version:
+                    return False
+                rank.armed = None
+            case OrderKind.HOLD:
+                if order.step <= self.step or rank.held_step is not None:
+                    return False
+                rank.held_step = order.step
+            case OrderKind.RELEASE:
+                if rank.held_step != order.step:
+                    return False
+                rank.held_step = None
+        return True
+
+    def _report(self, name: str) -> RankReport:
+        rank = self.ranks[name]
+        return RankReport(
+            runner_id=name,
+            group="g",
+            epoch=self.epoch,
+            rank=self.names.index(name),
+            whole=True,
+            size=len(self.names),
+            step=self.step,
+            map_version=rank.map_version,
+            prepared=rank.prepared,
+            armed=None if rank.armed is None else rank.armed[0],
+            armed_step=None if rank.armed is None else rank.armed[1],
+            held_step=rank.held_step,
+        )
+
+
+class FaultyNetwork:
+    """Delivers calls late, loses answers, and carries some orders out much later."""
+
+    def __init__(self, random: Random, late_share: float, lost_share: float) -> None:
+        self._random = random
+        self._late_share = late_share
+        self._lost_share = lost_share
+        self._counter = itertools.count()
+        self._due: list[tuple[float, int, Callable[[float], None]]] = []
+
+    def later(self, delay_s: float, call: Callable[[float], None], now: float) -> None:
+        """Make a call after some time."""
+        heapq.heappush(self._due, (now + delay_s, next(self._counter), call))
+
+    def run(self, now: float) -> None:
+        """Make the calls that are due."""
+        while self._due and self._due[0][0] <= now:
+            _, _, call = heapq.heappop(self._due)
+            call(now)
+
+    def delay_s(self) -> float:
+        """Draw the time of one way."""
+        return self._random.choice([0.002, 0.003, 0.01, 0.05])
+
+    def very_late(self) -> bool:
+        """Draw whether an order gets no answer and is carried out seconds later."""
+        return self._random.random() < self._late_share
+
+    def lost(self) -> bool:
+        """Draw whether an answer is lost, or a call with it."""
+        return self._random.random() < self._lost_share
+
+    def very_late_s(self) -> float:
+        """Draw how much later such an order is carried out."""
+        return self._random.uniform(0.3, 8.0)
+
+
+__all__ = ["FaultyNetwork", "ModelGroup", "ModelRank"]
