Balance the experts of lock-step groups while popularity drifts

Cause: with the map a group forms with, the most loaded rank has 3.4 times the mean, so a stream adds 1.75 ms to each pass and in-time service ends at some 19 streams a second. Popularity jumps every few seconds (top expert 23% of the picks), so a map has to follow within about a second or it is useless.

One entry reads counts of two ranks over 0.3 s after the pauses show a jump, plans replicas (at most 0.9 s of copying a rank), and switches all ranks at one pass under a hold.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -38,6 +38,7 @@
     ENTRY_FORGOTTEN = "entry:forgotten"
     DATAGRAM_MALFORMED = "entry:datagram_malformed"
     GROUP_FOUND = "group:found"
+    POPULARITY_READ = "popularity:read"
     MAP_PLANNED = "map:planned"
     MAP_SWITCH = "map:switch"
     RANK_ORDERED = "rank:ordered"
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -23,6 +23,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.catalog import EngineModel, ExpertModel
+    from ...state.direct.drifting_popularity import CountsById
     from ...state.direct.rank_orders import (
         ExpertSets,
         OrderOutcome,
@@ -33,11 +34,12 @@
     from .decision_log import DecisionLog
     from .rank_port import RankCalls
 
-_READ_EVERY_S = 0.4  # popularity jumps within seconds; a reading costs the group little
+_RANKS_READ = 2  # one rank's few streams can all ask about the same
+_READ_ANSWER_S = 1.0  # after it a reading that has not come is made again
 _FIND_EVERY_S = 2.0  # until all runners of a service belong to a known group
 _LOOK_EVERY_S = 10.0  # a hold that another left shows as a stall long before
-_LONGEST_COPY_S = 1.3  # popularity may jump again within a few seconds
-_WORTH_SWITCHING = 1.3  # pass times, present over planned, that pay for the copies
+_LONGEST_COPY_S = 0.9  # popularity may jump again within a few seconds
+_WORTH_SWITCHING = 1.6  # skew, present over planned, that pays for the copies
 _USUAL_PASS_S = 0.06  # until the first pauses are seen
 
 
@@ -48,7 +50,7 @@
         "coordinator",
         "popularity",
         "members",
-        "source",
+        "reading",
         "read_at",
         "looked_at",
         "noted",
@@ -60,7 +62,7 @@
         self.coordinator = coordinator
         self.popularity = DriftingPopularity()
         self.members = members
-        self.source = next(iter(members))
+        self.reading: CountsById = {}
         self.read_at = now
         self.looked_at = now
         self.noted: tuple[int, SwitchPhase] | None = None
@@ -71,6 +73,7 @@
 
     :param identity: names this entry.
     :param pass_s: returns the present time of a pass, 0 if it is not known.
+    :param stream_cost_s: returns what a stream adds to a pass now, 0 if not known.
     :param running: returns the requests that a runner is believed to have.
     """
 
@@ -84,6 +87,7 @@
         random: Random,
         log: DecisionLog,
         pass_s: Callable[[], float],
+        stream_cost_s: Callable[[], float],
         running: Callable[[str], int],
     ) -> None:
         self._identity = identity
@@ -94,6 +98,7 @@
         self._random = random
         self._log = log
         self._pass_s = pass_s
+        self._stream_cost_s = stream_cost_s
         self._running = running
         self._groups_by_name: dict[str, _Group] = {}
         self._found_by_id: dict[str, RankReport] = {}
@@ -174,34 +179,59 @@
         coordinator.look(now)
 
     def _read_counts(self, group: _Group, experts: ExpertModel, now: float) -> None:
-        if now - group.read_at < _READ_EVERY_S:
+        popularity = group.popularity
+        if group.reading and now - group.read_at < _READ_ANSWER_S:
             return
-        if not self._running(group.source):
-            # Counts compare only with the same rank's earlier ones.
-            group.source = max(group.members, key=self._running)
-        busiest = group.source
-        runner = self._runners.get(busiest)
-        if runner is None or not self._running(busiest):
+        if not popularity.wants_reading(self._stream_cost_s(), now):
             return
+        ranks = popularity.ranks_read or self._busiest(group)
         group.read_at = now
-        counts = self._calls.counts(runner)
-        counts.addCallbacks(
-            self._take_counts, self._note_lost, callbackArgs=(group, busiest, experts)
-        )
+        group.reading = {}
+        for runner_id in ranks:
+            runner = self._runners.get(runner_id)
+            if runner is None:
+                popularity.changed()
+                return
+            counts = self._calls.counts(runner)
+            counts.addCallbacks(
+                self._take_counts,
+                self._note_lost,
+                callbackArgs=(group, runner_id, ranks, experts),
+            )
+
+    def _busiest(self, group: _Group) -> list[str]:
+        running = [each for each in group.members if self._running(each)]
+        return sorted(running, key=self._running, reverse=True)[:_RANKS_READ]
 
     def _take_counts(
-        self, counts: list[int], group: _Group, runner_id: str, experts: ExpertModel
+        self,
+        counts: list[int],
+        group: _Group,
+        runner_id: str,
+        ranks: list[str],
+        experts: ExpertModel,
     ) -> None:
         size = experts.experts
         by_set = [counts[first : first + size] for first in range(0, len(counts), size)]
         if len(counts) != size * experts.sets:
             return
+        group.reading[runner_id] = by_set
+        if len(group.reading) < len(ranks):
+            return
         coordinator = group.coordinator
-        tokens = group.popularity.read(runner_id, coordinator.epoch or 0, by_set)
+        now = self._clock.seconds()
+        tokens = group.popularity.read(group.reading, now)
+        group.reading = {}
+        self._log.note(
+            Decision.POPULARITY_READ,
+            ranks=ranks,
+            epoch=coordinator.epoch,
+            span_ends=tokens is not None,
+            map_version=coordinator.map_version,
+        )
         if tokens is None or coordinator.busy:
             return
-        in_use = coordinator.map_in_use
-        if in_use is None:
+        if coordinator.map_in_use is None:
             self._read_map(group)
             return
         self._plan(group, tokens, experts)
@@ -222,6 +252,7 @@
         plan = plan_replicas(tokens, first, in_use, rules)
         present, planned = pass_skew(tokens, in_use), pass_skew(tokens, plan)
         if present < _WORTH_SWITCHING * planned:
+            group.popularity.balanced(self._clock.seconds())
             return
         self._log.note(
             Decision.MAP_PLANNED,
@@ -296,6 +327,8 @@
         if switch is None or group.noted == (switch.version, switch.phase):
             return
         group.noted = (switch.version, switch.phase)
+        if switch.phase is SwitchPhase.SWITCHED:
+            group.popularity.changed()
         self._log.note(
             Decision.MAP_SWITCH,
             phase=switch.phase.value,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
@@ -77,6 +77,9 @@
             self._first_since = now
         return now - self._first_since >= _SETTLE_S
 
+    def _stream_cost_s(self, service: str) -> float:
+        return self._places.stream_cost_s(service, self._clock.seconds())
+
     def _balancer(self, service: str) -> GroupBalancer:
         balancer = GroupBalancer(
             self._entry_id,
@@ -87,6 +90,7 @@
             self._random,
             self._log,
             partial(self._places.pass_s, service),
+            partial(self._stream_cost_s, service),
             self._places.running,
         )
         self._balancers_by_service[service] = balancer
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -22,6 +22,7 @@
 
 _PLAIN_ANSWER_S = 0.1  # usual time of a plain service's answer
 _RETURNED_WAIT_S = 0.1  # about a pass; more would hold up a caller for nothing
+_LEAST_RUNNING = 8  # with fewer, the fixed part hides what a stream adds
 _PAUSE_QUANTILE = 0.9  # one long pause spoils a whole stream
 _SERVER_ERROR = 500
 
@@ -263,6 +264,15 @@
         group = self._groups_by_service.get(service)
         return 0.0 if group is None else group.pass_s
 
+    def stream_cost_s(self, service: str, now: float) -> float:
+        """Return what a stream adds to a pass at present; 0 if it is not known."""
+        group = self._groups_by_service.get(service)
+        running = self._running(service)
+        if group is None or running < _LEAST_RUNNING:
+            return 0.0
+        pause_s = group.pace.latest_s(now)
+        return max(pause_s - self._fixed_pass_s(service), 0.0) / running
+
     def running(self, runner_id: str) -> int:
         """Return the requests of all entries at a runner, as far as known."""
         return self._placement.running(runner_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
@@ -1,7 +1,8 @@
-"""Which experts are chosen now, from counts that ranks keep since their start.
+"""When to read which experts are chosen, and what two readings say.
 
-Popularity drifts in jumps. Counts between two readings mix what was before a jump with
-what came after it, so they are believed only when two spans in a row agree.
+Popularity drifts in jumps that show in the pauses of streams: the map that fitted makes
+passes longer. What is popular is then read over a span that begins after the jump, so
+that nothing from before is mixed into it.
 """
 
 from __future__ import annotations
@@ -9,61 +10,101 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping
 
-_AGREEMENT = 0.2  # largest share of the tokens by which two steady spans differ
+_SPAN_S = 0.3  # some passes, so that the streams of a rank ask about several things
 _LEAST_TOKENS = 2000  # by set; fewer tell too little of single experts
+_SETTLING_S = 0.6  # until the pauses show a new map and nothing of the old one
+_RECHECK_S = 4.0  # finds what the pauses do not show, as while few streams run
+_ALARM = 1.3  # cost of a stream over the usual one; long prompts stay below it
+
+CountsById = dict[str, list[list[int]]]  # by rank: how often each expert, set by set
 
 
 class DriftingPopularity:
-    """Readings of one rank at a time."""
+    """Decides on readings for one group."""
 
-    __slots__ = ("_counts", "_source", "_span")
+    __slots__ = ("_first", "_first_at", "_balanced_at", "_usual_cost_s", "_alarmed")
 
     def __init__(self) -> None:
-        self._counts: list[list[int]] | None = None
-        self._source: tuple[str, int] = ("", 0)
-        self._span: list[list[float]] | None = None
+        self._first: CountsById = {}
+        self._first_at: float | None = None
+        self._balanced_at: float | None = None
+        self._usual_cost_s = 0.0
+        self._alarmed = False
+
+    def balanced(self, now: float) -> None:
+        """Note that the map in use fits what is popular now."""
+        self._balanced_at = now
+        if self._alarmed:
+            # The alarm was false: what streams cost now is usual for this map.
+            self._alarmed = False
+            self._usual_cost_s = 0.0
+
+    def changed(self) -> None:
+        """Note that another map is in use; whether it fits is not known yet."""
+        self._balanced_at = None
+        self._first_at = None
+        self._usual_cost_s = 0.0
+        self._alarmed = False
+
+    def wants_reading(self, cost_s: float, now: float) -> bool:
+        """Whether counts should be read now.
+
+        :param cost_s: what a stream adds to a pass, in seconds; 0 if not known.
+        """
+        if self._first_at is not None:
+            return now - self._first_at >= _SPAN_S
+        return self._is_in_doubt(cost_s, now)
 
-    def read(
-        self, runner_id: str, epoch: int, counts_by_set: list[list[int]]
-    ) -> list[list[float]] | None:
-        """Take a reading; return the tokens by set if they are steady now.
+    def read(self, counts_by_id: CountsById, now: float) -> list[list[float]] | None:
+        """Take a reading; return the tokens of the span that it ends, by set.
 
-        :param counts_by_set: how often each expert was chosen since the rank's start.
+        :param counts_by_id: of the same ranks as the reading that began the span.
         """
-        before = self._counts if self._source == (runner_id, epoch) else None
-        if before is not None and _grown(before, counts_by_set) < _LEAST_TOKENS:
+        first, first_at = self._first, self._first_at
+        if first_at is None or first.keys() != counts_by_id.keys():
+            self._first, self._first_at = counts_by_id, now
             return None
-        self._counts, self._source = counts_by_set, (runner_id, epoch)
-        if before is None:
-            return None
-        span = [
-            [float(new - old) for new, old in zip(now, then)]
-            for now, then in zip(counts_by_set, before)
+        tokens = _grown(first, counts_by_id)
+        if min(map(sum, tokens), default=0.0) < _LEAST_TOKENS:
+            return None  # the span goes on
+        self._first_at = None
+        return tokens
+
+    @property
+    def ranks_read(self) -> list[str]:
+        """The ranks whose counts began the present span."""
+        return list(self._first) if self._first_at is not None else []
+
+    def _is_in_doubt(self, cost_s: float, now: float) -> bool:
+        if self._balanced_at is None or now - self._balanced_at > _RECHECK_S:
+            return True
+        if cost_s <= 0.0 or now - self._balanced_at < _SETTLING_S:
+            return False
+        if self._usual_cost_s == 0.0 or cost_s < self._usual_cost_s:
+            self._usual_cost_s = cost_s
+        self._alarmed = cost_s > _ALARM * self._usual_cost_s
+        return self._alarmed
+
+
+def _grown(
+    first: Mapping[str, list[list[int]]], last: Mapping[str, list[list[int]]]
+) -> list[list[float]]:
+    """Return the tokens that were counted between, added up over the ranks.
+
+    A rank that has started anew counts from nothing; it adds nothing.
+    """
+    spans = [
+        [
+            [float(max(after - before, 0)) for before, after in zip(*counts)]
+            for counts in zip(first[runner_id], last[runner_id])
         ]
-        earlier, self._span = self._span, span
-        if earlier is None or _difference(earlier, span) > _AGREEMENT:
-            return None
-        return span
-
-
-def _grown(before: Sequence[Sequence[int]], counts: Sequence[Sequence[int]]) -> int:
-    """Return how many tokens were counted since, in the set with the fewest."""
-    return min((sum(now) - sum(then) for now, then in zip(counts, before)), default=0)
-
-
-def _difference(
-    first: Sequence[Sequence[float]], second: Sequence[Sequence[float]]
-) -> float:
-    """Return the largest share of a set's tokens that moved to other experts."""
-    return max(
-        (
-            sum(abs(a / sum(one) - b / sum(two)) for a, b in zip(one, two)) / 2
-            for one, two in zip(first, second)
-        ),
-        default=1.0,
-    )
+        for runner_id in first
+    ]
+    return [
+        [sum(tokens) for tokens in zip(*expert_tokens)] for expert_tokens in zip(*spans)
+    ]
 
 
-__all__ = ["DriftingPopularity"]
+__all__ = ["CountsById", "DriftingPopularity"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
@@ -22,8 +22,8 @@
 _LOOK_EVERY_S = 0.3  # between surveys while something is in the way
 _REPORT_ANSWER_S = 1.0  # after it a rank that has not answered is asked again
 _ABANDONED_S = 0.8  # several times what a switch holds the group
-_LEAD_S = 0.06  # time of a hold order and of arming, with a margin
-_LEAD_PASSES = 2
+_LEAD_S = 0.03  # time of a hold order and of arming
+_LEAD_PASSES = 1
 _COPY_POLL_S = 0.15
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 _WINDOW_S = 1.0  # some ten passes; popularity of experts changes within seconds
+_LATEST_S = 0.3  # two passes or more
 _USUAL_FIRST_EVENT_S = 0.15  # until the first stream has begun
 _FIRST_EVENTS = 32  # some seconds of an entry's streams
 _FIRST_EVENT_SHARE = 0.9  # of the streams; a later one is late for its caller
@@ -39,12 +40,20 @@
         self._pauses.append((now, pause_s))
         self._trim(now)
 
-    def quantile_s(self, share: float, now: float) -> float:
+    def latest_s(self, now: float) -> float:
+        """Return the median of the very last pauses; 0 without any."""
+        return self.quantile_s(0.5, now, _LATEST_S)
+
+    def quantile_s(
+        self, share: float, now: float, window_s: float = _WINDOW_S
+    ) -> float:
         """Return the pause that this share of the pauses does not exceed."""
         self._trim(now)
-        if not self._pauses:
+        ordered = sorted(
+            pause_s for at, pause_s in self._pauses if now - at <= window_s
+        )
+        if not ordered:
             return 0.0
-        ordered = sorted(pause_s for _, pause_s in self._pauses)
         return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
 
     def seen(self, now: float) -> int:
