--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -37,8 +37,10 @@
 _RANKS_READ = 2  # one rank's few streams can all ask about the same
 _READ_ANSWER_S = 1.0  # after it a reading that has not come is made again
 _FIND_EVERY_S = 2.0  # until all runners of a service belong to a known group
-_LOOK_EVERY_S = 10.0  # a hold that another left shows as a stall long before
-_LONGEST_COPY_S = 0.9  # popularity may jump again within a few seconds
+_LOOK_EVERY_S = 1.0  # finds slow ranks, and holds that another has left
+_SLOW_CHANGED = 1.5  # ratio by which a rank's pace must change for a new plan
+_SLOW = 1.2  # from it on a rank should get fewer streams
+_LONGEST_COPY_S = 0.5  # popularity may jump again within a few seconds
 _WORTH_SWITCHING = 1.6  # skew, present over planned, that pays for the copies
 _USUAL_PASS_S = 0.06  # until the first pauses are seen
 
@@ -51,6 +53,8 @@
         "popularity",
         "members",
         "reading",
+        "slowness_by_id",
+        "planned_slowness",
         "read_at",
         "looked_at",
         "noted",
@@ -63,10 +67,25 @@
         self.popularity = DriftingPopularity()
         self.members = members
         self.reading: CountsById = {}
+        self.slowness_by_id = {runner_id: 1.0 for runner_id in members}
+        self.planned_slowness = [1.0] * len(members)
         self.read_at = now
         self.looked_at = now
         self.noted: tuple[int, SwitchPhase] | None = None
 
+    @property
+    def slowness(self) -> list[float]:
+        """How many times longer than usual each rank takes, in order of rank."""
+        return [self.slowness_by_id[runner_id] for runner_id in self.members]
+
+    @property
+    def pace_changed(self) -> bool:
+        """Whether a rank is much slower or faster than the last plan assumed."""
+        return any(
+            max(now, then) > _SLOW_CHANGED * min(now, then)
+            for now, then in zip(self.slowness, self.planned_slowness)
+        )
+
 
 class GroupBalancer:
     """The groups of one service.
@@ -109,6 +128,15 @@
         """Whether a switch is under way."""
         return any(group.coordinator.busy for group in self._groups_by_name.values())
 
+    def slow_runners(self) -> dict[str, float]:
+        """Return how many times longer than usual the slow ranks take."""
+        return {
+            runner_id: slowness
+            for group in self._groups_by_name.values()
+            for runner_id, slowness in group.slowness_by_id.items()
+            if slowness >= _SLOW
+        }
+
     def tick(self, engine: EngineModel, may_switch: bool) -> None:
         """Go on with what is under way; begin nothing new unless ``may_switch``."""
         experts = engine.experts
@@ -123,6 +151,9 @@
                 group.looked_at = now
                 group.coordinator.look(now)
             if may_switch and not group.coordinator.busy:
+                if group.pace_changed:
+                    group.planned_slowness = group.slowness
+                    group.popularity.changed()
                 self._read_counts(group, experts, now)
             self._drive(group, now)
 
@@ -249,8 +280,11 @@
             experts.new_in_set,
             max(int(_LONGEST_COPY_S / experts.copy_s), 1),
         )
-        plan = plan_replicas(tokens, first, in_use, rules)
-        present, planned = pass_skew(tokens, in_use), pass_skew(tokens, plan)
+        slowness = group.slowness
+        group.planned_slowness = slowness
+        plan = plan_replicas(tokens, first, in_use, slowness, rules)
+        present = pass_skew(tokens, in_use, slowness)
+        planned = pass_skew(tokens, plan, slowness)
         if present < _WORTH_SWITCHING * planned:
             group.popularity.balanced(self._clock.seconds())
             return
@@ -260,6 +294,7 @@
             map_version=coordinator.map_version,
             skew=round(present, 3),
             planned_skew=round(planned, 3),
+            slowest=round(max(slowness), 2),
         )
         coordinator.want(plan)
 
@@ -303,6 +338,7 @@
         self, report: RankReport | None, group: _Group, asked_at: float
     ) -> None:
         if report is not None:
+            group.slowness_by_id[report.runner_id] = report.slowness
             group.coordinator.reported(report, asked_at, self._clock.seconds())
             self._drive(group, self._clock.seconds())
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
@@ -49,13 +49,13 @@
         self._first_since: float | None = None
         self._balancers_by_service: dict[str, GroupBalancer] = {}
 
-    def tick(self, ready: bool) -> None:
+    def tick(self, able: bool) -> None:
         """Go on with switches; begin new ones if it is this entry's turn."""
         now = self._clock.seconds()
         catalog = self._config.catalog
         if catalog is None:
             return
-        may_switch = self._is_first(ready, now)
+        may_switch = self._is_first(able, now)
         for service in catalog.services_by_name.values():
             engine = service.engine
             if engine is None or engine.experts is None:
@@ -68,9 +68,18 @@
             if may_switch or balancer.switching:
                 balancer.tick(engine, may_switch)
 
-    def _is_first(self, ready: bool, now: float) -> bool:
-        ids = [news.entry_id for news in self._peers.alive(now) if news.ready]
-        if not ready or any(entry_id < self._entry_id for entry_id in ids):
+    def slow_runners(self) -> dict[str, float]:
+        """Return the slow ranks of the groups that this entry balances."""
+        return {
+            runner_id: slowness
+            for balancer in self._balancers_by_service.values()
+            for runner_id, slowness in balancer.slow_runners().items()
+            if self._first_since is not None
+        }
+
+    def _is_first(self, able: bool, now: float) -> bool:
+        ids = [news.entry_id for news in self._peers.alive(now) if news.balances]
+        if not able or any(entry_id < self._entry_id for entry_id in ids):
             self._first_since = None
             return False
         if self._first_since is None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -18,7 +18,7 @@
     from .decision_log import DecisionLog
     from .ports import EntryRegistry
 
-_INTRODUCE_RETRY_S = 1.0
+_INTRODUCE_RETRY_S = 2.0  # entries that know each other already do without
 _LOOK_AGAIN_S = 15.0  # finds entries whose introduction crossed this one's reading
 
 
@@ -47,6 +47,7 @@
         self._tell = tell
         self._on_news = on_news
         self._sequence = 0
+        self._reachable = True
         self.peers = EntryPeers(settings.entry_id)
 
     def start(self) -> None:
@@ -69,7 +70,12 @@
         self._on_news()
 
     def tell(
-        self, ready: bool, running: dict[str, int], waiting: dict[str, int]
+        self,
+        ready: bool,
+        balances: bool,
+        running: dict[str, int],
+        waiting: dict[str, int],
+        slowness: dict[str, float],
     ) -> None:
         """Send this entry's news to all others."""
         self._sequence += 1
@@ -82,8 +88,10 @@
             own.peers.host,
             own.peers.port,
             ready,
+            balances,
             running,
             waiting,
+            slowness,
         )
         self._tell(news, self.peers.targets())
         for entry_id in self.peers.forget(self._clock.seconds()):
@@ -94,16 +102,21 @@
 
     def _take_known(self, known: dict[str, tuple[str, int]]) -> None:
         now = self._clock.seconds()
+        if not self._reachable:
+            self._reachable = True
+            self._log.note(Decision.DEPENDENCY_BACK, dependency="entry registry")
         for entry_id, (host, port) in known.items():
             self.peers.introduce(entry_id, host, port, now)
         self._clock.callLater(_LOOK_AGAIN_S, self._look)
 
     def _failed(self, failure: Failure) -> None:
-        self._log.note(
-            Decision.DEPENDENCY_LOST,
-            dependency="entry registry",
-            reason=failure.getErrorMessage(),
-        )
+        if self._reachable:
+            self._reachable = False
+            self._log.note(
+                Decision.DEPENDENCY_LOST,
+                dependency="entry registry",
+                reason=failure.getErrorMessage(),
+            )
         self._clock.callLater(_INTRODUCE_RETRY_S, self.start)
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -23,6 +23,7 @@
 _PLAIN_ANSWER_S = 0.1  # usual time of a plain service's answer
 _RETURNED_WAIT_S = 0.1  # about a pass; more would hold up a caller for nothing
 _LEAST_RUNNING = 8  # with fewer, the fixed part hides what a stream adds
+_PACE_CHANGED = 1.3  # ratio of the slowest rank's pace that makes old pauses worthless
 _PAUSE_QUANTILE = 0.9  # one long pause spoils a whole stream
 _SERVER_ERROR = 500
 
@@ -37,13 +38,14 @@
 class _Group:
     """The runners of a service that pass together."""
 
-    __slots__ = ("pace", "limit", "aim_s", "pass_s")
+    __slots__ = ("pace", "limit", "aim_s", "pass_s", "slowest")
 
     def __init__(self) -> None:
         self.pace = PassPace()
         self.limit = PaceLimit()
         self.aim_s = 0.0
         self.pass_s = 0.0
+        self.slowest = 1.0
 
 
 class ServicePlaces:
@@ -111,6 +113,10 @@
         """Take what the other entries run."""
         self._placement.hear(self._peers.alive(now))
 
+    def take_slowness(self, slowness_by_id: dict[str, float]) -> None:
+        """Take what this entry has found of slow runners itself."""
+        self._placement.take_slowness(slowness_by_id)
+
     def own_running(self) -> dict[str, int]:
         """Return this entry's requests at each runner."""
         return self._placement.own_running()
@@ -123,15 +129,15 @@
             if len(admission)
         }
 
-    def free(self, service: str) -> int:
+    def free(self, service: str, now: float) -> int:
         """Return the places of a service that nobody is known to have."""
-        return self._limit(service) - self._running(service)
+        return self._limit(service, now) - self._running(service)
 
     def has_place(self, opened: OpenDirectCall, now: float) -> bool:
         """Whether the request may start at once."""
         waiting = len(self._admission(opened.service))
         waiting += self._elsewhere(opened.service, now).waiting
-        return self.free(opened.service) > waiting
+        return self.free(opened.service, now) > waiting
 
     def wait(self, opened: OpenDirectCall, now: float) -> bool:
         """Let the request wait; false if its place would come too late."""
@@ -164,7 +170,7 @@
             for service, admission in self._admission_by_service.items()
             if len(admission)
             for opened in admission.admit(
-                self.free(service), self._elsewhere(service, now), self._random
+                self.free(service, now), self._elsewhere(service, now), self._random
             )
         ]
 
@@ -236,7 +242,7 @@
         admission = self._admission(service)
         return {
             "usable_runners": len(usable),
-            "free_places": self.free(service),
+            "free_places": self.free(service, now),
             "waiting": len(admission),
             "waiting_elsewhere": elsewhere.waiting,
             "entries_heard": elsewhere.entries,
@@ -279,6 +285,11 @@
 
     def _measure(self, service: str, group: _Group, now: float) -> dict[str, object]:
         running = self._running(service)
+        slowest = self._slowest(service)
+        if max(slowest, group.slowest) > _PACE_CHANGED * min(slowest, group.slowest):
+            group.slowest = slowest
+            group.limit.forget()
+            group.pace.forget()
         pause_s = group.pace.quantile_s(_PAUSE_QUANTILE, now)
         group.pass_s = group.pace.quantile_s(0.5, now)
         group.limit.measured(pause_s, running, self._fixed_pass_s(service), now)
@@ -288,11 +299,11 @@
             "worst_s": round(group.pace.quantile_s(1.0, now), 4),
             "first_event_s": round(group.pace.first_event_s, 4),
             "running": running,
-            "limit": self._limit(service),
+            "limit": self._limit(service, now),
             "waiting": len(self._admission(service)),
         }
 
-    def _limit(self, service: str) -> int:
+    def _limit(self, service: str, now: float) -> int:
         """Return the requests that the service's runners may have at once."""
         usable = self._runners.usable(service)
         places = sum(runner.slots for runner in usable)
@@ -300,7 +311,7 @@
         if group is None:
             return places
         return group.limit.streams(
-            group.aim_s, self._fixed_pass_s(service), places, len(usable)
+            group.aim_s, self._fixed_pass_s(service), places, len(usable), now
         )
 
     def _elsewhere(self, service: str, now: float) -> Elsewhere:
@@ -316,7 +327,22 @@
 
     def _fixed_pass_s(self, service: str) -> float:
         engine = self._engines.engine(service)
-        return 0.0 if engine is None else engine.step_s * engine.steps_per_pass
+        if engine is None:
+            return 0.0
+        # A rank without streams of its own adds no fixed time.
+        slowest = self._slowest(service, with_streams=True)
+        return engine.step_s * engine.steps_per_pass * slowest
+
+    def _slowest(self, service: str, *, with_streams: bool = False) -> float:
+        """Return how many times longer than usual the slowest rank takes."""
+        return max(
+            (
+                self._placement.slowness(runner.runner_id)
+                for runner in self._runners.usable(service)
+                if not with_streams or self._placement.running(runner.runner_id)
+            ),
+            default=1.0,
+        )
 
     def _group(self, service: str) -> _Group:
         found = self._groups_by_service.get(service)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -151,6 +151,15 @@
             and self.config.keys_trusted()
         )
 
+    @property
+    def _can_balance(self) -> bool:
+        """Whether this entry knows enough to balance groups; the log may be away."""
+        return (
+            not self.leaving
+            and self.runner_watch.known
+            and self.config.catalog is not None
+        )
+
     def start(self) -> None:
         """Begin to follow the log and the other entries."""
         self.config.start()
@@ -200,8 +209,14 @@
         self._reactor.callLater(self.exchange.peers.period_s, self._tell_peers)
 
     def _tell_now(self) -> None:
+        slowness = self.balancing.slow_runners()
+        self.places.take_slowness(slowness)
         self.exchange.tell(
-            self.ready, self.places.own_running(), self.places.own_waiting()
+            self.ready,
+            self._can_balance,
+            self.places.own_running(),
+            self.places.own_waiting(),
+            slowness,
         )
 
     def _hear(self, news: EntryNews) -> None:
@@ -219,7 +234,7 @@
         self.places.forget_runner(runner_id)
 
     def _balance_groups(self) -> None:
-        self.balancing.tick(self.ready)
+        self.balancing.tick(self._can_balance)
 
     def _measure_pace(self) -> None:
         for measured in self.places.measure_pace(self._reactor.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
@@ -18,17 +18,26 @@
     from .entry_peers import EntryNews
     from .runner_list import RegisteredRunner
 
+_SLOW = 1.5  # from it on a rank's own streams take longer than all others'
 _TRUSTED_RATE = 0.7  # below it a runner gets work only when the others are full
 
 
 class LockstepPlacement:
     """One entry's view of the work at runners."""
 
-    __slots__ = ("_standing_by_id", "_elsewhere_by_id", "_random")
+    __slots__ = (
+        "_standing_by_id",
+        "_elsewhere_by_id",
+        "_slowness_found",
+        "_slowness_told",
+        "_random",
+    )
 
     def __init__(self, random: Random) -> None:
         self._standing_by_id: dict[str, RunnerStanding] = {}
         self._elsewhere_by_id: dict[str, int] = {}
+        self._slowness_found: dict[str, float] = {}
+        self._slowness_told: dict[str, float] = {}
         self._random = random
 
     def standing(self, runner_id: str) -> RunnerStanding:
@@ -47,11 +56,22 @@
     def hear(self, peers: Iterable[EntryNews]) -> None:
         """Take what the other entries say that they run."""
         self._elsewhere_by_id = {}
+        self._slowness_told = {}
         for news in peers:
+            self._slowness_told.update(news.slowness_by_runner)
             for runner_id, running in news.running_by_runner.items():
                 known = self._elsewhere_by_id.get(runner_id, 0)
                 self._elsewhere_by_id[runner_id] = known + running
 
+    def take_slowness(self, slowness_by_id: dict[str, float]) -> None:
+        """Take the slow runners that this entry has found itself."""
+        self._slowness_found = slowness_by_id
+
+    def slowness(self, runner_id: str) -> float:
+        """Return how many times longer than usual a runner takes, as far as known."""
+        found = self._slowness_found.get(runner_id, 1.0)
+        return max(found, self._slowness_told.get(runner_id, 1.0))
+
     def running(self, runner_id: str) -> int:
         """Return the requests of all entries at a runner, as far as known."""
         standing = self._standing_by_id.get(runner_id)
@@ -81,8 +101,14 @@
 
     def _rank_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
         standing = self.standing(runner.runner_id)
-        distrusted = standing.success_rate(now) < _TRUSTED_RATE
-        return distrusted, float(self.running(runner.runner_id))
+        running = self.running(runner.runner_id)
+        # Each stream of a slow rank holds all others up, a full rank only its own.
+        avoided = (
+            standing.success_rate(now) < _TRUSTED_RATE
+            or self.slowness(runner.runner_id) >= _SLOW
+            or running >= max(runner.slots, 1)
+        )
+        return avoided, float(running)
 
     def _plain_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
         standing = self.standing(runner.runner_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pace_limit.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pace_limit.py
@@ -15,6 +15,8 @@
 _MIN_STREAMS_MEASURED = 6  # with fewer, the fixed part hides what a stream adds
 _REMEMBERED_S = 8.0  # longer than popularity usually stays
 _USUAL_WORST = 0.8  # share of the remembered measurements that stay below
+_LARGEST_JUMP = 1.8  # times that a jump of popularity makes a stream dearer
+_LEAST_PER_STREAM_S = 0.001  # a pause can seem shorter than the fixed time
 _START_SHARE = 0.5  # of all places, until the first measurement
 
 
@@ -34,28 +36,36 @@
 
         :param fixed_s: time of a pass without streams, in seconds.
         """
-        if streams < _MIN_STREAMS_MEASURED or pause_s <= fixed_s:
+        if streams < _MIN_STREAMS_MEASURED or pause_s <= 0.0:
             return
-        per_stream_s = (pause_s - fixed_s) / streams
+        per_stream_s = max(pause_s - fixed_s, _LEAST_PER_STREAM_S) / streams
         if self._per_stream_s is None:
             self._per_stream_s = per_stream_s
         self._per_stream_s += _LEARNING * (per_stream_s - self._per_stream_s)
         self._remembered.append((now, self._per_stream_s))
-        while now - self._remembered[0][0] > _REMEMBERED_S:
-            self._remembered.popleft()
+        self._trim(now)
+
+    def forget(self) -> None:
+        """Drop what was learned while ranks had another pace."""
+        self._per_stream_s = None
+        self._remembered.clear()
 
     def usual_worst_s(self) -> float:
         """Return the seconds that a stream adds to a pass when that is much."""
+        present_s = self._per_stream_s or 0.0
         ordered = sorted(per_stream_s for _, per_stream_s in self._remembered)
         worst_s = ordered[int(_USUAL_WORST * len(ordered))]
-        return max(worst_s, self._per_stream_s or 0.0)
+        return max(min(worst_s, _LARGEST_JUMP * present_s), present_s)
 
-    def streams(self, aim_s: float, fixed_s: float, places: int, ranks: int) -> int:
+    def streams(
+        self, aim_s: float, fixed_s: float, places: int, ranks: int, now: float
+    ) -> int:
         """Return the most streams that the group should carry.
 
         :param aim_s: longest pause that is aimed at; 0 if there is none.
         :param places: streams that the group's runners take at once.
         """
+        self._trim(now)
         if not self._remembered:
             return max(int(_START_SHARE * places), ranks)
         if aim_s <= 0.0:
@@ -63,5 +73,9 @@
         wanted = (_TARGET_SHARE * aim_s - fixed_s) / self.usual_worst_s()
         return min(max(int(wanted), ranks), places)
 
+    def _trim(self, now: float) -> None:
+        while self._remembered and now - self._remembered[0][0] > _REMEMBERED_S:
+            self._remembered.popleft()
+
 
 __all__ = ["PaceLimit"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/pass_pace.py
@@ -35,6 +35,10 @@
         """Note the time from a send to its first event."""
         self._first_events.append(first_event_s)
 
+    def forget(self) -> None:
+        """Drop the pauses that were seen."""
+        self._pauses.clear()
+
     def paused(self, pause_s: float, now: float) -> None:
         """Note the pause before an event."""
         self._pauses.append((now, pause_s))
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/rank_orders.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/rank_orders.py
@@ -61,6 +61,7 @@
     :param armed: version that it will switch to.
     :param armed_step: pass at which it will switch.
     :param held_step: pass that the group does not begin yet.
+    :param slowness: how many times longer than usual it takes.
     """
 
     runner_id: str
@@ -75,6 +76,7 @@
     armed: int | None = None
     armed_step: int | None = None
     held_step: int | None = None
+    slowness: float = 1.0
 
 
 __all__ = ["ExpertSets", "OrderKind", "OrderOutcome", "RankOrder", "RankReport"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/replica_plan.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/replica_plan.py
@@ -1,8 +1,8 @@
 """Plans replicas of popular experts, so that no rank of a group holds up the others.
 
 Each expert keeps its first rank; the places that are left take replicas. A rank's load
-is the sum of its experts' tokens, each shared evenly by the ranks that hold it, and a
-pass takes as long as the most loaded rank of each set.
+is the sum of its experts' tokens, each shared evenly by the ranks that hold it, times
+how slow the rank is. A pass takes as long as the most loaded rank of each set.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
     from .rank_orders import ExpertSets
 
 _CANDIDATES = 3  # heaviest experts of the most loaded rank that are tried
-_LEAST_GAIN = 0.005  # share of the peak below which a replica is not worth its copy
-_EVEN_ENOUGH = 1.2  # peak over mean; copies beyond it gain little
+_LEAST_GAIN = 0.02  # of the mean load, below which a replica is not worth its copy
+_EVEN_ENOUGH = 1.3  # peak over mean; copies beyond it gain little
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,31 +37,66 @@
 class _SetPlan:
     """The ranks of one set's experts while replicas are added."""
 
-    __slots__ = ("tokens", "ranks_by_expert", "loads", "room", "new")
+    __slots__ = (
+        "tokens",
+        "held",
+        "slowness",
+        "ranks_by_expert",
+        "loads",
+        "room",
+        "new",
+    )
 
     def __init__(
-        self, tokens: Sequence[float], first: Sequence[Sequence[int]], places: int
+        self,
+        tokens: Sequence[float],
+        first: Sequence[Sequence[int]],
+        held: Sequence[frozenset[int]],
+        slowness: Sequence[float],
+        places: int,
     ) -> None:
         self.tokens = tokens
+        self.held = held
+        self.slowness = slowness
         self.ranks_by_expert: list[list[int]] = [[] for _ in tokens]
         for rank, experts in enumerate(first):
             for expert in experts:
                 self.ranks_by_expert[expert].append(rank)
-        self.loads = [sum(tokens[expert] for expert in experts) for experts in first]
+        self.loads = [0.0] * len(first)
+        for expert, ranks in enumerate(self.ranks_by_expert):
+            for rank in ranks:
+                self.loads[rank] += slowness[rank] * tokens[expert] / len(ranks)
         self.room = [places - len(experts) for experts in first]
         self.new = [0] * len(first)
 
-    def peak_with(self, expert: int, rank: int) -> float:
-        """Return the load of the most loaded rank if a replica is added."""
-        held = self.ranks_by_expert[expert]
-        before = self.tokens[expert] / len(held)
-        after = self.tokens[expert] / (len(held) + 1)
-        return max(
-            load
-            - (before - after if other in held else 0.0)
-            + (after if other == rank else 0.0)
-            for other, load in enumerate(self.loads)
-        )
+    @property
+    def mean(self) -> float:
+        """The load of a rank at usual pace if all were even."""
+        return sum(self.tokens) / len(self.loads)
+
+    @property
+    def skew(self) -> float:
+        """The most loaded rank over the mean one."""
+        return max(self.loads) / self.mean if self.mean else 1.0
+
+    def experts_by_rank(self) -> list[tuple[int, ...]]:
+        """Return the experts of each rank."""
+        experts: list[list[int]] = [[] for _ in self.loads]
+        for expert, ranks in enumerate(self.ranks_by_expert):
+            for rank in ranks:
+                experts[rank].append(expert)
+        return [tuple(each) for each in experts]
+
+    def loads_with(self, expert: int, hottest: int, rank: int) -> tuple[float, float]:
+        """Return the loads of two ranks if the second gets a replica.
+
+        :param hottest: a rank that holds the expert already.
+        """
+        holders = len(self.ranks_by_expert[expert])
+        before = self.tokens[expert] / holders
+        after = self.tokens[expert] / (holders + 1)
+        relieved = self.loads[hottest] - self.slowness[hottest] * (before - after)
+        return relieved, self.loads[rank] + self.slowness[rank] * after
 
     def add(self, expert: int, rank: int) -> None:
         """Add a replica."""
@@ -69,9 +104,9 @@
         before = self.tokens[expert] / len(held)
         after = self.tokens[expert] / (len(held) + 1)
         for other in held:
-            self.loads[other] -= before - after
+            self.loads[other] -= self.slowness[other] * (before - after)
         held.append(rank)
-        self.loads[rank] += after
+        self.loads[rank] += self.slowness[rank] * after
         self.room[rank] -= 1
 
     def heaviest(self, rank: int) -> list[int]:
@@ -89,6 +124,7 @@
     tokens_by_set: Sequence[Sequence[float]],
     first_map: Sequence[ExpertSets],
     map_in_use: Sequence[ExpertSets],
+    slowness: Sequence[float],
     rules: ReplicaRules,
 ) -> tuple[ExpertSets, ...]:
     """Return a map with replicas for this popularity.
@@ -96,90 +132,80 @@
     :param tokens_by_set: tokens that chose each expert, set by set.
     :param first_map: the ranks that experts never leave.
     :param map_in_use: what ranks hold now; keeping it costs no copy.
+    :param slowness: how many times longer than usual each rank takes.
     """
     copies_left = [rules.copies] * len(first_map)
     sets = [
-        _plan_set(
+        _SetPlan(
             tokens,
             [experts[number] for experts in first_map],
             [frozenset(experts[number]) for experts in map_in_use],
-            rules,
-            copies_left,
+            slowness,
+            rules.places,
         )
         for number, tokens in enumerate(tokens_by_set)
     ]
+    open_sets = list(sets)
+    while open_sets:
+        # Ranks can copy only so much, so it goes to the set that needs it most.
+        worst = max(open_sets, key=lambda each: each.skew)
+        step = _best_step(worst, rules, copies_left)
+        if step is None:
+            open_sets.remove(worst)
+            continue
+        expert, rank = step
+        if expert not in worst.held[rank]:
+            worst.new[rank] += 1
+            copies_left[rank] -= 1
+        worst.add(expert, rank)
+    maps = [each.experts_by_rank() for each in sets]
     return tuple(
-        tuple(experts_by_rank[rank] for experts_by_rank in sets)
+        tuple(experts_by_rank[rank] for experts_by_rank in maps)
         for rank in range(len(first_map))
     )
 
 
 def pass_skew(
-    tokens_by_set: Sequence[Sequence[float]], experts_by_rank: Sequence[ExpertSets]
+    tokens_by_set: Sequence[Sequence[float]],
+    experts_by_rank: Sequence[ExpertSets],
+    slowness: Sequence[float],
 ) -> float:
-    """Return the mean over the sets of the most loaded rank over the mean rank."""
-    skews = []
-    for number, tokens in enumerate(tokens_by_set):
-        plan = _SetPlan(tokens, [experts[number] for experts in experts_by_rank], 0)
-        total = sum(tokens)
-        if total <= 0.0:
-            continue
-        loads = [0.0] * len(experts_by_rank)
-        for expert, ranks in enumerate(plan.ranks_by_expert):
-            for rank in ranks:
-                loads[rank] += tokens[expert] / len(ranks)
-        skews.append(max(loads) * len(loads) / total)
-    return sum(skews) / len(skews) if skews else 1.0
+    """Return the mean over the sets of the most loaded rank over the mean rank.
 
-
-def _plan_set(
-    tokens: Sequence[float],
-    first: Sequence[Sequence[int]],
-    held: Sequence[frozenset[int]],
-    rules: ReplicaRules,
-    copies_left: list[int],
-) -> list[tuple[int, ...]]:
-    plan = _SetPlan(tokens, first, rules.places)
-    while (step := _best_step(plan, held, rules, copies_left)) is not None:
-        expert, rank = step
-        if expert not in held[rank]:
-            plan.new[rank] += 1
-            copies_left[rank] -= 1
-        plan.add(expert, rank)
-    experts_by_rank: list[list[int]] = [[] for _ in first]
-    for expert, ranks in enumerate(plan.ranks_by_expert):
-        for rank in ranks:
-            experts_by_rank[rank].append(expert)
-    return [tuple(experts) for experts in experts_by_rank]
+    The mean rank is taken at its usual pace.
+    """
+    skews = [
+        _SetPlan(
+            tokens, [experts[number] for experts in experts_by_rank], (), slowness, 0
+        ).skew
+        for number, tokens in enumerate(tokens_by_set)
+    ]
+    return sum(skews) / len(skews) if skews else 1.0
 
 
 def _best_step(
-    plan: _SetPlan,
-    held: Sequence[frozenset[int]],
-    rules: ReplicaRules,
-    copies_left: Sequence[int],
+    plan: _SetPlan, rules: ReplicaRules, copies_left: Sequence[int]
 ) -> tuple[int, int] | None:
-    """Return the replica that lowers the peak most, or ``None``."""
-    peak = max(plan.loads)
-    if peak * len(plan.loads) <= _EVEN_ENOUGH * sum(plan.loads):
+    """Return the replica that relieves the most loaded rank best, or ``None``."""
+    if plan.skew <= _EVEN_ENOUGH:
         return None
-    best: tuple[float, int, int] | None = None
-    for expert in plan.heaviest(plan.loads.index(peak)):
+    peak = max(plan.loads)
+    hottest = plan.loads.index(peak)
+    best: tuple[bool, float, int, int] | None = None
+    for expert in plan.heaviest(hottest):
         for rank, room in enumerate(plan.room):
             if room <= 0 or rank in plan.ranks_by_expert[expert]:
                 continue
-            is_new = expert not in held[rank]
+            is_new = expert not in plan.held[rank]
             if is_new and (plan.new[rank] >= rules.new_in_set or not copies_left[rank]):
                 continue
-            trial = (plan.peak_with(expert, rank) + plan.loads[rank] * 1e-3, expert)
-            if best is None or (*trial, rank) < best:
-                best = (*trial, rank)
-    if best is None:
-        return None
-    _, expert, rank = best
-    if plan.peak_with(expert, rank) > peak * (1.0 - _LEAST_GAIN):
-        return None
-    return expert, rank
+            relieved, taken = plan.loads_with(expert, hottest, rank)
+            if taken >= peak or peak - relieved < _LEAST_GAIN * plan.mean:
+                continue
+            # What ranks hold already costs no copy.
+            trial = (is_new, max(relieved, taken), expert, rank)
+            best = trial if best is None else min(best, trial)
+    return None if best is None else (best[2], best[3])
 
 
 __all__ = ["ReplicaRules", "pass_skew", "plan_replicas"]
--- /dev/null
+++ b/tests/features/steps/lockstep_groups_steps.py
@@ -0,0 +1,220 @@
+"""Steps for the maps of lock-step groups."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+from unittest import mock
+
+from behave import given, then, when
+
+from corianderrelay_entry.state.direct import sequenced_switch
+from corianderrelay_entry.state.direct.drifting_popularity import DriftingPopularity
+from corianderrelay_entry.state.direct.group_coordinator import turned_map
+from corianderrelay_entry.state.direct.replica_plan import (
+    ReplicaRules,
+    pass_skew,
+    plan_replicas,
+)
+
+from tests.machines.group_coordinator_simulation import GroupSimulation
+
+_ZIPF = 1.3
+_SEED = 11
+_NEW_IN_SET = 4
+_MUTANT_SEEDS = 150
+
+
+class _Plans:
+    def __init__(self, ranks: int, experts: int, sets: int, places: int) -> None:
+        self.random = Random(_SEED)
+        self.ranks, self.experts, self.sets, self.places = ranks, experts, sets, places
+        self.first = turned_map(ranks, experts, sets)
+        self.in_use = self.first
+        self.slowness = [1.0] * ranks
+
+    def popularity(self) -> list[list[float]]:
+        """Return tokens of a Zipf popularity in a new order."""
+        shares = [1000.0 / (n + 1) ** _ZIPF for n in range(self.experts)]
+        return [self.random.sample(shares, len(shares)) for _ in range(self.sets)]
+
+    def plan(self, tokens: list[list[float]], copies: int) -> Any:
+        """Return a plan for this popularity."""
+        rules = ReplicaRules(self.places, _NEW_IN_SET, copies)
+        return plan_replicas(tokens, self.first, self.in_use, self.slowness, rules)
+
+
+@given(
+    "a group of {ranks:d} ranks with {experts:d} experts in {sets:d} sets "
+    "and {places:d} places"
+)
+def step_group(context: Any, ranks: int, experts: int, sets: int, places: int) -> None:
+    context.plans = _Plans(ranks, experts, sets, places)
+
+
+@when("popularity jumps {jumps:d} times")
+def step_jumps(context: Any, jumps: int) -> None:
+    context.jumps = [context.plans.popularity() for _ in range(jumps)]
+
+
+@then("plans with {copies:d} copies a rank leave a skew of at most {skew:f}")
+def step_skew(context: Any, copies: int, skew: float) -> None:
+    plans = context.plans
+    context.made = []
+    for tokens in context.jumps:
+        before = plans.in_use
+        plans.in_use = plans.plan(tokens, copies)
+        context.made.append((before, plans.in_use, copies))
+        left = pass_skew(tokens, plans.in_use, plans.slowness)
+        assert left <= skew, left
+
+
+@then("each plan keeps every expert, its places and its copies")
+def step_valid(context: Any) -> None:
+    plans = context.plans
+    for before, plan, copies in context.made:
+        for number in range(plans.sets):
+            held = [set(experts[number]) for experts in plan]
+            assert set().union(*held) == set(range(plans.experts))
+            for experts in plan:
+                assert len(set(experts[number])) == len(experts[number])
+                assert len(experts[number]) <= plans.places
+            new = [len(h - set(b[number])) for h, b in zip(held, before)]
+            assert max(new) <= _NEW_IN_SET
+        for rank in range(plans.ranks):
+            new = [set(a) - set(b) for a, b in zip(plan[rank], before[rank])]
+            assert sum(map(len, new)) <= copies
+
+
+@when("rank {rank:d} takes {times:f} times as long")
+def step_slow(context: Any, rank: int, times: float) -> None:
+    context.slow = (rank, times)
+
+
+@then("the plan's skew is at most half of what it is without knowing so")
+def step_less(context: Any) -> None:
+    plans = context.plans
+    rank, times = context.slow
+    tokens = plans.popularity()
+    blind = plans.plan(tokens, 3)
+    plans.slowness[rank] = times
+    seeing = plans.plan(tokens, 3)
+    blind_skew = pass_skew(tokens, blind, plans.slowness)
+    seeing_skew = pass_skew(tokens, seeing, plans.slowness)
+    assert seeing_skew <= 0.5 * blind_skew, (seeing_skew, blind_skew)
+
+
+@when("the same popularity is planned for twice")
+def step_twice(context: Any) -> None:
+    plans = context.plans
+    tokens = plans.popularity()
+    plans.in_use = plans.plan(tokens, 3)
+    context.second = plans.plan(tokens, 3)
+
+
+@then("the second plan copies nothing")
+def step_nothing(context: Any) -> None:
+    for rank, experts in enumerate(context.second):
+        for now, before in zip(experts, context.plans.in_use[rank]):
+            assert set(now) <= set(before)
+
+
+@given("a map that fits, with streams that cost {cost:f} ms")
+def step_fits(context: Any, cost: float) -> None:
+    context.now = 0.0
+    context.popularity = DriftingPopularity()
+    context.popularity.balanced(0.0)
+    context.now = 1.0
+    assert not context.popularity.wants_reading(cost / 1000, context.now)
+
+
+@then("no reading is wanted while streams cost {cost:f} ms")
+def step_calm(context: Any, cost: float) -> None:
+    context.now += 0.7
+    assert not context.popularity.wants_reading(cost / 1000, context.now)
+
+
+@when("streams cost {cost:f} ms")
+def step_cost(context: Any, cost: float) -> None:
+    context.now += 0.1
+    context.cost_s = cost / 1000
+
+
+@then("a reading is wanted, and another after {span:f} s")
+def step_wanted(context: Any, span: float) -> None:
+    popularity = context.popularity
+    assert popularity.wants_reading(context.cost_s, context.now)
+    first = {"a": [[5, 5], [0, 0]], "b": [[1, 1], [7, 7]]}
+    assert popularity.read(first, context.now) is None
+    assert not popularity.wants_reading(context.cost_s, context.now + span - 0.05)
+    context.now += span
+    assert popularity.wants_reading(context.cost_s, context.now)
+    assert popularity.ranks_read == ["a", "b"]
+
+
+@then("the span between them holds the tokens of both ranks")
+def step_span(context: Any) -> None:
+    last = {"a": [[3005, 5], [3000, 0]], "b": [[1, 101], [7, 107]]}
+    tokens = context.popularity.read(last, context.now)
+    assert tokens == [[3000.0, 100.0], [3000.0, 100.0]]
+
+
+@when("the popularity turns out to be the same")
+def step_same(context: Any) -> None:
+    assert context.popularity.wants_reading(context.cost_s, context.now)
+    context.popularity.balanced(context.now)
+
+
+@then(
+    "{groups:d} simulated groups never begin a pass with two maps, and none stays held"
+)
+def step_simulated(context: Any, groups: int) -> None:
+    switches = 0
+    for seed in range(groups):
+        simulation = GroupSimulation(seed)
+        simulation.run()
+        switches += simulation.group.switches
+    assert switches > groups, "hardly any map was switched"
+
+
+@then("the simulated group of seed {seed:d} never begins a pass with two maps")
+def step_seed(context: Any, seed: int) -> None:
+    GroupSimulation(seed).run()
+
+
+def _release_early(self: Any, rank: Any, order: Any, now: float) -> None:
+    _DONE(self, rank, order, now)
+    if self.phase is sequenced_switch.SwitchPhase.ARMING and rank.armed:
+        self._enter(sequenced_switch.SwitchPhase.RELEASING, now)
+
+
+def _unwind_without_hold(self: Any, reason: str, now: float) -> None:
+    _UNWIND(self, reason, now)
+    self._enter(sequenced_switch.SwitchPhase.CLEARING, now)
+
+
+def _let_go_at_once(self: Any, reason: str, now: float) -> None:
+    _UNWIND(self, reason, now)
+    self._enter(sequenced_switch.SwitchPhase.LETTING_GO, now)
+
+
+_DONE = sequenced_switch.SequencedSwitch._done
+_UNWIND = sequenced_switch.SequencedSwitch._unwind
+_MUTANTS = {
+    "releases before all ranks are armed": ("_done", _release_early),
+    "disarms without a second hold": ("_unwind", _unwind_without_hold),
+    "releases before late orders are barred": ("_unwind", _let_go_at_once),
+}
+
+
+@then("a switch that {mistake} is found to mix maps")
+def step_mutant(context: Any, mistake: str) -> None:
+    name, mutant = _MUTANTS[mistake]
+    with mock.patch.object(sequenced_switch.SequencedSwitch, name, mutant):
+        for seed in range(_MUTANT_SEEDS):
+            try:
+                GroupSimulation(seed).run()
+            except AssertionError as error:
+                if "begins with maps" in str(error):
+                    return
+    raise AssertionError("no seed mixed maps")
