--- a/demo/processes.py
+++ b/demo/processes.py
@@ -25,13 +25,20 @@
     """One running process and the lines that it has written.
 
     :param log_path: file that receives its output.
+    :param variables: environment variables besides those of this process.
     """
 
-    def __init__(self, name: str, command: list[str], log_path: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log_path: Path,
+        variables: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log_path = log_path
         self._output = log_path.open("wb")
-        environment = os.environ | {"PYTHONPATH": str(_ROOT)}
+        environment = os.environ | {"PYTHONPATH": str(_ROOT)} | (variables or {})
         self._popen = subprocess.Popen(
             [sys.executable, *command],
             cwd=_ROOT,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -150,8 +150,11 @@
 class RunnerSource(Protocol):
     """Reads the runners' own records; calls fail with ``LogUnavailableError``."""
 
-    def newest(self) -> Deferred[tuple[list[RegisteredRunner], int]]:
-        """Return all runners and the offset to read on from."""
+    def newest(self) -> Deferred[tuple[dict[str, RegisteredRunner | None], int]]:
+        """Return all runners and the offset to read on from.
+
+        ``None`` stands for a runner whose record cannot be read.
+        """
 
     def follow(
         self, offset: int
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -66,13 +66,14 @@
         for runner_id in self._runners.expire(self._clock.seconds()):
             self._gone(runner_id, "its record lapsed and did not come back")
 
-    def _replace(self, answer: tuple[list[RegisteredRunner], int]) -> None:
-        runners, self._offset = answer
+    def _replace(self, answer: tuple[dict[str, RegisteredRunner | None], int]) -> None:
+        runners_by_id, self._offset = answer
         self._answered()
         before = {runner.runner_id for runner in self._runners.all()}
-        for runner in runners:
-            self._note(runner, self._runners.get(runner.runner_id))
-        self._runners.replace(runners, self._clock.seconds())
+        for runner_id, runner in runners_by_id.items():
+            if runner is not None:
+                self._note(runner, self._runners.get(runner_id))
+        self._runners.replace(runners_by_id, self._clock.seconds())
         after = {runner.runner_id for runner in self._runners.all()}
         for runner_id in before - after:
             self._gone(runner_id, "it is not among the newest records")
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
 _LAPSE_HOLD_S = 2.2  # live runners are listed again about 2 s after an outage
 
@@ -78,12 +78,19 @@
         else:
             self._forget(runner_id)
 
-    def replace(self, runners: Iterable[RegisteredRunner], now: float) -> None:
-        """Take the newest records of all runners, as after dropped history."""
-        listed = {runner.runner_id: runner for runner in runners}
-        for runner in listed.values():
-            self.put(runner)
-        for runner_id in [name for name in self._runners_by_id if name not in listed]:
+    def replace(
+        self, runners_by_id: Mapping[str, RegisteredRunner | None], now: float
+    ) -> None:
+        """Take the newest records of all runners, as after dropped history.
+
+        :param runners_by_id: ``None`` for a record that cannot be read; what was known
+            of its runner holds.
+        """
+        for runner in runners_by_id.values():
+            if runner is not None:
+                self.put(runner)
+        gone = [name for name in self._runners_by_id if name not in runners_by_id]
+        for runner_id in gone:
             self.remove(runner_id, now)
 
     def expire(self, now: float) -> list[str]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -29,6 +29,9 @@
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+_VERSION_NOT_SUPPORTED = 505
+_HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
+_HEADER_FRAMING = 4  # colon, space and line end
 _MAX_UNSENT_BYTES = 4_194_304  # a caller that reads nothing must not fill the memory
 _HOP_BY_HOP = frozenset(
     {
@@ -170,7 +173,8 @@
             return
         self._send(h11.Data(data=data))
         if len(getattr(self.transport, "dataBuffer", b"")) > _MAX_UNSENT_BYTES:
-            self.abort()
+            self._closed = True
+            cast("Any", self.transport).abortConnection()
 
     def finish(self) -> None:
         """The answer is whole: go on with the connection's next request."""
@@ -190,11 +194,9 @@
             self._reject(error.error_status_hint, str(error))
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Close the connection within an answer; what was written still arrives."""
         self._open = None
-        self._closed = True
-        self._cancel_timer()
-        cast("Any", self.transport).abortConnection()
+        self._close()
 
     def close_if_idle(self) -> None:
         """Close a kept connection on which no request has begun."""
@@ -222,6 +224,12 @@
         self._body = []
         self._body_bytes = 0
         self._expect(self._handler.limits.receive_head_s)
+        if request.http_version not in _HTTP_VERSIONS:
+            self._reject(_VERSION_NOT_SUPPORTED, "the HTTP version is not known")
+            return
+        if _head_bytes(request) > self._handler.limits.header_bytes:
+            self._reject(_HEADERS_TOO_LARGE, "the headers are over the limit")
+            return
         declared = dict(request.headers).get(b"content-length", b"0")
         if int(declared) > self._handler.limits.body_bytes:
             self._reject(_TOO_LARGE, "the body is over the limit")
@@ -293,6 +301,13 @@
             timer.cancel()
 
 
+def _head_bytes(request: h11.Request) -> int:
+    headers = sum(
+        len(name) + len(value) + _HEADER_FRAMING for name, value in request.headers
+    )
+    return headers + len(request.target)
+
+
 class CallerFactory(Factory):
     """Makes the callers' connections and knows the open ones."""
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from demo.system import DemoSystem, temporary_folder
+from tests.harness.platform_system import PlatformSystem
 from tests.waiting import wait_until
 
 _RUNNERS = 4
@@ -26,6 +27,11 @@
         wait_until(
             lambda: context.system.ready(_RUNNERS), "the entries know all runners"
         )
+    if "platform_system" in feature.tags:
+        folder = context.feature_cleanup.enter_context(temporary_folder())
+        context.system = PlatformSystem(Path(folder))
+        context.feature_cleanup.callback(context.system.close)
+        context.system.start()
 
 
 def after_feature(context: Any, feature: Any) -> None:
--- /dev/null
+++ b/tests/features/steps/platform_path_steps.py
@@ -0,0 +1,361 @@
+"""Steps for entries on the platform's interfaces, as separate processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import threading
+import time
+import urllib.error
+from typing import Any
+
+from behave import then, when
+
+from tests.harness.platform_system import HOST, KEY, WORKSPACE
+from tests.standins.platform_runner import whole_stream
+from tests.waiting import wait_until
+
+_BODIES = {
+    "the whole body": b"body",
+    "nothing": b"",
+    "the error": b"no",
+    "all events": whole_stream(),
+}
+_KEYS = {"no key": None, "an unknown key": "unknown", "its key": KEY}
+
+
+@when("a caller asks for {path:S}")
+def step_ask(context: Any, path: str) -> None:
+    try:
+        context.answer = context.system.ask(path)
+    except (http.client.IncompleteRead, urllib.error.URLError) as error:
+        context.error = error
+
+
+@when("a caller asks for {path:S} with {key}")
+def step_ask_with(context: Any, path: str, key: str) -> None:
+    headers = {}
+    if key.endswith(", saying it is somebody else"):
+        key = key.partition(",")[0]
+        headers = {"Corianderrelay_Tenant": "somebody-else"}
+    context.answer = context.system.ask(path, key=_KEYS[key], **headers)
+
+
+@then("it gets {status:d} and {body}")
+def step_gets(context: Any, status: int, body: str) -> None:
+    _, got, headers, answer = context.answer
+    assert (got, answer) == (status, _BODIES[body]), (got, answer)
+    assert "retry-after" not in headers
+
+
+@then("it gets {status:d} later and {body}")
+def step_gets_later(context: Any, status: int, body: str) -> None:
+    _, got, headers, answer = context.answer
+    assert (got, answer) == (status, _BODIES[body]), (got, answer)
+    assert float(headers["retry-after"]) > 0
+
+
+@then("the request ran {runs:d} times")
+def step_ran(context: Any, runs: int) -> None:
+    ran = context.system.fleet.runs_of(context.answer[0])
+    assert ran == runs, ran
+
+
+@then("its connection breaks after event {last:d}")
+def step_breaks(context: Any, last: int) -> None:
+    assert isinstance(context.error, http.client.IncompleteRead), context.error
+    events = whole_stream().split(b"\n\n")[:last]
+    assert context.error.partial == b"".join(each + b"\n\n" for each in events)
+
+
+@when("{count:d} callers ask for {first:S} and {second:S} by turns")
+def step_by_turns(context: Any, count: int, first: str, second: str) -> None:
+    paths = [first, second] * (count // 2)
+    context.answers = [context.system.ask(path) for path in paths]
+
+
+@then("each gets the whole body")
+def step_each(context: Any) -> None:
+    assert {answer[1:4:2] for answer in context.answers} == {(200, b"body")}
+
+
+def _told(context: Any) -> dict[str, str]:
+    request_id = context.answer[0]
+    runs = context.system.fleet.runs
+    return next(headers for _, run_id, headers in runs if run_id == request_id)
+
+
+@then("the runner was told of no workspace and no key")
+def step_no_workspace(context: Any) -> None:
+    assert "corianderrelay-tenant" not in _told(context)
+    assert "authorization" not in _told(context)
+
+
+@then("the runner was told of the caller's workspace and no key")
+def step_workspace(context: Any) -> None:
+    assert _told(context)["corianderrelay-tenant"] == WORKSPACE
+    assert "authorization" not in _told(context)
+
+
+@then("the runner was told of the time that is left")
+def step_time_left(context: Any) -> None:
+    assert 0 < int(_told(context)["corianderrelay-deadline-ms"]) <= 1500
+
+
+def _bytes_of(name: str) -> bytes:
+    head = f"POST /stock/whole HTTP/1.1\r\nHost: {HOST}\r\n"
+    head += f"Authorization: Token {KEY}\r\nCorianderrelay-Request-Id: b\r\n"
+    nested = b"[" * 450 + b"]" * 450
+    return {
+        "GET / HTTP/9.9": b"GET / HTTP/9.9\r\n\r\n",
+        "a request without Host": b"GET /stock/whole HTTP/1.1\r\n\r\n",
+        "two lengths that differ": (
+            head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"
+        ).encode(),
+        "a body over the limit": (head + "Content-Length: 1001\r\n\r\n").encode(),
+        "a chunked body over the limit": (
+            head + "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        + b"3e9\r\n"
+        + b"x" * 1001
+        + b"\r\n0\r\n\r\n",
+        "headers over the limit": (head + "X: " + "y" * 9000 + "\r\n\r\n").encode(),
+        "a JSON body nested 100,000 deep": (
+            head + f"Content-Length: {len(nested)}\r\n\r\n"
+        ).encode()
+        + nested,
+    }[name]
+
+
+@when("a caller sends {name}")
+def step_sends(context: Any, name: str) -> None:
+    with context.system.connect() as connection:
+        connection.sendall(_bytes_of(name))
+        context.raw = connection.recv(4096)
+
+
+@then("it gets the status {status:d}, and the entry serves on")
+def step_status(context: Any, status: int) -> None:
+    assert context.raw.split()[1] == str(status).encode(), context.raw[:80]
+    assert context.system.ask("/stock/whole")[1] == 200
+
+
+@when("a caller asks for {path:S} and leaves after the first event")
+def step_leaves(context: Any, path: str) -> None:
+    with context.system.connect() as connection:
+        request = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+        request += f"Authorization: Token {KEY}\r\n"
+        request += "Corianderrelay-Request-Id: leaver\r\n\r\n"
+        connection.sendall(request.encode())
+        connection.recv(4096)
+
+
+@then("the runner's connection is closed within 0.5 s")
+def step_closed(context: Any) -> None:
+    # The runner notices at the second event that it sends after the close.
+    wait_until(
+        lambda: "leaver" in context.system.fleet.stopped, "the runner hears of it"
+    )
+
+
+@when("runner {number:d} says that it is leaving")
+def step_leaving(context: Any, number: int) -> None:
+    context.leaver = context.system.runners[number]
+    context.system.register(context.leaver, "draining")
+
+
+@then("within {seconds:d} s no new request reaches it")
+def step_no_work(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    system = context.system
+    before = len(system.fleet.seen)
+    for number in range(24):
+        assert system.ask("/stock/whole", host=system.hosts[number % 2])[1] == 200
+    new = {runner_id for runner_id, _ in system.fleet.seen[before:]}
+    assert context.leaver.runner_id not in new, new
+    system.register(context.leaver)
+
+
+@when("records that name no runner are written")
+def step_forged(context: Any) -> None:
+    forged = [
+        b"\xff\xfe not JSON",
+        b"[]",
+        b'{"Service":"kit"}',
+        b'{"Service":"kit","Addr":7,"Zone":"a","Slots":6,"State":"ready"}',
+        b'{"Service":"kit","Addr":"nowhere","Zone":"a","Slots":6,"State":"ready"}',
+        b'{"Service":"kit","Addr":"127.0.0.1:1","Zone":"a","Slots":6,"State":"odd"}',
+    ]
+    for number, value in enumerate(forged):
+        context.system.store.put("keyed.servers", f"forged-{number}", value)
+        context.system.store.put("keyed.servers", f"i-{number % 3}", value)
+    context.system.store.drop_history("keyed.servers")
+    time.sleep(1.5)
+
+
+@then("{count:d} requests are served as before")
+def step_served(context: Any, count: int) -> None:
+    answers = [context.system.ask("/stock/whole")[1] for _ in range(count)]
+    assert answers == [200] * count, answers
+    kinds = [line.get("message_type") for line in context.system.log_lines()]
+    assert "runner:malformed" in kinds
+    for runner in context.system.runners:
+        context.system.register(runner)  # as runners do every second or so
+
+
+@then("each entry tells callers of both")
+def step_both(context: Any) -> None:
+    system = context.system
+    wanted = {f"{host}:8100" for host in system.hosts}
+    wait_until(
+        lambda: all(
+            set(system.resolve(host).get("Addrs", [])) == wanted
+            for host in system.hosts
+        ),
+        "each entry knows both",
+    )
+
+
+@when("entry {number:d} is told to stop while a caller streams from it")
+def step_stop(context: Any, number: int) -> None:
+    system = context.system
+    context.stopping = system.entries[number - 1]
+    answers: list[Any] = []
+    host = system.hosts[number - 1]
+    caller = threading.Thread(
+        target=lambda: answers.append(system.ask("/stream/slow", host=host))
+    )
+    caller.start()
+    time.sleep(0.5)
+    context.stopping.signal(signal.SIGTERM)
+    time.sleep(0.1)
+    assert not system.ready(host)
+    caller.join()
+    context.answer = answers[0]
+
+
+@then("the stream is whole and entry {number:d} exits")
+def step_whole_exit(context: Any, number: int) -> None:
+    assert context.answer[1:4:2] == (200, whole_stream())
+    assert context.stopping.wait() == 0
+
+
+@then("entry {number:d} tells callers of itself only")
+def step_itself(context: Any, number: int) -> None:
+    system = context.system
+    host = system.hosts[number - 1]
+    wait_until(
+        lambda: system.resolve(host)["Addrs"] == [f"{host}:8100"], "it knows itself"
+    )
+
+
+@when("entry {number:d} is started again")
+def step_again(context: Any, number: int) -> None:
+    system = context.system
+    host = system.hosts[number - 1]
+    system.start_entry(host)
+    system.entries[number - 1] = system.entries.pop()
+    wait_until(lambda: system.ready(host), "the entry is ready")
+
+
+@when("a configuration that cannot be decoded is published")
+def step_bad_config(context: Any) -> None:
+    context.system.store.put("keyed.op", "config", b'{"Version": 999, "Routes": 7}')
+
+
+@then("the entries say so with a remedy, and serve on")
+def step_say_so(context: Any) -> None:
+    def said(number: int) -> bool:
+        lines = context.system.log_lines(number)
+        kinds = {line.get("message_type"): line for line in lines}
+        return "remedy" in kinds.get("config:malformed", {})
+
+    wait_until(lambda: said(0) and said(1), "both entries say so")
+    assert context.system.ask("/stock/whole")[1] == 200
+
+
+@when("a route {prefix:S} is published and the history is dropped")
+def step_added(context: Any, prefix: str) -> None:
+    context.system.configure(added={"Attempts": 1})
+    context.system.store.drop_history("keyed.op")
+    context.system.store.drop_history("keyed.servers")
+
+
+@then("within {seconds:d} s {path:S} is served by both entries")
+def step_added_served(context: Any, seconds: int, path: str) -> None:
+    time.sleep(seconds)
+    statuses = [context.system.ask(path, host=host)[1] for host in context.system.hosts]
+    assert statuses == [200, 200], statuses
+
+
+@when("the store is silent")
+def step_silent(context: Any) -> None:
+    context.system.store.mode = "silent"
+
+
+@then(
+    "within {seconds:f} s the entries are not ready, "
+    "and answer requests with keys 503 later"
+)
+def step_untrusted(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    system = context.system
+    for host in system.hosts:
+        assert not system.ready(host)
+        _, status, headers, _ = system.ask("/orders/whole", host=host)
+        assert status == 503 and float(headers["retry-after"]) > 0
+
+
+@then("a public route is served")
+def step_public(context: Any) -> None:
+    assert context.system.ask("/open/whole", key=None)[1] == 200
+
+
+@when("the store answers again")
+def step_answers(context: Any) -> None:
+    context.system.store.mode = "ok"
+
+
+@then("the entries are ready again")
+def step_ready_again(context: Any) -> None:
+    system = context.system
+    wait_until(lambda: all(map(system.ready, system.hosts)), "the entries are ready")
+
+
+@when("the caller's key is revoked")
+def step_revoke(context: Any) -> None:
+    context.system.configure(keys=("another-key",))
+
+
+@when("the caller's key is given back")
+def step_give_back(context: Any) -> None:
+    context.system.configure()
+
+
+@then("within {seconds:d} s its requests get {status:d}")
+def step_requests_get(context: Any, seconds: int, status: int) -> None:
+    time.sleep(seconds)
+    for host in context.system.hosts:
+        got = context.system.ask("/orders/whole", host=host)[1]
+        assert got == status, got
+
+
+@then("one line of the log says how the request ended, and why")
+def step_one_line(context: Any) -> None:
+    ended = [
+        line
+        for line in context.system.log_lines()
+        if line.get("message_type") == "request:ended"
+        and line.get("request") == context.answer[0]
+    ]
+    assert len(ended) == 1, ended
+    assert ended[0]["status"] == 502 and ended[0]["may_have_run"]
+    assert "closed the connection" in ended[0]["reason"], json.dumps(ended[0])
+
+
+@then("the metrics count it")
+def step_metrics(context: Any) -> None:
+    metrics = context.system.metrics(context.system.hosts[0])
+    assert 'direct_refusals_total{status="502"}' in metrics, metrics[:2000]
+    assert "direct_first_byte_seconds_bucket" in metrics
--- /dev/null
+++ b/tests/harness/platform_system.py
@@ -0,0 +1,192 @@
+"""Entries on the platform's interfaces, as separate processes before stand-ins."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+from demo.processes import Process, fetch
+from tests.standins.platform_runner import PlatformRunner, RunnerFleet
+from tests.standins.platform_store import PlatformStore
+from tests.waiting import wait_until
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_PROGRAM = str(_ROOT / "platform" / "run.py")
+HOST = "shop.example"
+KEY = "key-of-kit-shop"
+WORKSPACE = "kit-shop"
+_PORTS = {"Front": 8100, "Ready": 8101, "Directory": 8102}
+_LIMITS = {
+    "MaxHeaderBytes": 8192,
+    "MaxBodyBytes": 1000,
+    "HeaderTimeoutMs": 2000,
+    "IdleTimeoutMs": 5000,
+}
+
+
+class PlatformSystem:
+    """A store, three runners of one service, and entries on 127.0.0.2 and up."""
+
+    def __init__(self, folder: Path, entries: int = 2) -> None:
+        self.folder = folder
+        self.store = PlatformStore()
+        self.fleet = RunnerFleet()
+        self.runners = [PlatformRunner(f"i-{n}", self.fleet) for n in range(3)]
+        self.entries: list[Process] = []
+        self._ids = itertools.count(1)
+        self._version = 0
+        self.hosts = [f"127.0.0.{2 + number}" for number in range(entries)]
+
+    def start(self) -> None:
+        """Start everything and wait until the entries are ready."""
+        self.configure()
+        for runner in self.runners:
+            self.register(runner)
+        for host in self.hosts:
+            self.start_entry(host)
+        wait_until(
+            lambda: all(self.ready(host) for host in self.hosts),
+            "the entries are ready",
+        )
+
+    def start_entry(self, host: str) -> Process:
+        """Start one entry."""
+        settings = self.folder / f"{host}.conf"
+        settings.write_text(self.settings(host))
+        process = Process(
+            f"entry-{host}",
+            [_PROGRAM, "entry"],
+            self.folder / f"{host}-{len(self.entries)}.log",
+            {"CORIANDERRELAY_NODE_FILE": str(settings)},
+        )
+        self.entries.append(process)
+        return process
+
+    def settings(self, host: str) -> str:
+        """Return the settings file of an entry."""
+        listen = "".join(f"Listen.{k}={host}:{port}\n" for k, port in _PORTS.items())
+        return (
+            f"Node=entry-{host}\nIp={host}\nZone=oslo-a\n{listen}PortRange=7340,7355\n"
+            f"Platform.Addr={self.store.address}\nBounds.GraceS=4\n"
+            "Bounds.StrictRevoke=true\nBounds.RevokeMs=2500\nBounds.BudgetSlack=88\n"
+            "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\nBounds.ttl_max_s=5\n"
+            "A.field.that.is.new=1\n"
+        )
+
+    def configure(
+        self, keys: tuple[str, ...] = (KEY,), **changes: dict[str, Any]
+    ) -> None:
+        """Publish a configuration; ``changes`` are of routes, by name."""
+        self._version += 7
+        routes = {
+            "orders": {"Kind": "unsafe", "Attempts": 1, "TimeoutMs": 1500},
+            "stock": {"Kind": "safe", "Attempts": 2, "TimeoutMs": 1500},
+            "stream": {
+                "Kind": "streaming",
+                "Attempts": 2,
+                "TimeoutMs": 4000,
+                "Resumable": True,
+                "Sticky": True,
+                "GapSloMs": 120,
+            },
+            "open": {"Kind": "safe", "Attempts": 1, "TimeoutMs": 1500, "Public": True},
+        }
+        for name, change in changes.items():
+            routes.setdefault(name, {"Kind": "safe", "TimeoutMs": 1500}).update(change)
+        document = {
+            "Version": self._version,
+            "Routes": [
+                {
+                    "Name": name,
+                    "Host": HOST,
+                    "PathPrefix": f"/{name}/",
+                    "SloMs": 400,
+                    "Priority": 1,
+                    "Service": "kit",
+                    **route,
+                }
+                for name, route in routes.items()
+            ],
+            "Services": [{"Name": "kit", "HealthPath": "/healthz", "MaxConns": 96}],
+            "Limits": _LIMITS,
+            "Tenants": [{"Name": WORKSPACE, "ApiKeys": list(keys)}],
+        }
+        self.store.put("keyed.op", "config", json.dumps(document).encode())
+
+    def register(self, runner: PlatformRunner, state: str = "ready") -> None:
+        """Write a runner's record."""
+        record = {
+            "Service": "kit",
+            "Addr": runner.address,
+            "Zone": "oslo-a",
+            "Version": "v1",
+            "Slots": 6,
+            "State": state,
+            "born": 1,
+        }
+        value = json.dumps(record).encode()
+        self.store.put("keyed.servers", runner.runner_id, value)
+
+    def ready(self, host: str) -> bool:
+        """Whether an entry says that it is ready."""
+        try:
+            return fetch(f"http://{host}:{_PORTS['Ready']}/api/ready")[0] == 200
+        except OSError:
+            return False
+
+    def resolve(self, host: str) -> dict[str, Any]:
+        """Ask an entry which entries there are."""
+        path = f"/api/resolve?Name={HOST}&Region=oslo&Zone=oslo-a"
+        status, _, body = fetch(f"http://{host}:{_PORTS['Directory']}{path}")
+        return {"status": status, **(json.loads(body) if body else {})}
+
+    def ask(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes | None = b"{}",
+        key: str | None = KEY,
+        host: str | None = None,
+        **headers: str,
+    ) -> tuple[str, int, dict[str, str], bytes]:
+        """Send a caller's request; return its id and the answer."""
+        request_id = f"id-{next(self._ids)}"
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
+        status, answer_headers, answer = fetch(
+            f"http://{host or self.hosts[0]}:{_PORTS['Front']}{path}",
+            method,
+            body if method == "POST" else None,
+            Host=HOST,
+            Corianderrelay_Request_Id=request_id,
+            Corianderrelay_Deadline_Ms=headers.pop("deadline_ms", "4000"),
+            **headers,
+        )
+        return request_id, status, answer_headers, answer
+
+    def connect(self, host: str | None = None) -> socket.socket:
+        """Open a caller's connection."""
+        return socket.create_connection((host or self.hosts[0], _PORTS["Front"]), 5)
+
+    def metrics(self, host: str) -> str:
+        """Return an entry's metrics."""
+        return fetch(f"http://{host}:9464/metrics")[2].decode()
+
+    def log_lines(self, number: int = 0) -> list[dict[str, Any]]:
+        """Return the structured lines of an entry's log."""
+        text = self.entries[number].log_path.read_text(errors="replace")
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    def close(self) -> None:
+        """End all processes and stand-ins."""
+        for process in self.entries:
+            process.kill()
+        for runner in self.runners:
+            runner.close()
+        self.store.close()
+
+
+__all__ = ["HOST", "KEY", "WORKSPACE", "PlatformSystem"]
--- /dev/null
+++ b/tests/standins/platform_runner.py
@@ -0,0 +1,249 @@
+"""A stand-in for a runner of the platform, with each way in which runners misbehave.
+
+What a request meets is said by the last part of its path: ``whole``, ``lost``, and so
+on. A name that ends in ``-once`` is met by the first request that names it only, at any
+runner; later ones are served well.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+
+EVENTS = 8
+_STEP_S = 0.02
+_HANG_S = 3.0
+
+
+class RunnerFleet:
+    """What the runners of one test share: the account of runs."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.runs: list[tuple[str, str, dict[str, str]]] = []
+        self.seen: list[tuple[str, str]] = []
+        self.met: set[str] = set()
+        self.stopped: list[str] = []
+
+    def runs_of(self, request_id: str) -> int:
+        """Return how often a request ran."""
+        with self.lock:
+            return sum(run[1] == request_id for run in self.runs)
+
+
+class PlatformRunner:
+    """One runner on loopback."""
+
+    def __init__(self, runner_id: str, fleet: RunnerFleet) -> None:
+        self.runner_id = runner_id
+        self._fleet = fleet
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rwb")
+        try:
+            while self._serve_one(connection, stream):
+                pass
+        except OSError:
+            pass  # the caller has closed the connection
+        finally:
+            connection.close()
+
+    def _serve_one(self, connection: socket.socket, stream: object) -> bool:
+        request = _read_request(stream)
+        if request is None:
+            return False
+        path, headers = request
+        request_id = headers.get("corianderrelay-request-id", "")
+        behaviour = path.rsplit("/", 1)[-1]
+        with self._fleet.lock:
+            self._fleet.seen.append((self.runner_id, request_id))
+            if behaviour.endswith("-once"):
+                first = behaviour not in self._fleet.met
+                self._fleet.met.add(behaviour)
+                behaviour = behaviour.removesuffix("-once") if first else "whole"
+        if headers.get("corianderrelay-expect-instance") not in (None, self.runner_id):
+            behaviour = "misdirected"
+        return self._behave(behaviour, path, request_id, headers, connection)
+
+    def _behave(
+        self,
+        behaviour: str,
+        path: str,
+        request_id: str,
+        headers: dict[str, str],
+        connection: socket.socket,
+    ) -> bool:
+        if behaviour == "reject":
+            connection.sendall(_head(503, request_id, not_run=True) + _length(b""))
+            return True
+        if behaviour == "misdirected":
+            connection.sendall(_head(421, request_id) + _length(b""))
+            return True
+        with self._fleet.lock:
+            self._fleet.runs.append((self.runner_id, request_id, headers))
+        if "/stream/" in path:
+            return self._stream(behaviour, request_id, headers, connection)
+        answers: dict[str, Callable[[], bool]] = {
+            "lost": lambda: False,
+            "reset": lambda: _reset(connection),
+            "garbage": lambda: _send(connection, b"\x00\x01 no answer\r\n\r\n", False),
+            "hang": lambda: _hang(connection),
+            "error": lambda: _send(
+                connection, _head(500, request_id, signed=True) + _length(b"no"), True
+            ),
+            "busy": lambda: _send(
+                connection, _head(503, request_id) + _length(b""), True
+            ),
+            "unsigned": lambda: _send(
+                connection, _head(200, request_id) + _length(b"bytes"), True
+            ),
+            "encoded": lambda: _send(
+                connection,
+                _head(200, request_id, signed=True)
+                + b"Content-Encoding: x\r\n"
+                + _length(b"bytes"),
+                True,
+            ),
+            "cut": lambda: _send(
+                connection,
+                _head(200, request_id, signed=True) + b"Content-Length: 99\r\n\r\nab",
+                False,
+            ),
+            "extra": lambda: _send(
+                connection,
+                _whole(request_id, b"body") + _whole("other", b"stray"),
+                True,
+            ),
+            "stray-first": lambda: _send(
+                connection,
+                _whole("other", b"stray") + _whole(request_id, b"body"),
+                True,
+            ),
+            "unframed": lambda: _send(
+                connection, _head(200, request_id, signed=True) + b"\r\nbody", False
+            ),
+            "unframed-reset": lambda: _send(
+                connection, _head(200, request_id, signed=True) + b"\r\nbo", True
+            )
+            and _reset(connection),
+        }
+        answer = answers.get(behaviour)
+        if answer is not None:
+            return answer()
+        return _send(connection, _whole(request_id, b"body"), True)
+
+    def _stream(
+        self,
+        behaviour: str,
+        request_id: str,
+        headers: dict[str, str],
+        connection: socket.socket,
+    ) -> bool:
+        start = int(headers.get("last-event-id") or 0) + 1
+        head = _head(200, request_id, signed=True)
+        connection.sendall(
+            head
+            + b"Content-Type: text/event-stream\r\n"
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for number in range(start, EVENTS + 1):
+            event = b"id: %d\ndata: event-%d\n\n" % (number, number)
+            if behaviour == "torn" and number == 4:
+                connection.sendall(_chunk(event[:9]))
+                return _reset(connection)
+            if behaviour == "slow":
+                time.sleep(0.2)
+            try:
+                connection.sendall(_chunk(event))
+            except OSError:
+                with self._fleet.lock:
+                    self._fleet.stopped.append(request_id)
+                raise
+            time.sleep(_STEP_S)
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+
+def whole_stream() -> bytes:
+    """Return the events of a whole stream."""
+    return b"".join(
+        b"id: %d\ndata: event-%d\n\n" % (number, number)
+        for number in range(1, EVENTS + 1)
+    )
+
+
+def _read_request(stream: object) -> tuple[str, dict[str, str]] | None:
+    readline: Callable[[], bytes] = getattr(stream, "readline")  # noqa: B009
+    read: Callable[[int], bytes] = getattr(stream, "read")  # noqa: B009
+    first = readline().split()
+    if len(first) < 2:
+        return None
+    headers: dict[str, str] = {}
+    while (line := readline().strip()) != b"":
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.lower()] = value.strip()
+    read(int(headers.get("content-length") or 0))
+    return first[1].decode(), headers
+
+
+def _head(
+    status: int, request_id: str, *, signed: bool = False, not_run: bool = False
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Corianderrelay-Request-Id: {request_id}"]
+    if signed:
+        lines.append("Corianderrelay-Server-Stamp: a.b.c")
+    if not_run:
+        lines.append("Corianderrelay-Not-Run: 1")
+    return "".join(f"{line}\r\n" for line in lines).encode()
+
+
+def _length(body: bytes) -> bytes:
+    return b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def _whole(request_id: str, body: bytes) -> bytes:
+    return _head(200, request_id, signed=True) + _length(body)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def _send(connection: socket.socket, data: bytes, keep: bool) -> bool:
+    connection.sendall(data)
+    return keep
+
+
+def _reset(connection: socket.socket) -> bool:
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+    return False
+
+
+def _hang(connection: socket.socket) -> bool:
+    time.sleep(_HANG_S)
+    return False
+
+
+__all__ = ["EVENTS", "PlatformRunner", "RunnerFleet", "whole_stream"]
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,131 @@
+"""A stand-in for the platform's store: keyed topics over HTTP, served by threads."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+_POLL_S = 0.02
+_SILENT_S = 5.0
+
+
+class PlatformStore:
+    """Topics with one partition; records are pairs of a key and a value.
+
+    ``mode`` is ``ok``, ``busy`` (every call gets 503), ``silent`` (none is answered)
+    or ``reset`` (every connection is closed).
+    """
+
+    def __init__(self) -> None:
+        self.mode = "ok"
+        self.calls = 0
+        self._lock = threading.Lock()
+        self._records_by_topic: dict[str, list[tuple[str, bytes]]] = {}
+        self._first_by_topic: dict[str, int] = {}
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                store._answer(self)
+
+            def do_POST(self) -> None:
+                store._answer(self)
+
+            def log_message(self, format: str, *args: object) -> None:
+                pass
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record; an empty value drops the key."""
+        with self._lock:
+            self._records_by_topic.setdefault(topic, []).append((key, value))
+
+    def drop_history(self, topic: str) -> None:
+        """Forget all records but the newest of each key."""
+        with self._lock:
+            self._first_by_topic[topic] = len(self._records_by_topic.get(topic, []))
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _answer(self, handler: BaseHTTPRequestHandler) -> None:
+        self.calls += 1
+        if self.mode == "silent":
+            time.sleep(_SILENT_S)
+        if self.mode in ("silent", "reset"):
+            handler.close_connection = True
+            return
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        length = int(handler.headers.get("Content-Length") or 0)
+        body = handler.rfile.read(length)
+        if self.mode == "busy":
+            self._send(handler, 503, b"")
+        elif url.path == "/api/log-newest":
+            self._send(handler, 200, self._newest(query["Topic"]))
+        elif url.path == "/api/log-read":
+            self._send(handler, *self._read(query))
+        elif url.path == "/api/log-append":
+            key_bytes = body[4]
+            key = body[5 : 5 + key_bytes].decode()
+            self.put(query["Topic"], key, body[5 + key_bytes :])
+            self._send(handler, 200, b'{"Offset":0,"End":1}')
+        else:
+            self._send(handler, 404, b"")
+
+    def _newest(self, topic: str) -> bytes:
+        with self._lock:
+            records = self._records_by_topic.get(topic, [])
+            newest = {key: (value, n) for n, (key, value) in enumerate(records)}
+            end = len(records)
+        items = [
+            {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset}
+            for key, (value, offset) in newest.items()
+            if value
+        ]
+        return json.dumps({"Items": items, "HasMore": False, "End": end}).encode()
+
+    def _read(self, query: dict[str, str]) -> tuple[int, bytes]:
+        topic, start = query["Topic"], int(query["From"])
+        until = time.monotonic() + int(query.get("WaitMs", "0")) / 1000
+        while True:
+            with self._lock:
+                records = list(self._records_by_topic.get(topic, []))
+                first = self._first_by_topic.get(topic, 0)
+            if start < first:
+                return 410, json.dumps({"First": first}).encode()
+            if len(records) > start or time.monotonic() >= until:
+                break
+            time.sleep(_POLL_S)
+        framed = b"".join(_framed(key, value) for key, value in records[start:])
+        return 200, struct.pack(">QQ", len(records), first) + framed
+
+    def _send(self, handler: BaseHTTPRequestHandler, status: int, body: bytes) -> None:
+        try:
+            handler.send_response(status)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+        except OSError:
+            handler.close_connection = True  # the caller has given up
+
+
+def _framed(key: str, value: bytes) -> bytes:
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
+
+
+__all__ = ["PlatformStore"]
