Refuse JSON that is nested too deep and HTTP/1.1 without Host in the product's own interface

Cause: the decoder's RecursionError was no decode error, so a body nested 100,000 deep ended in Twisted's own page with status 500; Twisted does not ask for Host. Both tests failed first (no JSON in the answer).

--- a/packages/corianderrelay-core/src/corianderrelay/protocol/checked_json.py
+++ b/packages/corianderrelay-core/src/corianderrelay/protocol/checked_json.py
@@ -29,6 +29,9 @@
     """
     try:
         return Ok(msgspec.json.decode(raw, type=kind))
+    except RecursionError:
+        fault = Fault("$", "it is nested too deep", "nest it less deep")
+        return Err([fault])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(_faults(raw, kind, error))
 
@@ -37,6 +40,8 @@
     # A strict decode stops at an unknown key before it sees that the text is cut off.
     try:
         value = msgspec.json.decode(raw)
+    except RecursionError:
+        return [Fault("$", "it is nested too deep", "nest it less deep")]
     except (msgspec.DecodeError, UnicodeDecodeError) as syntax_error:
         return [Fault("$", f"it is not JSON ({syntax_error})", "mend the syntax")]
     return _schema_faults(value, kind) or [_fault_of_strict_decode(error)]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/limited_request.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/limited_request.py
@@ -56,6 +56,9 @@
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Run the request now that its body is whole; called by Twisted."""
         self._cancel_body_deadline()
+        if version == b"HTTP/1.1" and not self.requestHeaders.hasHeader(b"host"):
+            self.refused = True
+            self.channel._respondToBadRequestAndDisconnect()
         if not self.refused:
             super().requestReceived(command, path, version)
 
--- a/tests/features/processes/bad_input.feature
+++ b/tests/features/processes/bad_input.feature
@@ -19,6 +19,7 @@
       | stream is no boolean  | POST /v1/chat/completions    | {"model":"kit-model","messages":[{"role":"user","content":"x"}],"stream":"yes"}  | 400 | invalid_request |
       | negative max_tokens   | POST /v1/chat/completions    | {"model":"kit-model","messages":[{"role":"user","content":"x"}],"max_tokens":-1} | 400 | invalid_request |
       | unknown model         | POST /v1/chat/completions    | {"model":"other","messages":[{"role":"user","content":"x"}]}            | 404    | not_found          |
+      | nested 100,000 deep   | POST /v1/chat/completions    | nested 100000                                                            | 400    | invalid_request    |
       | broken UTF-8          | POST /v1/chat/completions    | \xff\xfe                                                                | 400    | invalid_request    |
 
     Examples: Routes and methods
@@ -45,6 +46,7 @@
       | header over limit | GET / HTTP/1.1\r\nX-Long: {17000}\r\n\r\n                         | 400    | invalid_request |
       | body over limit   | POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n | 413 | too_large     |
       | bad chunk         | POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n       | 400    | invalid_request |
+      | no Host           | GET /v1/models HTTP/1.1\r\n\r\n                                   | 400    | invalid_request |
       | unknown encoding  | POST / HTTP/1.1\r\nTransfer-Encoding: what\r\n\r\n                | 400    | invalid_request |
 
   Scenario Outline: A malformed frame to an agent: <case>
--- a/tests/features/steps/bad_input_steps.py
+++ b/tests/features/steps/bad_input_steps.py
@@ -43,12 +43,19 @@
     return b"".join(parts)
 
 
+def _content_of(body: str) -> bytes:
+    if body.startswith("nested "):
+        depth = int(body.removeprefix("nested "))
+        return b"[" * depth + b"]" * depth
+    if body.startswith("\\"):
+        return _unescape(body)
+    return b"" if body == "-" else body.encode()
+
+
 @when("the entry is sent the request {request} with body {body}")
 def step_malformed_request(context: Any, request: str, body: str) -> None:
     method, path = request.split(" ")
-    content = (
-        b"" if body == "-" else _unescape(body) if body[0] == "\\" else body.encode()
-    )
+    content = _content_of(body)
     context.reply = fetch(
         context.system.entries[0] + path,
         method,
