--- /dev/null
+++ b/tests/features/steps/adapter_steps.py
@@ -0,0 +1,290 @@
+"""Steps for the adapter to the users' platform."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+from result import Err, Ok
+
+from corianderrelay_entry.protocol.direct.entry_news import decode_news, encode_news
+from corianderrelay_entry.state.direct.catalog import RequestKind
+from corianderrelay_entry.state.direct.entry_peers import EntryNews
+from corianderrelay_entry.state.direct.rank_orders import OrderKind, RankOrder
+from corianderrelay_platform.configuration import decode_configuration
+from corianderrelay_platform.headers import PlatformDialect
+from corianderrelay_platform.ranks import encode_order
+from corianderrelay_platform.runners import decode_runner
+from corianderrelay_platform.settings import FILE_VARIABLE, read_platform_settings
+
+_ROOT = Path(__file__).resolve().parent.parent.parent.parent
+_SETTINGS = {
+    "Node": "front-1",
+    "Ip": "10.1.0.40",
+    "Zone": "oslo-a",
+    "Listen.Front": "10.1.0.40:8227",
+    "Listen.Ready": "10.1.0.40:8220",
+    "Listen.Directory": "10.1.0.40:8224",
+    "PortRange": "7340,7355",
+    "Bounds.GraceS": "8",
+    "Platform.Addr": "10.200.1.7:8223",
+}
+_CHANGES: dict[str, dict[str, str | None]] = {
+    "no Node": {"Node": None},
+    "no Listen.Front": {"Listen.Front": None},
+    "Listen.Front without a port": {"Listen.Front": "10.1.0.40"},
+    "no Platform.Addr": {"Platform.Addr": None},
+    "Bounds.GraceS as a word": {"Bounds.GraceS": "long"},
+    "no PortRange": {"PortRange": None},
+    "new fields": {"Some.New.field": "1", "Other": "a=b"},
+}
+
+
+def _text(changes: dict[str, str | None]) -> str:
+    values = _SETTINGS | changes
+    return "".join(f"{k}={v}\n" for k, v in values.items() if v is not None)
+
+
+def _read(text: str) -> Any:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.conf"
+        path.write_text(text)
+        return read_platform_settings(path)
+
+
+@when("the platform's settings have {fault}")
+def step_settings(context: Any, fault: str) -> None:
+    context.read = _read(_text(_CHANGES[fault]))
+
+
+@when("the platform's settings are empty")
+def step_empty(context: Any) -> None:
+    context.read = _read("")
+
+
+@then("reading them names {keys} and a remedy")
+def step_names(context: Any, keys: str) -> None:
+    assert isinstance(context.read, Err)
+    message = str(context.read.err_value)
+    for key in keys.split(", "):
+        line = next(line for line in message.splitlines() if f" {key}" in line)
+        assert "write" in line, line
+
+
+@then("they are read")
+def step_read(context: Any) -> None:
+    assert isinstance(context.read, Ok)
+    settings = context.read.ok_value
+    assert settings.direct.callers.port == 8227
+    assert settings.store_url == "http://10.200.1.7:8223"
+
+
+@then(
+    '"check-settings" exits with {good:d} for sound settings '
+    "and {bad:d} for settings without Node"
+)
+def step_check(context: Any, good: int, bad: int) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.conf"
+        for text, code in ((_text({}), good), (_text({"Node": None}), bad)):
+            path.write_text(text)
+            done = subprocess.run(
+                [sys.executable, str(_ROOT / "platform" / "run.py"), "check-settings"],
+                env=os.environ | {FILE_VARIABLE: str(path)},
+                capture_output=True,
+                text=True,
+            )
+            assert done.returncode == code, done.stderr
+
+
+@given("a configuration document with each kind of route, a split and two workspaces")
+def step_document(context: Any) -> None:
+    route = {"Host": "Shop.example", "TimeoutMs": 800, "SloMs": 400}
+    split = [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}]
+    document = {
+        "Version": 7,
+        "Routes": [
+            route | {"Name": "r1", "PathPrefix": "/a/", "Kind": "safe", "Service": "a"},
+            route | {"Name": "r2", "PathPrefix": "/a/b/", "Kind": "unsafe"},
+            route | {"Name": "r3", "PathPrefix": "/s/", "Kind": "streaming"},
+            route
+            | {"Name": "r4", "PathPrefix": "/t/", "Kind": "streaming"}
+            | {"Resumable": True, "Split": split},
+        ],
+        "Services": [{"Name": "a", "MaxConns": 9}],
+        "Tenants": [
+            {"Name": "w1", "ApiKeys": ["k1", "k2"], "Priority": 0},
+            {"Name": "w2", "ApiKeys": ["k3"]},
+        ],
+        "Later": {"field": 1},
+    }
+    context.catalog = decode_configuration(json.dumps(document).encode())
+
+
+@then("routes are found by host and longest prefix")
+def step_routes(context: Any) -> None:
+    cases = {
+        ("shop.example", "/a/x"): "r1",
+        ("shop.example", "/a/b/c/d"): "r2",
+        ("shop.example", "/a/b"): "r1",
+        ("shop.example", "/a"): None,
+        ("shop.example", "/"): None,
+        ("other.example", "/a/x"): None,
+    }
+    for (host, path), name in cases.items():
+        route = context.catalog.route(host, path)
+        assert (route.name if route else None) == name, (host, path, route)
+
+
+@then("the kinds say what may be repeated")
+def step_kinds(context: Any) -> None:
+    routes = context.catalog.routes_by_host["shop.example"].values()
+    repeatable = {route.name: route.repeatable for route in routes}
+    assert repeatable == {"r1": True, "r2": False, "r3": False, "r4": True}
+    assert {route.kind for route in routes} == set(RequestKind)
+
+
+@then("keys show their workspaces")
+def step_keys(context: Any) -> None:
+    names = {k: w.name for k, w in context.catalog.workspaces_by_key.items()}
+    assert names == {"k1": "w1", "k2": "w1", "k3": "w2"}
+    assert context.catalog.needs_key
+
+
+@then("a split route draws its services by weight")
+def step_split(context: Any) -> None:
+    random = Random(1)
+    route = context.catalog.routes_by_host["shop.example"]["/t/"]
+    drawn = [route.service(random) for _ in range(2000)]
+    assert 1700 < drawn.count("a") < 1890, drawn.count("a")
+
+
+@then("the record {record} names {what}")
+def step_record(context: Any, record: str, what: str) -> None:
+    try:
+        runner = decode_runner("i-1", record.strip().encode())
+    except (ValueError, msgspec.DecodeError):
+        assert what == "no runner"
+        return
+    assert what == ("a leaving runner" if runner.leaving else "a runner")
+
+
+@when("a caller's headers name a key, a workspace, a runner and a deadline of its own")
+def step_headers(context: Any) -> None:
+    context.dialect = PlatformDialect()
+    headers = [
+        (b"host", b"Shop.example:80"),
+        (b"authorization", b"Token k1"),
+        (b"corianderrelay-request-id", b"id-1"),
+        (b"corianderrelay-tenant", b"somebody-else"),
+        (b"corianderrelay-expect-instance", b"i-9"),
+        (b"corianderrelay-deadline-ms", b"4000"),
+        (b"corianderrelay-token-counts", b"many,80"),
+        (b"corianderrelay-length-hint", b"?"),
+        (b"last-event-id", b"3"),
+        (b"x-other", b"kept"),
+    ]
+    context.call = context.dialect.decode_call(b"POST", b"/a/x?q", headers, b"", 1.0)
+
+
+@then("the runner gets the entry's runner, workspace and time left, and no key")
+def step_runner_headers(context: Any) -> None:
+    call = context.call
+    sent = context.dialect.encode_call(call, "i-1", "w1", "5", 1.25)
+    assert sorted(sent) == [
+        (b"corianderrelay-deadline-ms", b"1250"),
+        (b"corianderrelay-expect-instance", b"i-1"),
+        (b"corianderrelay-length-hint", b"?"),
+        (b"corianderrelay-request-id", b"id-1"),
+        (b"corianderrelay-tenant", b"w1"),
+        (b"corianderrelay-token-counts", b"many,80"),
+        (b"host", b"Shop.example:80"),
+        (b"last-event-id", b"5"),
+        (b"x-other", b"kept"),
+    ]
+    assert (call.key, call.host, call.path) == ("k1", "shop.example", "/a/x")
+    assert (call.patience_s, call.resume_after) == (4.0, "3")
+
+
+@then("figures that are no numbers count as absent")
+def step_figures(context: Any) -> None:
+    assert (context.call.prompt_tokens, context.call.answer_tokens) == (0, 80)
+
+
+@then("each order to a rank is encoded as the platform spells it")
+def step_orders(context: Any) -> None:
+    experts = (((0, 2), (5,)), ((1,), (4,)))
+    cases = {
+        OrderKind.PREPARE: {
+            "Op": "prepare",
+            "Version": 8,
+            "Map": [[[0, 2], [1]], [[5], [4]]],
+        },
+        OrderKind.ARM: {"Op": "arm", "Version": 8, "step": 30},
+        OrderKind.DISARM: {"Op": "disarm", "Version": 8},
+        OrderKind.HOLD: {"Op": "Hold", "step": 30},
+        OrderKind.RELEASE: {"Op": "go", "step": 30},
+    }
+    for kind, body in cases.items():
+        order = RankOrder("i-1", kind, 2, 8, 30, experts)
+        assert json.loads(encode_order(order)) == body | {"epoch": 2}
+
+
+def _news() -> EntryNews:
+    running = {"i-1": 2, "i-2": 1}
+    return EntryNews(
+        "a", 5, 9, "h:1", "h", 2, True, False, running, {"s": 3}, {"i-2": 1.5}
+    )
+
+
+@then("news are the same after they were sent")
+def step_news(context: Any) -> None:
+    decoded = decode_news(encode_news(_news()))
+    assert isinstance(decoded, Ok) and decoded.ok_value == _news()
+
+
+@then("{count:d} malformed datagrams are told from news")
+def step_datagrams(context: Any, count: int) -> None:
+    random = Random(3)
+    sound = encode_news(_news())
+    for _ in range(count):
+        cut = sound[: random.randrange(len(sound))]
+        assert isinstance(decode_news(cut), Err)
+        noise = random.randbytes(random.randrange(40))
+        assert isinstance(decode_news(noise), Err)
+
+
+_NAMES = re.compile(
+    r"corianderrelay-(request|deadline|expect|tenant|model|token|prefix|not-run|server)"
+    r"|/api/|"keyed\.|log-read|log-newest|log-append|\bSloMs\b|\bApiKeys\b|\bTenants?\b"
+    r"|\bPathPrefix\b|\bMaxConns\b|At-Server|CORIANDERRELAY_NODE_FILE|\bExpertMb\b",
+    re.IGNORECASE,
+)
+
+
+@then("no name of the platform stands in the packages")
+def step_no_names(context: Any) -> None:
+    found = [
+        f"{path.relative_to(_ROOT)}:{number}: {line.strip()}"
+        for path in (_ROOT / "packages").rglob("*.py")
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if _NAMES.search(line)
+    ]
+    assert not found, "\n".join(found)
+
+
+@then("the played libraries have the pinned versions")
+def step_pins(context: Any) -> None:
+    pins = set((_ROOT / "constraints.txt").read_text().lower().split())
+    lines = (_ROOT / "deploy" / "requirements.txt").read_text().lower().splitlines()
+    named = {line for line in lines if line and not line.startswith("#")}
+    assert named <= pins, named - pins
