--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 		packages/corianderrelay-agent/src platform/src tests bench demo
 	$(BIN)/lint-imports
 	$(BIN)/python -m bench.settings_reference --check
+	$(BIN)/python -m bench.decision_reference --check
 
 format: install
 	$(BIN)/isort $(SOURCES)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/cli.py
@@ -16,6 +16,7 @@
 
 from .audit_command import audit
 from .config_commands import config
+from .explain_command import explain
 from .operator_options import ask, client, entry_options
 from .state.settings import EntrySettings
 from .transport.entry_tls import EntryTls
@@ -99,5 +100,6 @@
 
 main.add_command(config)
 main.add_command(audit)
+main.add_command(explain)
 
 __all__ = ["main"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -18,38 +18,69 @@
 
 
 class Decision(Enum):
-    """What can be decided: about a request, or about what this process believes."""
-
-    REQUEST_TAKEN = "request:taken"
-    REQUEST_QUEUED = "request:queued"
-    REQUEST_PLACED = "request:placed"
-    REQUEST_LEFT_RUNNER = "request:left_runner"
-    REQUEST_CANCELLED = "request:cancelled"
-    REQUEST_ENDED = "request:ended"
-    REQUEST_MALFORMED = "request:malformed"
-    CONFIG_IN_FORCE = "config:in_force"
-    CONFIG_REJECTED = "config:rejected"
-    KEYS_UNTRUSTED = "keys:untrusted"
-    KEYS_TRUSTED = "keys:trusted"
-    RUNNER_KNOWN = "runner:known"
-    RUNNER_LEAVING = "runner:leaving"
-    RUNNER_GONE = "runner:gone"
-    ENTRY_HEARD = "entry:heard"
-    ENTRY_FORGOTTEN = "entry:forgotten"
-    DATAGRAM_MALFORMED = "entry:datagram_malformed"
-    GROUP_FOUND = "group:found"
-    POPULARITY_READ = "popularity:read"
-    MAP_PLANNED = "map:planned"
-    MAP_SWITCH = "map:switch"
-    RANK_ORDERED = "rank:ordered"
-    RANK_SILENT = "rank:silent"
-    PACE_SEEN = "pace:seen"
-    DEPENDENCY_LOST = "dependency:lost"
-    DEPENDENCY_BACK = "dependency:back"
-    PROCESS_STARTED = "process:started"
-    PROCESS_LEAVING = "process:leaving"
-    PROCESS_RELOADED = "process:reloaded"
-    PROCESS_STOPPED = "process:stopped"
+    """What can be decided: about a request, or about what this process believes.
+
+    Each kind has its name in the log and what its line tells.
+    """
+
+    meaning: str
+
+    def __new__(cls, kind: str, meaning: str) -> Decision:
+        """Make a kind; its value is the name in the log."""
+        member = object.__new__(cls)
+        member._value_ = kind
+        member.meaning = meaning
+        return member
+
+    REQUEST_TAKEN = (
+        "request:taken",
+        "a request was read; route, workspace, and the configuration with its age",
+    )
+    REQUEST_QUEUED = (
+        "request:queued",
+        "it waits for a place; places, waiting requests, expected wait",
+    )
+    REQUEST_NO_PLACE = (
+        "request:no_place",
+        "no place is expected in time; the same inputs, and a refusal follows",
+    )
+    REQUEST_PLACED = (
+        "request:placed",
+        "it was sent to a runner; what was believed of the runner",
+    )
+    REQUEST_LEFT_RUNNER = (
+        "request:left_runner",
+        "a runner does not answer it; the reason, and whether it had run",
+    )
+    REQUEST_CANCELLED = ("request:cancelled", "the caller left; the send was closed")
+    REQUEST_ENDED = (
+        "request:ended",
+        "the final answer; status, reason, sends, times, and when to come back",
+    )
+    REQUEST_MALFORMED = ("request:malformed", "bytes of a caller were no request")
+    CONFIG_IN_FORCE = ("config:in_force", "a newer configuration is in force")
+    CONFIG_REJECTED = ("config:rejected", "a read of the configuration was no use")
+    KEYS_UNTRUSTED = ("keys:untrusted", "the proof that keys are valid is too old")
+    KEYS_TRUSTED = ("keys:trusted", "keys are believed again")
+    RUNNER_KNOWN = ("runner:known", "a runner has come, or has started anew")
+    RUNNER_LEAVING = ("runner:leaving", "a runner says that it will stop")
+    RUNNER_GONE = ("runner:gone", "a runner gets nothing any longer, and why")
+    ENTRY_HEARD = ("entry:heard", "another entry has come, or has changed")
+    ENTRY_FORGOTTEN = ("entry:forgotten", "another entry was silent for long")
+    DATAGRAM_MALFORMED = ("entry:datagram_malformed", "a datagram was no news")
+    GROUP_FOUND = ("group:found", "all ranks of a lock-step group are known")
+    POPULARITY_READ = ("popularity:read", "counts of experts were read")
+    MAP_PLANNED = ("map:planned", "a new map is worth its copies; skews")
+    MAP_SWITCH = ("map:switch", "a switch of the map has come a step further")
+    RANK_ORDERED = ("rank:ordered", "a rank was given an order; its outcome")
+    RANK_SILENT = ("rank:silent", "a rank did not answer a question")
+    PACE_SEEN = ("pace:seen", "pauses of streams, and the limit that follows")
+    DEPENDENCY_LOST = ("dependency:lost", "something that is needed is away")
+    DEPENDENCY_BACK = ("dependency:back", "it answers again")
+    PROCESS_STARTED = ("process:started", "the process listens")
+    PROCESS_LEAVING = ("process:leaving", "it takes no new callers, and why")
+    PROCESS_RELOADED = ("process:reloaded", "it was told that settings changed")
+    PROCESS_STOPPED = ("process:stopped", "it exits; requests that it cut off")
 
 
 class _Bucket:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -191,7 +191,7 @@
             return
         waits = self._places.wait(opened, now)
         self._log.note(
-            Decision.REQUEST_QUEUED if waits else Decision.REQUEST_LEFT_RUNNER,
+            Decision.REQUEST_QUEUED if waits else Decision.REQUEST_NO_PLACE,
             request=opened.call.request_id,
             service=opened.service,
             **self._places.describe(opened.service, now),
@@ -346,12 +346,17 @@
 
     def _refuse(self, opened: OpenDirectCall, order: RefuseCall, now: float) -> None:
         self._metrics.refusals.inc({"status": str(order.status)})
-        self._note_end(opened, order.status, order.reason, now)
+        self._note_end(opened, order.status, order.reason, now, order.retry_after_s)
         headers = self._dialect.encode_refusal(opened.call, order.retry_after_s)
         opened.sink.answer(order.status, headers, b"")
 
     def _note_end(
-        self, opened: OpenDirectCall, status: int, reason: str, now: float
+        self,
+        opened: OpenDirectCall,
+        status: int,
+        reason: str,
+        now: float,
+        retry_after_s: float | None = None,
     ) -> None:
         taken_at = opened.call.received_at
         first_s = opened.first_byte_at - taken_at if opened.first_byte_at else None
@@ -364,9 +369,10 @@
             service=opened.service,
             status=status,
             reason=reason,
-            runner=opened.runner_id,
+            runner=opened.last_runner_id,
             sends=opened.attempts.sends,
             may_have_run=opened.attempts.may_have_run,
+            retry_after_s=retry_after_s,
             events=opened.attempts.events,
             first_byte_s=None if first_s is None else round(first_s, 4),
             whole_s=round(now - taken_at, 4),
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -35,6 +35,7 @@
         "events",
         "send",
         "runner_id",
+        "last_runner_id",
         "status",
         "first_byte_at",
         "last_event_at",
@@ -63,6 +64,7 @@
         self.events: SendEvents | None = None
         self.send: RunnerSend | None = None
         self.runner_id = ""
+        self.last_runner_id = ""
         self.status = 0
         self.first_byte_at = 0.0
         self.last_event_at = 0.0
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -190,7 +190,7 @@
 
     def sent(self, opened: OpenDirectCall, runner_id: str, now: float) -> None:
         """Note that a runner has the request."""
-        opened.runner_id = runner_id
+        opened.runner_id = opened.last_runner_id = runner_id
         self._placement.standing(runner_id).running += 1
 
     def ended(self, opened: OpenDirectCall, now: float) -> None:
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/explain_command.py
@@ -0,0 +1,73 @@
+"""Gathers the story of one request from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+import click
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+_LEFT_OUT = frozenset({"timestamp", "task_uuid", "task_level", "role", "request"})
+_NAMED_FIRST = ("message_type", "instance_id")
+_NOT_FOUND = 1
+
+
+def story_of(request_id: str, lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Return the log records of one request in order of time.
+
+    :param lines: of any number of logs; what is no JSON object is passed over.
+    """
+    records = [
+        record for record in _records(lines) if record.get("request") == request_id
+    ]
+    return sorted(records, key=lambda record: float(record["timestamp"]))
+
+
+def told(story: list[dict[str, Any]]) -> Iterator[str]:
+    """Return one line of text for each record, with its age since the first."""
+    for record in story:
+        after_s = float(record["timestamp"]) - float(story[0]["timestamp"])
+        named = " ".join(str(record.get(name, "?")) for name in _NAMED_FIRST)
+        rest = " ".join(
+            f"{key}={value}"
+            for key, value in record.items()
+            if key not in _LEFT_OUT and key not in _NAMED_FIRST and value is not None
+        )
+        yield f"+{after_s:8.4f} s  {named}  {rest}"
+
+
+@click.command()
+@click.option("--request", "request_id", required=True, help="The request's id.")
+@click.argument("logs", nargs=-1, required=True, type=click.File("r", errors="replace"))
+def explain(request_id: str, logs: tuple[Any, ...]) -> None:
+    """Tell the story of a request from log files of entries."""
+    story = story_of(request_id, (line for log in logs for line in log))
+    if not story:
+        click.echo(
+            f"no line names request {request_id}; give the logs of all entries, "
+            "and those from before a restart",
+            err=True,
+        )
+        sys.exit(_NOT_FOUND)
+    for line in told(story):
+        click.echo(line)
+
+
+def _records(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            record = json.loads(line[start:])
+        except ValueError:
+            continue  # a line that was cut off, or of another program
+        if isinstance(record, dict) and "timestamp" in record:
+            yield record
+
+
+__all__ = ["explain", "story_of", "told"]
--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -128,3 +128,4 @@
     When a caller asks for /orders/lost
     Then one line of the log says how the request ended, and why
     And the metrics count it
+    And "explain" tells its story from the logs of both entries
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -5,6 +5,8 @@
 import http.client
 import json
 import signal
+import subprocess
+import sys
 import threading
 import time
 import urllib.error
@@ -359,3 +361,24 @@
     metrics = context.system.metrics(context.system.hosts[0])
     assert 'direct_refusals_total{status="502"}' in metrics, metrics[:2000]
     assert "direct_first_byte_seconds_bucket" in metrics
+
+
+@then('"explain" tells its story from the logs of both entries')
+def step_explain(context: Any) -> None:
+    logs = [str(process.log_path) for process in context.system.entries]
+    command = [sys.executable, "-m", "corianderrelay_entry.run", "explain"]
+    done = subprocess.run(
+        [*command, "--request", context.answer[0], *logs],
+        capture_output=True,
+        text=True,
+    )
+    kinds = [line.split()[3] for line in done.stdout.splitlines()]
+    assert kinds == [
+        "request:taken",
+        "request:placed",
+        "request:left_runner",
+        "request:ended",
+    ], done
+    unknown = [*command, "--request", "none", *logs]
+    done = subprocess.run(unknown, capture_output=True, text=True)
+    assert done.returncode == 1 and "no line names" in done.stderr
