Take over a held group within about two seconds; back off after a switch that failed

Every entry now knows the groups, misses a silent one after 0.5 s, and takes a hold of 0.4 s for abandoned. Ruled out: mixed maps (none on either site).

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -138,7 +138,10 @@
         }
 
     def tick(self, engine: EngineModel, may_switch: bool) -> None:
-        """Go on with what is under way; begin nothing new unless ``may_switch``."""
+        """Go on with what is under way; begin nothing new unless ``may_switch``.
+
+        The groups are found in any case, so that this entry can take over at once.
+        """
         experts = engine.experts
         if experts is None:
             return
@@ -150,7 +153,7 @@
             if may_switch and now - group.looked_at >= every_s:
                 group.looked_at = now
                 group.coordinator.look(now)
-            if may_switch and not group.coordinator.busy:
+            if may_switch and group.coordinator.may_switch(now):
                 if group.pace_changed:
                     group.planned_slowness = group.slowness
                     group.popularity.changed()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
@@ -19,7 +19,8 @@
     from .rank_port import RankCalls
     from .service_places import ServicePlaces
 
-_SETTLE_S = 2.0  # an entry that has just started does not know the others yet
+_SETTLE_S = 0.5  # an entry that has just started does not know the others yet
+_MISSED_S = 0.5  # a group that is held stands still; two that balance it are safe
 
 
 class GroupBalancing:
@@ -62,11 +63,8 @@
                 continue
             balancer = self._balancers_by_service.get(service.name)
             if balancer is None:
-                if not may_switch:
-                    continue
                 balancer = self._balancer(service.name)
-            if may_switch or balancer.switching:
-                balancer.tick(engine, may_switch)
+            balancer.tick(engine, may_switch)
 
     def slow_runners(self) -> dict[str, float]:
         """Return the slow ranks of the groups that this entry balances."""
@@ -78,7 +76,8 @@
         }
 
     def _is_first(self, able: bool, now: float) -> bool:
-        ids = [news.entry_id for news in self._peers.alive(now) if news.balances]
+        alive = self._peers.alive(now, _MISSED_S)
+        ids = [news.entry_id for news in alive if news.balances]
         if not able or any(entry_id < self._entry_id for entry_id in ids):
             self._first_since = None
             return False
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -100,12 +100,18 @@
         peer.heard_at = now
         return changed
 
-    def alive(self, now: float) -> list[EntryNews]:
-        """Return the latest news of the entries that are there."""
+    def alive(self, now: float, within_s: float | None = None) -> list[EntryNews]:
+        """Return the latest news of the entries that are there.
+
+        :param within_s: the longest silence; as long as entries are believed without.
+        """
+        longest_s = self.alive_s
+        if within_s is not None:
+            longest_s = max(within_s, _ALIVE_PERIODS * self.period_s)
         return [
             peer.news
             for peer in self._peers_by_id.values()
-            if peer.news is not None and now - peer.heard_at <= self.alive_s
+            if peer.news is not None and now - peer.heard_at <= longest_s
         ]
 
     def targets(self) -> list[tuple[str, int]]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
@@ -21,7 +21,9 @@
 _RANDOM_BITS = 20  # tells versions apart that two coordinators choose at once
 _LOOK_EVERY_S = 0.3  # between surveys while something is in the way
 _REPORT_ANSWER_S = 1.0  # after it a rank that has not answered is asked again
-_ABANDONED_S = 0.8  # several times what a switch holds the group
+_ABANDONED_S = 0.4  # many times what a switch holds the group
+_BACK_OFF_S = 2.0  # after a switch that failed; its orders may still be on their way
+_MOST_BACK_OFF_S = 8.0
 _LEAD_S = 0.03  # time of a hold order and of arming
 _LEAD_PASSES = 1
 _COPY_POLL_S = 0.15
@@ -57,6 +59,8 @@
         self._newest_version = 0
         self._last_step = 0
         self._switching: tuple[ExpertSets, ...] = ()
+        self._backed_off_until = 0.0
+        self._back_off_s = _BACK_OFF_S
         self.switch: SequencedSwitch | None = None
         self.ended: SequencedSwitch | None = None
         self.map_in_use: tuple[ExpertSets, ...] | None = None
@@ -68,6 +72,10 @@
         """Whether a switch is wanted or under way."""
         return self._wanted is not None or self._under_way() is not None
 
+    def may_switch(self, now: float) -> bool:
+        """Whether a new map may be wanted now."""
+        return not self.busy and now >= self._backed_off_until
+
     def want(self, experts_by_rank: tuple[ExpertSets, ...]) -> None:
         """Switch to this map as soon as the group allows it."""
         self._wanted = experts_by_rank
@@ -203,6 +211,10 @@
         if switch.phase is SwitchPhase.SWITCHED:
             self.map_in_use = self._switching
             self.map_version = switch.version
+            self._back_off_s = _BACK_OFF_S
+        else:
+            self._backed_off_until = now + self._back_off_s
+            self._back_off_s = min(2 * self._back_off_s, _MOST_BACK_OFF_S)
         self._next_survey_at = now + self._rules.report_lag_s + _LOOK_EVERY_S
         self._survey_from = self._next_survey_at
         self.switch = None
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/sequenced_switch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/sequenced_switch.py
@@ -36,7 +36,7 @@
     """
 
     report_lag_s: float = 0.2
-    answer_s: float = 0.15
+    answer_s: float = 0.08
     look_again_s: float = 0.5
     copy_limit_s: float = 6.0
     arm_limit_s: float = 0.6
