--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -22,7 +22,8 @@
     from .direct_metrics import DirectMetrics
     from .ports import ConfigSource
 
-_WAIT_S = 1.0  # short against the bound on revoked keys: each answer renews the proof
+_WAIT_SHARE = 0.3  # of the bound on revoked keys; a proof lasts until the second answer
+_USUAL_WAIT_S = 1.5  # where revoked keys have no bound
 _RETRY_S = 0.25  # the proof lasts some seconds; a few tries must fit into it
 
 
@@ -48,6 +49,7 @@
         self._log = log
         self._metrics = metrics
         self._freshness = ConfigFreshness(revoke_s)
+        self._wait_s = _USUAL_WAIT_S if revoke_s is None else _WAIT_SHARE * revoke_s
         self._offset: int | None = None
         self._trusted = False
         self._reachable = True
@@ -87,7 +89,7 @@
         if self._offset is None:
             answer = self._source.newest()
         else:
-            answer = self._source.follow(self._offset, _WAIT_S)
+            answer = self._source.follow(self._offset, self._wait_s)
         answer.addCallback(self._take, asked_at)
         answer.addErrback(self._failed)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -21,15 +21,16 @@
     from .direct_metrics import DirectMetrics
     from .ports import RunnerSource
 
-# Each heartbeat is a record, so a waiting read would return at once. Half of the
-# shortest time in which a leaving runner must be known, less a slow call.
-_PERIOD_S = 0.7
+# Each heartbeat is a record, so a waiting read would return at once. The rest of the
+# time in which a leaving runner must be known is left to a slow call.
+_PERIOD_SHARE = 0.6
 _RETRY_S = 0.3
 
 
 class RunnerWatch:
     """Reads the records that were added since the last read.
 
+    :param leaving_s: time within which a leaving runner must be known.
     :param on_gone: called with the id of a runner that is gone or has started anew.
     """
 
@@ -41,7 +42,9 @@
         log: DecisionLog,
         metrics: DirectMetrics,
         on_gone: Callable[[str], None],
+        leaving_s: float,
     ) -> None:
+        self._period_s = _PERIOD_SHARE * leaving_s
         self._source = source
         self._runners = runners
         self._clock = clock
@@ -78,7 +81,7 @@
         for runner_id in before - after:
             self._gone(runner_id, "it is not among the newest records")
         self.known = True
-        self._clock.callLater(_PERIOD_S, self.start)
+        self._clock.callLater(self._period_s, self.start)
 
     def _apply(self, answer: tuple[Mapping[str, RegisteredRunner | None], int]) -> None:
         changes, self._offset = answer
@@ -90,7 +93,7 @@
                 self._runners.remove(runner_id, self._clock.seconds())
                 if self._runners.get(runner_id) is None:
                     self._gone(runner_id, "its record was removed")
-        self._clock.callLater(_PERIOD_S, self.start)
+        self._clock.callLater(self._period_s, self.start)
 
     def _answered(self) -> None:
         self._runners.log_answered(self._clock.seconds())
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -109,6 +109,7 @@
             self.log,
             self.collectors,
             self._forget_runner,
+            settings.bounds.leaving_s,
         )
         self.relay = DirectRelay(
             sources.dialect,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -5,13 +5,17 @@
 import os
 import signal
 import sys
+from dataclasses import fields
 from typing import TYPE_CHECKING, Any
 
+from result import Err
+
 from corianderrelay.state.drain import Drain, StopProcess
 from corianderrelay.transport.json_log import start_log
 
 from .coordination.direct.decision_log import Decision
 from .direct_entry import DirectEntry, DirectSources
+from .state.direct.settings import DirectSettings
 from .transport.direct.caller_http import CallerFactory
 from .transport.direct.plain_site import PlainAnswer, PlainSite
 from .transport.direct.quiet_stream import QuietStream
@@ -19,7 +23,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .state.direct.settings import Address, DirectSettings
+    from result import Result
+
+    from corianderrelay.state.errors import SettingsError
+
+    from .state.direct.settings import Address
 
 _BACKLOG = 512  # callers open many connections at once when an entry goes away
 _DRAIN_POLL_S = 0.05
@@ -37,6 +45,7 @@
     :param answer_directory: takes a request target and the entries' addresses, returns
         the platform's form of the answer, or ``None`` if the target is not known.
     :param ready_path: path at which the platform asks for readiness.
+    :param read_again: reads the settings file as it is now.
     """
 
     def __init__(
@@ -46,7 +55,9 @@
         reactor: Any,
         answer_directory: Callable[[bytes, list[str]], PlainAnswer | None],
         ready_path: bytes,
+        read_again: Callable[[], Result[DirectSettings, SettingsError]],
     ) -> None:
+        self._read_again = read_again
         self._settings = settings
         self._reactor = reactor
         self._answer_directory = answer_directory
@@ -120,8 +131,24 @@
         self._reactor.callFromThread(self._note_reload)
 
     def _note_reload(self) -> None:
-        # All that may change while the process runs comes from the log.
-        self._entry.log.note(Decision.PROCESS_RELOADED, changed=[])
+        """Say which settings have changed; they take effect at the next start."""
+        again = self._read_again()
+        if isinstance(again, Err):
+            self._entry.log.note(
+                Decision.PROCESS_RELOADED, changed=[], fault=str(again.err_value)
+            )
+            return
+        changed = [
+            field.name
+            for field in fields(DirectSettings)
+            if getattr(again.ok_value, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._entry.log.note(
+            Decision.PROCESS_RELOADED,
+            changed=changed,
+            remedy="restart the process to use them" if changed else None,
+        )
 
     def _leave_or_stop(self, name: str) -> None:
         now = self._reactor.seconds()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
@@ -15,7 +15,7 @@
 _SPAN_S = 0.3  # some passes, so that the streams of a rank ask about several things
 _LEAST_TOKENS = 2000  # by set; fewer tell too little of single experts
 _SETTLING_S = 0.6  # until the pauses show a new map and nothing of the old one
-_RECHECK_S = 4.0  # finds what the pauses do not show, as while few streams run
+_RECHECK_S = 8.0  # finds what the pauses do not show, as while few streams run
 _ALARM = 1.3  # cost of a stream over the usual one; long prompts stay below it
 
 CountsById = dict[str, list[list[int]]]  # by rank: how often each expert, set by set
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/settings.py
@@ -21,6 +21,7 @@
     """Bounds of the deployment, in seconds unless said otherwise.
 
     :param revoke_s: time within which a revoked key stops working; ``None`` if unbound.
+    :param leaving_s: time within which a leaving runner gets no more new work.
     :param repeat_ratio: repeats allowed for each request of a service.
     :param repeat_allowance: repeats allowed besides, by all entries in one window.
     :param repeat_window_s: length of that window.
@@ -30,6 +31,7 @@
     """
 
     revoke_s: float | None = None
+    leaving_s: float = 2.0
     repeat_ratio: float = 0.2
     repeat_allowance: float = 10.0
     repeat_window_s: float = 10.0
--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -105,6 +105,10 @@
     When entry 2 is started again
     Then each entry tells callers of both
 
+  Scenario: Settings that change while an entry runs
+    When the grace time in entry 1's settings changes and it gets SIGHUP
+    Then its log names the bounds and a remedy, and it serves on
+
   Scenario: A configuration that cannot be decoded changes nothing
     When a configuration that cannot be decoded is published
     Then the entries say so with a remedy, and serve on
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -382,3 +382,26 @@
     unknown = [*command, "--request", "none", *logs]
     done = subprocess.run(unknown, capture_output=True, text=True)
     assert done.returncode == 1 and "no line names" in done.stderr
+
+
+@when("the grace time in entry {number:d}'s settings changes and it gets SIGHUP")
+def step_hangup(context: Any, number: int) -> None:
+    system = context.system
+    host = system.hosts[number - 1]
+    path = system.folder / f"{host}.conf"
+    path.write_text(system.settings(host).replace("GraceS=4", "GraceS=5"))
+    system.entries[number - 1].signal(signal.SIGHUP)
+
+
+@then("its log names the bounds and a remedy, and it serves on")
+def step_reloaded(context: Any) -> None:
+    def reloaded() -> list[Any]:
+        return [
+            (line["changed"], line["remedy"])
+            for line in context.system.log_lines()
+            if line.get("message_type") == "process:reloaded"
+        ]
+
+    wait_until(reloaded, "the entry says so")
+    assert reloaded() == [(["bounds"], "restart the process to use them")]
+    assert context.system.ask("/stock/whole")[1] == 200
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -70,10 +70,10 @@
         listen = "".join(f"Listen.{k}={host}:{port}\n" for k, port in _PORTS.items())
         return (
             f"Node=entry-{host}\nIp={host}\nZone=oslo-a\n{listen}PortRange=7340,7355\n"
-            f"Platform.Addr={self.store.address}\nBounds.GraceS=4\n"
+            f"Platform.Addr={self.store.address}\nA.field.that.is.new=1\n"
+            "Bounds.GraceS=4\nBounds.DrainMs=2000\nBounds.ttl_max_s=5\n"
             "Bounds.StrictRevoke=true\nBounds.RevokeMs=2500\nBounds.BudgetSlack=88\n"
-            "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\nBounds.ttl_max_s=5\n"
-            "A.field.that.is.new=1\n"
+            "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"
         )
 
     def configure(
