--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -20,6 +20,7 @@
     WriteAnswer,
 )
 from ...state.direct.catalog import RequestKind
+from .call_gate import NOT_READY_RETRY_S, CallGate, Rejected
 from .decision_log import Decision
 from .open_direct_call import OpenDirectCall, SendEvents
 from .ports import RunnerRequest
@@ -28,17 +29,13 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.call import DirectCall, RunnerHead
-    from ...state.direct.catalog import Route, Workspace
+    from .call_gate import Passed
     from .config_watch import ConfigWatch
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import Dialect, DirectSink, RunnerConnections
     from .service_places import ServicePlaces
 
-_UNAUTHORIZED = 401
-_NOT_FOUND = 404
-_UNAVAILABLE = 503
-_NOT_READY_RETRY_S = 0.5  # the log is read again several times within it
 _STUCK_STREAM_S = 0.8  # far over a pass; callers give up after 2 s
 _STUCK_START_S = 1.2  # prompts wait in a runner's queue before their first event
 _GROUP_PROGRESS_S = 0.25  # others' events within it show that only this one is stuck
@@ -72,7 +69,7 @@
         self._open: dict[int, OpenDirectCall] = {}
         self._next_number = 0
         self._progress_by_service: dict[str, float] = {}
-        self._takes_more = True
+        self._gate = CallGate(config)
 
     @property
     def open_requests(self) -> int:
@@ -81,32 +78,15 @@
 
     def take_no_more(self) -> None:
         """Refuse what still comes: it could not end before this process does."""
-        self._takes_more = False
+        self._gate.close()
 
     def submit(self, call: DirectCall, sink: DirectSink) -> OpenDirectCall | None:
         """Take a request; return it while it is open."""
-        now = self._clock.seconds()
-        catalog = self._config.catalog
-        if not self._takes_more:
-            self._refuse_unrouted(call, sink, _UNAVAILABLE, "this entry is leaving")
-            return None
-        if catalog is None:
-            self._refuse_unrouted(call, sink, _UNAVAILABLE, "no configuration yet")
-            return None
-        route = catalog.route(call.host, call.path)
-        if route is None:
-            self._refuse_unrouted(call, sink, _NOT_FOUND, "no route matches")
-            return None
-        keyed = catalog.needs_key and not route.public
-        if keyed and not self._config.keys_trusted():
-            reason = "the proof that keys are still valid is too old"
-            self._refuse_unrouted(call, sink, _UNAVAILABLE, reason)
+        checked = self._gate.check(call)
+        if isinstance(checked, Rejected):
+            self._reject(call, sink, checked)
             return None
-        workspace = catalog.workspaces_by_key.get(call.key or "")
-        if keyed and workspace is None:
-            self._refuse_unrouted(call, sink, _UNAUTHORIZED, "the key is unknown")
-            return None
-        return self._take(call, sink, route, workspace, keyed, now)
+        return self._take(call, sink, checked, self._clock.seconds())
 
     def abandon(self, opened: OpenDirectCall) -> None:
         """The caller has left."""
@@ -145,22 +125,12 @@
                 self._leave_stuck(opened, now)
 
     def _take(
-        self,
-        call: DirectCall,
-        sink: DirectSink,
-        route: Route,
-        workspace: Workspace | None,
-        keyed: bool,
-        now: float,
+        self, call: DirectCall, sink: DirectSink, passed: Passed, now: float
     ) -> OpenDirectCall:
+        route = passed.route
         service = self._places.service_of(route)
-        name = workspace.name if keyed and workspace is not None else None
-        opened = OpenDirectCall(
-            self._next_number, call, sink, route, service, name, keyed
-        )
+        opened = OpenDirectCall(self._next_number, call, sink, passed, service)
         self._next_number += 1
-        if workspace is not None and workspace.priority is not None:
-            opened.priority = workspace.priority
         patience_s = route.timeout_s
         if call.patience_s is not None:
             patience_s = min(patience_s, call.patience_s)
@@ -176,7 +146,7 @@
             request=call.request_id,
             route=route.name,
             service=service,
-            workspace=name,
+            workspace=passed.workspace,
             version=self._config.version,
             proof_age_s=round(self._config.age_s, 3),
             prompt_tokens=call.prompt_tokens,
@@ -201,40 +171,32 @@
 
     def _place(self, opened: OpenDirectCall, now: float) -> None:
         """Send an admitted request; its key may have been taken away meanwhile."""
-        if opened.keyed and not self._still_allowed(opened):
+        if opened.keyed and not self._gate.still_allows(opened.call):
             reason = "the key is no longer valid, or cannot be proved to be"
-            self._carry_out(
-                opened, opened.attempts.refuse_unsent(reason, _NOT_READY_RETRY_S), now
-            )
+            orders = opened.attempts.refuse_unsent(reason, NOT_READY_RETRY_S)
+            self._carry_out(opened, orders, now)
             return
         self._carry_out(opened, opened.attempts.start(now), now)
 
-    def _still_allowed(self, opened: OpenDirectCall) -> bool:
-        catalog = self._config.catalog
-        if catalog is None or not self._config.keys_trusted():
-            return False
-        return (opened.call.key or "") in catalog.workspaces_by_key
-
     def _refuse_full(self, opened: OpenDirectCall, reason: str, now: float) -> None:
         retry_after_s = self._places.retry_after_s(opened.service, now)
         orders = opened.attempts.refuse_unsent(reason, retry_after_s)
         self._carry_out(opened, orders, now)
 
-    def _refuse_unrouted(
-        self, call: DirectCall, sink: DirectSink, status: int, reason: str
-    ) -> None:
-        retry_after_s = _NOT_READY_RETRY_S if status == _UNAVAILABLE else None
-        self._metrics.refusals.inc({"status": str(status)})
+    def _reject(self, call: DirectCall, sink: DirectSink, rejected: Rejected) -> None:
+        self._metrics.refusals.inc({"status": str(rejected.status)})
         self._log.note(
             Decision.REQUEST_ENDED,
             request=call.request_id,
-            status=status,
-            reason=reason,
+            status=rejected.status,
+            reason=rejected.reason,
             path=call.path,
             version=self._config.version,
             proof_age_s=round(self._config.age_s, 3),
+            retry_after_s=rejected.retry_after_s,
         )
-        sink.answer(status, self._dialect.encode_refusal(call, retry_after_s), b"")
+        headers = self._dialect.encode_refusal(call, rejected.retry_after_s)
+        sink.answer(rejected.status, headers, b"")
 
     def _is_stuck(self, opened: OpenDirectCall, now: float) -> bool:
         attempts = opened.attempts
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from ...state.direct.attempts import DirectAttempts
     from ...state.direct.call import DirectCall, RunnerHead
-    from ...state.direct.catalog import Route
+    from .call_gate import Passed
     from .direct_relay import DirectRelay
     from .ports import DirectSink, RunnerSend
 
@@ -18,8 +18,8 @@
     """One request between its arrival and its final answer.
 
     :param number: identifies it in this process; callers' ids may come twice.
-    :param workspace: the name that the runner is told; ``None`` on public routes.
-    :param keyed: whether it may run only while its key is valid.
+    :param passed: what the gate has found of it.
+    :param service: the service that was drawn for it.
     """
 
     __slots__ = (
@@ -48,19 +48,17 @@
         number: int,
         call: DirectCall,
         sink: DirectSink,
-        route: Route,
+        passed: Passed,
         service: str,
-        workspace: str | None,
-        keyed: bool,
     ) -> None:
         self.number = number
         self.call = call
         self.sink = sink
-        self.route = route
+        self.route = passed.route
         self.service = service
-        self.workspace = workspace
-        self.keyed = keyed
-        self.priority = route.priority
+        self.workspace = passed.workspace
+        self.keyed = passed.keyed
+        self.priority = passed.priority
         self.events: SendEvents | None = None
         self.send: RunnerSend | None = None
         self.runner_id = ""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
@@ -42,25 +42,13 @@
     """What a service's configuration says of its engines.
 
     :param step_s: time of a token step without writers, in seconds.
-    :param step_per_writer_s: seconds that each writing request adds to a step.
-    :param context_s_per_token: seconds that each token of context adds to a step.
-    :param prefill_tokens_per_s: pace at which prompts are read.
-    :param chunk_tokens: most prompt tokens that one step reads.
     :param steps_per_pass: steps that ranks make between two synchronisations.
-    :param mean_prompt_tokens: usual length of a prompt.
-    :param mean_answer_tokens: usual length of an answer.
     :param report_lag_s: how old a runner's report is, in seconds.
     :param experts: ``None`` if the engines do not step together.
     """
 
     step_s: float = 0.0
-    step_per_writer_s: float = 0.0
-    context_s_per_token: float = 0.0
-    prefill_tokens_per_s: float = 0.0
-    chunk_tokens: int = 0
     steps_per_pass: int = 1
-    mean_prompt_tokens: float = 0.0
-    mean_answer_tokens: float = 0.0
     report_lag_s: float = 0.0
     experts: ExpertModel | None = None
 
@@ -69,12 +57,10 @@
 class Service:
     """A set of interchangeable runners.
 
-    :param max_connections: connections that a runner takes from all callers together.
     :param engine: ``None`` for a plain service.
     """
 
     name: str
-    max_connections: int = 0
     engine: EngineModel | None = None
 
 
@@ -88,7 +74,6 @@
     :param objective_s: time to the answer (a stream's first event) that is aimed at.
     :param gap_objective_s: longest pause between events that is aimed at.
     :param priority: 0 is the most urgent.
-    :param generates: whether requests tell the tokens of their prompts.
     """
 
     name: str
@@ -103,7 +88,6 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
-    generates: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/settings.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/settings.py
@@ -27,7 +27,6 @@
     :param repeat_window_s: length of that window.
     :param grace_s: time between the signal to stop and the kill.
     :param directory_ttl_s: longest time that callers count of a directory answer.
-    :param stall_s: time after which work on a dead runner is cut off.
     """
 
     revoke_s: float | None = None
@@ -37,7 +36,6 @@
     repeat_window_s: float = 10.0
     grace_s: float = 8.0
     directory_ttl_s: float = 5.0
-    stall_s: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
