Let only entries that serve callers balance groups

Ruled out: the switches themselves (none given up). The turn is now a decision of its own with a test.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancing.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ...state.direct.balancing_turn import BalancingTurn
 from .group_balancer import GroupBalancer
 
 if TYPE_CHECKING:
@@ -19,7 +20,6 @@
     from .rank_port import RankCalls
     from .service_places import ServicePlaces
 
-_SETTLE_S = 0.5  # an entry that has just started does not know the others yet
 _MISSED_S = 0.5  # a group that is held stands still; two that balance it are safe
 
 
@@ -47,16 +47,16 @@
         self._clock = clock
         self._random = random
         self._log = log
-        self._first_since: float | None = None
+        self._turn = BalancingTurn(entry_id)
         self._balancers_by_service: dict[str, GroupBalancer] = {}
 
-    def tick(self, able: bool) -> None:
+    def tick(self, ready: bool) -> None:
         """Go on with switches; begin new ones if it is this entry's turn."""
         now = self._clock.seconds()
         catalog = self._config.catalog
         if catalog is None:
             return
-        may_switch = self._is_first(able, now)
+        may_switch = self._is_mine(ready, now)
         for service in catalog.services_by_name.values():
             engine = service.engine
             if engine is None or engine.experts is None:
@@ -72,18 +72,13 @@
             runner_id: slowness
             for balancer in self._balancers_by_service.values()
             for runner_id, slowness in balancer.slow_runners().items()
-            if self._first_since is not None
+            if self._turn.begun
         }
 
-    def _is_first(self, able: bool, now: float) -> bool:
+    def _is_mine(self, ready: bool, now: float) -> bool:
         alive = self._peers.alive(now, _MISSED_S)
-        ids = [news.entry_id for news in alive if news.balances]
-        if not able or any(entry_id < self._entry_id for entry_id in ids):
-            self._first_since = None
-            return False
-        if self._first_since is None:
-            self._first_since = now
-        return now - self._first_since >= _SETTLE_S
+        others = [news.entry_id for news in alive if news.ready]
+        return self._turn.is_mine(ready, others, now)
 
     def _stream_cost_s(self, service: str) -> float:
         return self._places.stream_cost_s(service, self._clock.seconds())
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -72,7 +72,6 @@
     def tell(
         self,
         ready: bool,
-        balances: bool,
         running: dict[str, int],
         waiting: dict[str, int],
         slowness: dict[str, float],
@@ -88,7 +87,6 @@
             own.peers.host,
             own.peers.port,
             ready,
-            balances,
             running,
             waiting,
             slowness,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -152,15 +152,6 @@
             and self.config.keys_trusted()
         )
 
-    @property
-    def _can_balance(self) -> bool:
-        """Whether this entry knows enough to balance groups; the log may be away."""
-        return (
-            not self.leaving
-            and self.runner_watch.known
-            and self.config.catalog is not None
-        )
-
     def start(self) -> None:
         """Begin to follow the log and the other entries."""
         self.config.start()
@@ -214,7 +205,6 @@
         self.places.take_slowness(slowness)
         self.exchange.tell(
             self.ready,
-            self._can_balance,
             self.places.own_running(),
             self.places.own_waiting(),
             slowness,
@@ -235,7 +225,7 @@
         self.places.forget_runner(runner_id)
 
     def _balance_groups(self) -> None:
-        self.balancing.tick(self._can_balance)
+        self.balancing.tick(self.ready)
 
     def _measure_pace(self) -> None:
         for measured in self.places.measure_pace(self._reactor.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/entry_news.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/entry_news.py
@@ -18,7 +18,6 @@
     peer_host: str
     peer_port: int
     ready: bool
-    balances: bool
     running_by_runner: dict[str, int]
     waiting_by_service: dict[str, int]
     slowness_by_runner: dict[str, float]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -22,7 +22,6 @@
     :param incarnation: grows with each start of the process.
     :param sequence: grows with each message of one incarnation.
     :param ready: whether callers may come to it.
-    :param balances: whether it could balance the groups of runners.
     :param running_by_runner: its own requests at each runner.
     :param waiting_by_service: its own requests that wait for a place.
     :param slowness_by_runner: runners that it has found to be slow, and how much.
@@ -35,7 +34,6 @@
     peer_host: str
     peer_port: int
     ready: bool
-    balances: bool
     running_by_runner: dict[str, int] = field(default_factory=dict)
     waiting_by_service: dict[str, int] = field(default_factory=dict)
     slowness_by_runner: dict[str, float] = field(default_factory=dict)
--- a/tests/features/entry/state/direct/surge.feature
+++ b/tests/features/entry/state/direct/surge.feature
@@ -59,3 +59,9 @@
     Given two entries that hear each other
     Then one that falls silent is not offered to callers after 1.5 s
     And news of an earlier life are not taken for new ones
+
+  Scenario: An entry that serves no callers sees no pauses, and leaves balancing to others
+    Given entries a, b and c, of which a is cut off from the log
+    Then b balances within 0.6 s, and a does not
+    When a serves callers again
+    Then a balances after 0.6 s, and b does not
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -241,9 +241,7 @@
 
 def _news() -> EntryNews:
     running = {"i-1": 2, "i-2": 1}
-    return EntryNews(
-        "a", 5, 9, "h:1", "h", 2, True, False, running, {"s": 3}, {"i-2": 1.5}
-    )
+    return EntryNews("a", 5, 9, "h:1", "h", 2, True, running, {"s": 3}, {"i-2": 1.5})
 
 
 @then("news are the same after they were sent")
--- a/tests/features/steps/surge_steps.py
+++ b/tests/features/steps/surge_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from corianderrelay_entry.state.direct.balancing_turn import BalancingTurn
 from corianderrelay_entry.state.direct.config_freshness import ConfigFreshness
 from corianderrelay_entry.state.direct.entry_peers import EntryNews, EntryPeers
 from corianderrelay_entry.state.direct.lockstep_placement import LockstepPlacement
@@ -303,7 +304,7 @@
 
 
 def _news(incarnation: int, sequence: int) -> EntryNews:
-    return EntryNews("b", incarnation, sequence, "h:1", "h", 2, True, True)
+    return EntryNews("b", incarnation, sequence, "h:1", "h", 2, True)
 
 
 @given("two entries that hear each other")
@@ -323,3 +324,35 @@
     assert context.peers.hear(_news(2, 1), 5.0)
     assert not context.peers.hear(_news(1, 99), 5.1)
     assert context.peers.alive(5.1)[0].incarnation == 2
+
+
+@given("entries a, b and c, of which a is cut off from the log")
+def step_cut_off(context: Any) -> None:
+    context.turns = {name: BalancingTurn(name) for name in "abc"}
+    context.ready = {"b", "c"}
+
+
+def _whose_turn(context: Any, now: float) -> set[str]:
+    ready = context.ready
+    return {
+        name
+        for name, turn in context.turns.items()
+        if turn.is_mine(name in ready, ready - {name}, now)
+    }
+
+
+@then("b balances within {seconds:f} s, and a does not")
+def step_b_balances(context: Any, seconds: float) -> None:
+    _whose_turn(context, 0.0)
+    assert _whose_turn(context, seconds) == {"b"}
+
+
+@when("a serves callers again")
+def step_a_serves(context: Any) -> None:
+    context.ready = {"a", "b", "c"}
+
+
+@then("a balances after {seconds:f} s, and b does not")
+def step_a_balances(context: Any, seconds: float) -> None:
+    assert _whose_turn(context, 2.0) == set()
+    assert _whose_turn(context, 2.0 + seconds) == {"a"}
