--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -122,6 +122,7 @@
         self._groups_by_name: dict[str, _Group] = {}
         self._found_by_id: dict[str, RankReport] = {}
         self._find_at = 0.0
+        self._had_turn = False
 
     @property
     def switching(self) -> bool:
@@ -147,6 +148,9 @@
             return
         now = self._clock.seconds()
         self._find_groups(engine, now)
+        if may_switch and not self._had_turn:
+            self._begin_turn(now)
+        self._had_turn = may_switch
         for group in self._groups_by_name.values():
             known = group.coordinator.map_version is not None
             every_s = _LOOK_EVERY_S if known else _FIND_EVERY_S
@@ -160,6 +164,12 @@
                 self._read_counts(group, experts, now)
             self._drive(group, now)
 
+    def _begin_turn(self, now: float) -> None:
+        """Forget what was known: another entry may have switched maps since."""
+        for group in self._groups_by_name.values():
+            group.popularity.changed()
+            group.coordinator.look(now)
+
     def _find_groups(self, engine: EngineModel, now: float) -> None:
         known = {
             runner_id
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/drifting_popularity.py
@@ -13,6 +13,7 @@
     from collections.abc import Mapping
 
 _SPAN_S = 0.3  # some passes, so that the streams of a rank ask about several things
+_LONGEST_SPAN_S = 1.5  # a longer one mixes what was popular before and after a jump
 _LEAST_TOKENS = 2000  # by set; fewer tell too little of single experts
 _SETTLING_S = 0.6  # until the pauses show a new map and nothing of the old one
 _RECHECK_S = 8.0  # finds what the pauses do not show, as while few streams run
@@ -63,7 +64,8 @@
         :param counts_by_id: of the same ranks as the reading that began the span.
         """
         first, first_at = self._first, self._first_at
-        if first_at is None or first.keys() != counts_by_id.keys():
+        stale = first_at is None or now - first_at > _LONGEST_SPAN_S
+        if stale or first.keys() != counts_by_id.keys():
             self._first, self._first_at = counts_by_id, now
             return None
         tokens = _grown(first, counts_by_id)
--- a/tests/features/entry/state/direct/lockstep_groups.feature
+++ b/tests/features/entry/state/direct/lockstep_groups.feature
@@ -29,6 +29,12 @@
     Then a reading is wanted, and another after 0.3 s
     And the span between them holds the tokens of both ranks
 
+  Scenario: A span that was left behind is not ended seconds later
+    Given a map that fits, with streams that cost 1.0 ms
+    When streams cost 1.7 ms
+    And a reading is made, and the next one comes 6 s later
+    Then that one begins a span
+
   Scenario: A false alarm makes the present cost the usual one
     Given a map that fits, with streams that cost 1.0 ms
     When streams cost 1.7 ms
--- a/tests/features/steps/lockstep_groups_steps.py
+++ b/tests/features/steps/lockstep_groups_steps.py
@@ -162,6 +162,20 @@
     assert tokens == [[3000.0, 100.0], [3000.0, 100.0]]
 
 
+@when("a reading is made, and the next one comes {seconds:d} s later")
+def step_left_behind(context: Any, seconds: int) -> None:
+    counts = {"a": [[5, 5], [0, 0]]}
+    assert context.popularity.read(counts, context.now) is None
+    context.now += seconds
+
+
+@then("that one begins a span")
+def step_begins(context: Any) -> None:
+    later = {"a": [[9005, 5], [9000, 0]]}
+    assert context.popularity.read(later, context.now) is None
+    assert context.popularity.ranks_read == ["a"]
+
+
 @when("the popularity turns out to be the same")
 def step_same(context: Any) -> None:
     assert context.popularity.wants_reading(context.cost_s, context.now)
