--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := packages platform tests bench demo
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo run test lint format bench clean
+.PHONY: install demo run test lint format soak bench clean
 
 install: $(STAMP)
 
@@ -39,6 +39,9 @@
 	$(BIN)/isort $(SOURCES)
 	$(BIN)/black --quiet $(SOURCES)
 
+soak: install
+	$(BIN)/python -m tests.soak.soak --seeds $(or $(SEEDS),1-50) --seconds $(or $(SECONDS),15)
+
 bench: install
 	$(BIN)/python -m bench.run
 
--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,15 @@
+"""Steps for the short soak."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+
+from tests.soak.soak import play
+
+
+@then("the soak of seed {seed:d} breaks no promise in {seconds:d} s of faults")
+def step_soak(context: Any, seed: int, seconds: int) -> None:
+    broken, line = play(seed, seconds)
+    assert not broken, "\n".join([line, *broken])
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -38,6 +38,7 @@
         self.entries: list[Process] = []
         self._ids = itertools.count(1)
         self._version = 0
+        self._starts = 0
         self.hosts = [f"127.0.0.{2 + number}" for number in range(entries)]
 
     def start(self) -> None:
@@ -52,17 +53,22 @@
             "the entries are ready",
         )
 
-    def start_entry(self, host: str) -> Process:
-        """Start one entry."""
+    def start_entry(self, host: str, *, add: bool = True) -> Process:
+        """Start one entry.
+
+        :param add: whether it is one more; else the caller puts it in its place.
+        """
+        self._starts += 1
         settings = self.folder / f"{host}.conf"
         settings.write_text(self.settings(host))
         process = Process(
             f"entry-{host}",
             [_PROGRAM, "entry"],
-            self.folder / f"{host}-{len(self.entries)}.log",
+            self.folder / f"{host}-{self._starts}.log",
             {"CORIANDERRELAY_NODE_FILE": str(settings)},
         )
-        self.entries.append(process)
+        if add:
+            self.entries.append(process)
         return process
 
     def settings(self, host: str) -> str:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under faults from outside them."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,87 @@
+"""Callers that keep their connections and note what they were told."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import threading
+from dataclasses import dataclass
+from random import Random
+
+from tests.harness.platform_system import HOST, KEY
+from tests.standins.platform_runner import whole_stream
+
+_FRONT_PORT = 8100
+_TIMEOUT_S = 6.0
+_PATHS = (
+    "/orders/whole",
+    "/orders/whole",
+    "/orders/lost",
+    "/orders/reject",
+    "/stock/whole",
+    "/stock/error-once-{}",
+    "/stream/whole",
+    "/stream/torn-once-{}",
+)
+
+
+@dataclass(frozen=True)
+class Told:
+    """What a caller was told; ``status`` is 0 if its connection broke."""
+
+    request_id: str
+    path: str
+    status: int
+    body: bytes
+
+    @property
+    def expected(self) -> bytes:
+        """The whole answer to this request."""
+        return whole_stream() if self.path.startswith("/stream") else b"body"
+
+
+class Caller(threading.Thread):
+    """One caller: a request after the other, each with an id of its own."""
+
+    _numbers = itertools.count()
+
+    def __init__(self, hosts: list[str], seed: int) -> None:
+        super().__init__(daemon=True)
+        self._hosts = hosts
+        self._random = Random(seed)
+        self._connections: dict[str, http.client.HTTPConnection] = {}
+        self.stopping = threading.Event()
+        self.told: list[Told] = []
+
+    def run(self) -> None:
+        """Ask until told to stop."""
+        while not self.stopping.is_set():
+            number = next(self._numbers)
+            path = self._random.choice(_PATHS).format(number)
+            self.told.append(self.ask(f"soak-{number}", path))
+            self.stopping.wait(self._random.uniform(0.0, 0.05))
+
+    def ask(self, request_id: str, path: str) -> Told:
+        """Send one request on a kept connection, or on a new one after a failure."""
+        host = self._random.choice(self._hosts)
+        connection = self._connections.get(host)
+        if connection is None:
+            connection = http.client.HTTPConnection(host, _FRONT_PORT, _TIMEOUT_S)
+            self._connections[host] = connection
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Token {KEY}",
+            "Corianderrelay-Request-Id": request_id,
+            "Corianderrelay-Deadline-Ms": "4000",
+        }
+        try:
+            connection.request("POST", path, b"{}", headers)
+            answer = connection.getresponse()
+            return Told(request_id, path, answer.status, answer.read())
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            del self._connections[host]
+            return Told(request_id, path, 0, b"")
+
+
+__all__ = ["Caller", "Told"]
--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,70 @@
+"""A loopback proxy that delays, resets or silences connections, one way or both."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+_POLL_S = 0.05
+
+
+class FaultProxy:
+    """Stands before one address; its faults may be set at any time.
+
+    ``mode`` is ``ok``, ``reset`` (connections are reset), ``silent`` (bytes are held
+    back in both ways), ``deaf`` (bytes to the target are held back) or ``mute`` (bytes
+    from it are held back).
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.mode = "ok"
+        self.delay_s = 0.0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+                far = socket.create_connection(self._target, 2)
+            except OSError:
+                return
+            for source, sink, held in ((near, far, "deaf"), (far, near, "mute")):
+                threading.Thread(
+                    target=self._pump, args=(source, sink, held), daemon=True
+                ).start()
+
+    def _pump(self, source: socket.socket, sink: socket.socket, held: str) -> None:
+        source.settimeout(_POLL_S)
+        with contextlib.suppress(OSError):
+            while True:
+                if self.mode == "reset":
+                    linger = struct.pack("ii", 1, 0)
+                    source.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    break
+                if self.mode in ("silent", held):
+                    time.sleep(_POLL_S)
+                    continue
+                try:
+                    data = source.recv(65536)
+                except TimeoutError:
+                    continue
+                if not data:
+                    break
+                time.sleep(self.delay_s)
+                sink.sendall(data)
+        source.close()
+        sink.close()
+
+
+__all__ = ["FaultProxy"]
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -1,7 +1,7 @@
 """A stand-in for a runner of the platform, with each way in which runners misbehave.
 
 What a request meets is said by the last part of its path: ``whole``, ``lost``, and so
-on. A name that ends in ``-once`` is met by the first request that names it only, at any
+on. A name with ``-once`` in it is met by the first request that names it only, at any
 runner; later ones are served well.
 """
 
@@ -77,10 +77,10 @@
         behaviour = path.rsplit("/", 1)[-1]
         with self._fleet.lock:
             self._fleet.seen.append((self.runner_id, request_id))
-            if behaviour.endswith("-once"):
+            if "-once" in behaviour:
                 first = behaviour not in self._fleet.met
                 self._fleet.met.add(behaviour)
-                behaviour = behaviour.removesuffix("-once") if first else "whole"
+                behaviour = behaviour.partition("-once")[0] if first else "whole"
         if headers.get("corianderrelay-expect-instance") not in (None, self.runner_id):
             behaviour = "misdirected"
         return self._behave(behaviour, path, request_id, headers, connection)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -14,6 +14,13 @@
 _SILENT_S = 5.0
 
 
+class _QuietServer(ThreadingHTTPServer):
+    """Entries that are killed reset their connections; that is no error here."""
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Write nothing."""
+
+
 class PlatformStore:
     """Topics with one partition; records are pairs of a key and a value.
 
@@ -41,7 +48,7 @@
             def log_message(self, format: str, *args: object) -> None:
                 pass
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server = _QuietServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
