--- a/demo/run.py
+++ b/demo/run.py
@@ -100,7 +100,7 @@
         system.start()
         _, status, _, body = system.ask("/stream/whole")
         click.echo(
-            f"entries on the platform: {json.dumps(system.resolve('127.0.0.2'))}"
+            f"entries on the platform: {json.dumps(system.resolve(system.hosts[0]))}"
         )
         click.echo(f"a stream through the platform's adapter: {status}")
         click.echo(body.decode())
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import os
 import socket
 from pathlib import Path
 from typing import Any
@@ -18,6 +19,9 @@
 HOST = "shop.example"
 KEY = "key-of-kit-shop"
 WORKSPACE = "kit-shop"
+_FIRST_NETWORK = 10
+_NETWORKS = 200
+_systems = itertools.count()
 _PORTS = {"Front": 8100, "Ready": 8101, "Directory": 8102}
 _LIMITS = {
     "MaxHeaderBytes": 8192,
@@ -28,7 +32,7 @@
 
 
 class PlatformSystem:
-    """A store, three runners of one service, and entries on 127.0.0.2 and up."""
+    """A store, three runners of one service, and entries on loopback addresses."""
 
     def __init__(self, folder: Path, entries: int = 2) -> None:
         self.folder = folder
@@ -39,7 +43,10 @@
         self._ids = itertools.count(1)
         self._version = 0
         self._starts = 0
-        self.hosts = [f"127.0.0.{2 + number}" for number in range(entries)]
+        # Ports are the same at every entry, so each test has loopback addresses of its
+        # own: several run at the same time.
+        network = f"127.{_FIRST_NETWORK + os.getpid() % _NETWORKS}.{next(_systems)}"
+        self.hosts = [f"{network}.{2 + number}" for number in range(entries)]
 
     def start(self) -> None:
         """Start everything and wait until the entries are ready."""
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -45,8 +45,8 @@
                 ).start()
 
     def _pump(self, source: socket.socket, sink: socket.socket, held: str) -> None:
-        source.settimeout(_POLL_S)
         with contextlib.suppress(OSError):
+            source.settimeout(_POLL_S)
             while True:
                 if self.mode == "reset":
                     linger = struct.pack("ii", 1, 0)
