Log a rank's lost report; drop what nothing uses in the direct path

The search for groups passed over a failed report without a line: it uses the same note as the other calls to ranks now. Gone: GroupBalancer.switching, the register of callers' connections with its close_idle, the count of opened connections, ServicePlaces.rejected (failed already takes no runner), and two arguments that were not read. Decisions and answers are as before. 112 scenarios of the direct path and the adapter pass.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -360,7 +360,8 @@
         now = self._clock.seconds()
         runner_id = opened.runner_id
         if head.not_run:
-            self._places.rejected(runner_id, head.at_fault, now)
+            # The runner that a rejection names is to blame, not the one that sends it.
+            self._places.failed(head.at_fault, now)
         orders = opened.attempts.head(head, now)
         if orders:
             self._note_left(opened, runner_id, f"status {head.status}", head.not_run)
@@ -373,7 +374,7 @@
         events_before = opened.attempts.events
         orders = opened.attempts.data(data, now)
         if opened.attempts.events != events_before:
-            self._places.progressed(opened, opened.attempts.events, now)
+            self._places.progressed(opened, now)
         self._carry_out(opened, orders, now)
 
     def on_end(self, opened: OpenDirectCall) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -124,11 +124,6 @@
         self._find_at = 0.0
         self._had_turn = False
 
-    @property
-    def switching(self) -> bool:
-        """Whether a switch is under way."""
-        return any(group.coordinator.busy for group in self._groups_by_name.values())
-
     def slow_runners(self) -> dict[str, float]:
         """Return how many times longer than usual the slow ranks take."""
         return {
@@ -184,7 +179,7 @@
         for runner in missing:
             report = self._calls.report(runner)
             report.addCallbacks(
-                self._take_found, lambda _: None, callbackArgs=(engine,)
+                self._take_found, self._note_lost, callbackArgs=(engine,)
             )
 
     def _take_found(self, report: RankReport | None, engine: EngineModel) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -199,7 +199,7 @@
         opened.runner_id = ""
         self._admission(opened.service).ended(now)
 
-    def progressed(self, opened: OpenDirectCall, events: int, now: float) -> None:
+    def progressed(self, opened: OpenDirectCall, now: float) -> None:
         """Note whole events of a stream."""
         if not opened.last_event_at:
             standing = self._placement.standing(opened.runner_id)
@@ -226,11 +226,6 @@
         if runner_id:
             self._placement.standing(runner_id).failed(now)
 
-    def rejected(self, runner_id: str, at_fault: str, now: float) -> None:
-        """Note a rejection; the runner that it names is to blame, not its sender."""
-        if at_fault:
-            self._placement.standing(at_fault).failed(now)
-
     def forget_runner(self, runner_id: str) -> None:
         """Drop what is known of a runner that is gone."""
         self._placement.forget(runner_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -121,16 +121,10 @@
         self._timer: DelayedCall | None = None
         self._closed = False
 
-    @property
-    def idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return self._open is None and self._request is None
-
     def connectionMade(self) -> None:
         """Wait for the first request."""
         detect_silence(self.transport)
         cast("Any", self.transport).setTcpNoDelay(True)
-        cast("Any", self.factory).connections.add(self)
         self._expect(self._handler.limits.idle_s)
 
     def dataReceived(self, data: bytes) -> None:
@@ -146,7 +140,6 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The caller has left, or this side has closed."""
         self._closed = True
-        cast("Any", self.factory).connections.discard(self)
         self._cancel_timer()
         open_call, self._open = self._open, None
         if open_call is not None:
@@ -198,11 +191,6 @@
         self._open = None
         self._close()
 
-    def close_if_idle(self) -> None:
-        """Close a kept connection on which no request has begun."""
-        if self.idle and not self._closed and not self._http.trailing_data[0]:
-            self._close()
-
     def _parse(self) -> None:
         while self._open is None and not self._closed:
             event = self._http.next_event()
@@ -309,25 +297,17 @@
 
 
 class CallerFactory(Factory):
-    """Makes the callers' connections and knows the open ones."""
+    """Makes the callers' connections."""
 
     noisy = False
 
     def __init__(self, handler: CallerHandler, clock: Clock) -> None:
         self._handler = handler
         self._clock = clock
-        self.connections: set[CallerConnection] = set()
 
     def buildProtocol(self, addr: Any) -> CallerConnection:
         """Return the protocol of a new connection."""
-        connection = CallerConnection(self._handler, self._clock)
-        connection.factory = self
-        return connection
-
-    def close_idle(self) -> None:
-        """Close all kept connections on which no request has begun."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        return CallerConnection(self._handler, self._clock)
 
 
 __all__ = [
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -256,7 +256,6 @@
         self._clock = clock
         self.dialect = dialect
         self._idle_by_runner: dict[str, deque[RunnerConnection]] = {}
-        self.opened = 0
 
     def send(
         self, runner: RegisteredRunner, request: RunnerRequest, listener: SendListener
@@ -270,7 +269,6 @@
         if kept is not None:
             kept.carry(request, listener)
             return kept
-        self.opened += 1
         connecting = _Connecting(self, runner.runner_id, request, listener)
         connecting.connector = self._reactor.connectTCP(
             runner.host, runner.port, connecting, timeout=_CONNECT_TIMEOUT_S
