Share the places of ranks among entries, so that they do not meet at one

Cause: 41 entries hear of each other every 0.33 s. All of them sent the next stream to the ranks that looked least loaded, some of which were full by then; a stream there waits until another ends. Ruled out: pauses of groups (0.10 to 0.14 s, aim 0.15 s); the limit on streams, which was not reached by the places (360, 264 running). Change: the places are divided among the entries that take callers, by their names alone; an entry goes to others' places while its own are taken.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -97,8 +97,15 @@
             if runner.runner_id not in excluded
         ]
         lockstep = opened.route.kind is RequestKind.STREAM
+        if lockstep:
+            self._share_places(opened.service, now)
         return self._placement.pick(candidates, lockstep, now)
 
+    def _share_places(self, service: str, now: float) -> None:
+        others = [each.entry_id for each in self._peers.alive(now) if each.ready]
+        runners = self._runners.usable(service)
+        self._placement.share(self._peers.own_id, others, runners)
+
     def take_repeat(self, opened: OpenDirectCall, now: float) -> bool:
         """Pay for sending a request once more."""
         return self._budget(opened.service).take(len(self._peers) + 1, now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -51,10 +51,10 @@
 class EntryPeers:
     """The entries that this one knows of, itself not included."""
 
-    __slots__ = ("_own_id", "_peers_by_id")
+    __slots__ = ("own_id", "_peers_by_id")
 
     def __init__(self, own_id: str) -> None:
-        self._own_id = own_id
+        self.own_id = own_id
         self._peers_by_id: dict[str, _Peer] = {}
 
     def __len__(self) -> int:
@@ -72,12 +72,12 @@
 
     def introduce(self, entry_id: str, host: str, port: int, now: float) -> None:
         """Learn where an entry can be told of."""
-        if entry_id != self._own_id and entry_id not in self._peers_by_id:
+        if entry_id != self.own_id and entry_id not in self._peers_by_id:
             self._peers_by_id[entry_id] = _Peer(host, port, now)
 
     def hear(self, news: EntryNews, now: float) -> bool:
         """Take an entry's message; return whether the entry has come or changed."""
-        if news.entry_id == self._own_id:
+        if news.entry_id == self.own_id:
             return False
         self.introduce(news.entry_id, news.peer_host, news.peer_port, now)
         peer = self._peers_by_id[news.entry_id]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
@@ -1,14 +1,16 @@
 """Places requests on runners: over the ranks of a group by what runs, else by cost.
 
 All ranks of a group pass together and the slowest holds the others, so a stream goes
-to the rank with the fewest streams of all entries. Runners of plain services answer by
-themselves; there the expected time and the share of failures decide.
+to the rank with the fewest streams of all entries, among those with a place that is the
+entry's own. Runners of plain services answer by themselves; there the expected time and
+the share of failures decide.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from .place_shares import PlaceShares
 from .runner_standing import RunnerStanding
 
 if TYPE_CHECKING:
@@ -31,6 +33,7 @@
         "_elsewhere_by_id",
         "_slowness_found",
         "_slowness_told",
+        "_shares",
         "_random",
     )
 
@@ -39,8 +42,15 @@
         self._elsewhere_by_id: dict[str, int] = {}
         self._slowness_found: dict[str, float] = {}
         self._slowness_told: dict[str, float] = {}
+        self._shares = PlaceShares()
         self._random = random
 
+    def share(
+        self, own_id: str, other_ids: Iterable[str], runners: Iterable[RegisteredRunner]
+    ) -> None:
+        """Divide the places of ranks among the entries that take callers."""
+        self._shares.share(own_id, other_ids, runners)
+
     def standing(self, runner_id: str) -> RunnerStanding:
         """Return what is known of a runner."""
         found = self._standing_by_id.get(runner_id)
@@ -94,16 +104,18 @@
         if not candidates:
             return None
         cost = self._rank_cost if lockstep else self._plain_cost
-        costs = [(cost(each, now), each.runner_id) for each in candidates]
-        (avoided, least), _ = min(costs)
+        costs = [(*cost(each, now), each.runner_id) for each in candidates]
+        avoided, borrowed, least, _ = min(costs)
         alike = [
             runner_id
-            for (also_avoided, other), runner_id in costs
-            if also_avoided == avoided and other <= least * _ALIKE
+            for *group, other, runner_id in costs
+            if group == [avoided, borrowed] and other <= least * _ALIKE
         ]
         return self._random.choice(alike)
 
-    def _rank_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
+    def _rank_cost(
+        self, runner: RegisteredRunner, now: float
+    ) -> tuple[bool, bool, float]:
         standing = self.standing(runner.runner_id)
         running = self.running(runner.runner_id)
         # Each stream of a slow rank holds all others up, a full rank only its own.
@@ -112,12 +124,15 @@
             or self.slowness(runner.runner_id) >= _SLOW
             or running >= max(runner.slots, 1)
         )
-        return avoided, float(running)
+        borrowed = standing.running >= self._shares.own(runner.runner_id)
+        return avoided, borrowed, float(running)
 
-    def _plain_cost(self, runner: RegisteredRunner, now: float) -> tuple[bool, float]:
+    def _plain_cost(
+        self, runner: RegisteredRunner, now: float
+    ) -> tuple[bool, bool, float]:
         standing = self.standing(runner.runner_id)
         full = self.running(runner.runner_id) >= max(runner.slots, 1)
-        return full, standing.cost(self.running(runner.runner_id), now)
+        return full, False, standing.cost(self.running(runner.runner_id), now)
 
 
 __all__ = ["LockstepPlacement"]
--- a/tests/features/entry/state/direct/surge.feature
+++ b/tests/features/entry/state/direct/surge.feature
@@ -65,3 +65,14 @@
     Then b balances within 0.6 s, and a does not
     When a serves callers again
     Then a balances after 0.6 s, and b does not
+
+  Scenario Outline: Many entries that hear of each other late do not meet at one rank
+    Given <entries> entries before <ranks> ranks with <places> places each, and news every <period> s
+    When <streams> streams a second arrive for 15 s
+    Then at most <most> in 100 streams come to a rank that is full
+
+    Examples:
+      | entries | ranks | places | period | streams | most |
+      | 41      | 72    | 5      | 0.33   | 125     | 2    |
+      | 6       | 12    | 6      | 0.05   | 24      | 1    |
+      | 7       | 7     | 4      | 0.05   | 9       | 2    |
--- a/tests/features/steps/surge_steps.py
+++ b/tests/features/steps/surge_steps.py
@@ -15,6 +15,7 @@
 from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
 from corianderrelay_entry.state.direct.surge_admission import Elsewhere, SurgeAdmission
 
+from tests.machines.stale_news_simulation import StaleNewsSimulation
 from tests.machines.surge_simulation import SurgeSimulation, ended, jumping
 
 _NOBODY = Elsewhere()
@@ -303,6 +304,31 @@
     assert context.placement.pick(context.plain, True, 0.0) in ("runner-1", "runner-2")
 
 
+@given(
+    "{entries:d} entries before {ranks:d} ranks with {places:d} places each, "
+    "and news every {period:f} s"
+)
+def step_stale(
+    context: Any, entries: int, ranks: int, places: int, period: float
+) -> None:
+    context.simulation = StaleNewsSimulation(entries, ranks, places, period)
+
+
+@when("{per_s:d} streams a second arrive for {length:d} s")
+def step_stale_run(context: Any, per_s: int, length: int) -> None:
+    context.simulation.run(length, per_s)
+
+
+@then("at most {most:d} in 100 streams come to a rank that is full")
+def step_met_full(context: Any, most: int) -> None:
+    simulation = context.simulation
+    assert simulation.streams > 100
+    assert simulation.met_full * 100 <= most * simulation.streams, (
+        simulation.met_full,
+        simulation.streams,
+    )
+
+
 def _news(incarnation: int, sequence: int) -> EntryNews:
     return EntryNews("b", incarnation, sequence, "h:1", "h", 2, True)
 
