Read what is popular once for all groups, and switch maps without waiting

(a) A jump during the 0.6 s in which a new map settles set the usual cost of a stream, so that nothing was noticed for up to 8 s. (b) From plan to first order passed 0.34 to 0.84 s: a rank that had answered was not asked again within 1 s, and each switch looked at all ranks anew. (c) Copies of up to 0.5 s. (d) Each of three groups was read by itself, though they were popular alike. Ruled out: the plans (skew 3.3 to 1.3); the limit on streams, which followed the pauses.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from ...state.direct.drifting_popularity import DriftingPopularity
 from ...state.direct.group_coordinator import GroupCoordinator, turned_map
 from ...state.direct.replica_plan import ReplicaRules, pass_skew, plan_replicas
 from ...state.direct.sequenced_switch import SwitchPhase, SwitchRules
 from .decision_log import Decision
+from .popularity_reading import PopularityReading
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +24,6 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.catalog import EngineModel, ExpertModel
-    from ...state.direct.drifting_popularity import CountsById
     from ...state.direct.rank_orders import (
         ExpertSets,
         OrderOutcome,
@@ -34,13 +34,12 @@
     from .decision_log import DecisionLog
     from .rank_port import RankCalls
 
-_RANKS_READ = 2  # one rank's few streams can all ask about the same
-_READ_ANSWER_S = 1.0  # after it a reading that has not come is made again
+_RANKS_READ = 2  # at least; one rank's few streams can all ask about the same
 _FIND_EVERY_S = 2.0  # until all runners of a service belong to a known group
 _LOOK_EVERY_S = 1.0  # finds slow ranks, and holds that another has left
 _SLOW_CHANGED = 1.5  # ratio by which a rank's pace must change for a new plan
 _SLOW = 1.2  # from it on a rank should get fewer streams
-_LONGEST_COPY_S = 0.5  # popularity may jump again within a few seconds
+_LONGEST_COPY_S = 0.3  # popularity may jump again within a few seconds
 _WORTH_SWITCHING = 1.6  # skew, present over planned, that pays for the copies
 _USUAL_PASS_S = 0.06  # until the first pauses are seen
 
@@ -50,12 +49,9 @@
 
     __slots__ = (
         "coordinator",
-        "popularity",
         "members",
-        "reading",
         "slowness_by_id",
         "planned_slowness",
-        "read_at",
         "looked_at",
         "noted",
     )
@@ -64,12 +60,9 @@
         self, coordinator: GroupCoordinator, members: dict[str, int], now: float
     ) -> None:
         self.coordinator = coordinator
-        self.popularity = DriftingPopularity()
         self.members = members
-        self.reading: CountsById = {}
         self.slowness_by_id = {runner_id: 1.0 for runner_id in members}
         self.planned_slowness = [1.0] * len(members)
-        self.read_at = now
         self.looked_at = now
         self.noted: tuple[int, SwitchPhase] | None = None
 
@@ -123,6 +116,7 @@
         self._found_by_id: dict[str, RankReport] = {}
         self._find_at = 0.0
         self._had_turn = False
+        self._reading = PopularityReading(runners, calls, clock, log, self._take_tokens)
 
     def slow_runners(self) -> dict[str, float]:
         """Return how many times longer than usual the slow ranks take."""
@@ -152,17 +146,17 @@
             if may_switch and now - group.looked_at >= every_s:
                 group.looked_at = now
                 group.coordinator.look(now)
-            if may_switch and group.coordinator.may_switch(now):
-                if group.pace_changed:
-                    group.planned_slowness = group.slowness
-                    group.popularity.changed()
-                self._read_counts(group, experts, now)
+            if group.pace_changed and group.coordinator.may_switch(now):
+                group.planned_slowness = group.slowness
+                self._reading.popularity.changed()
             self._drive(group, now)
+        if may_switch:
+            self._read_counts(experts, now)
 
     def _begin_turn(self, now: float) -> None:
         """Forget what was known: another entry may have switched maps since."""
+        self._reading.popularity.changed()
         for group in self._groups_by_name.values():
-            group.popularity.changed()
             group.coordinator.look(now)
 
     def _find_groups(self, engine: EngineModel, now: float) -> None:
@@ -217,63 +211,41 @@
         )
         coordinator.look(now)
 
-    def _read_counts(self, group: _Group, experts: ExpertModel, now: float) -> None:
-        popularity = group.popularity
-        if group.reading and now - group.read_at < _READ_ANSWER_S:
-            return
-        if not popularity.wants_reading(self._stream_cost_s(), now):
+    def _read_counts(self, experts: ExpertModel, now: float) -> None:
+        idle = [
+            group
+            for group in self._groups_by_name.values()
+            if group.coordinator.may_switch(now)
+        ]
+        if not idle:
             return
-        ranks = popularity.ranks_read or self._busiest(group)
-        group.read_at = now
-        group.reading = {}
-        for runner_id in ranks:
-            runner = self._runners.get(runner_id)
-            if runner is None:
-                popularity.changed()
-                return
-            counts = self._calls.counts(runner)
-            counts.addCallbacks(
-                self._take_counts,
-                self._note_lost,
-                callbackArgs=(group, runner_id, ranks, experts),
-            )
+        by_group = math.ceil(_RANKS_READ / len(idle))
+        ranks = [each for group in idle for each in self._busiest(group)[:by_group]]
+        if self._reading.tick(ranks, experts, self._stream_cost_s()):
+            # So that a switch need not wait until the ranks have been looked at.
+            for group in idle:
+                group.coordinator.look(now)
 
     def _busiest(self, group: _Group) -> list[str]:
         running = [each for each in group.members if self._running(each)]
-        return sorted(running, key=self._running, reverse=True)[:_RANKS_READ]
+        return sorted(running, key=self._running, reverse=True)
 
-    def _take_counts(
-        self,
-        counts: list[int],
-        group: _Group,
-        runner_id: str,
-        ranks: list[str],
-        experts: ExpertModel,
-    ) -> None:
-        size = experts.experts
-        by_set = [counts[first : first + size] for first in range(0, len(counts), size)]
-        if len(counts) != size * experts.sets:
-            return
-        group.reading[runner_id] = by_set
-        if len(group.reading) < len(ranks):
-            return
-        coordinator = group.coordinator
+    def _take_tokens(self, tokens: list[list[float]], experts: ExpertModel) -> None:
         now = self._clock.seconds()
-        tokens = group.popularity.read(group.reading, now)
-        group.reading = {}
-        self._log.note(
-            Decision.POPULARITY_READ,
-            ranks=ranks,
-            epoch=coordinator.epoch,
-            span_ends=tokens is not None,
-            map_version=coordinator.map_version,
-        )
-        if tokens is None or coordinator.busy:
-            return
-        if coordinator.map_in_use is None:
-            self._read_map(group)
-            return
-        self._plan(group, tokens, experts)
+        idle = [
+            group
+            for group in self._groups_by_name.values()
+            if not group.coordinator.busy
+        ]
+        for group in idle:
+            if group.coordinator.map_in_use is None:
+                self._read_map(group)
+            else:
+                self._plan(group, tokens, experts)
+        if any(group.coordinator.busy for group in idle):
+            self._reading.popularity.planned(now)
+        elif any(group.coordinator.map_in_use is not None for group in idle):
+            self._reading.popularity.balanced(now)
 
     def _plan(
         self, group: _Group, tokens: list[list[float]], experts: ExpertModel
@@ -294,7 +266,6 @@
         present = pass_skew(tokens, in_use, slowness)
         planned = pass_skew(tokens, plan, slowness)
         if present < _WORTH_SWITCHING * planned:
-            group.popularity.balanced(self._clock.seconds())
             return
         self._log.note(
             Decision.MAP_PLANNED,
@@ -372,7 +343,7 @@
             return
         group.noted = (switch.version, switch.phase)
         if switch.phase is SwitchPhase.SWITCHED:
-            group.popularity.changed()
+            self._reading.popularity.changed()
         self._log.note(
             Decision.MAP_SWITCH,
             phase=switch.phase.value,
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/popularity_reading.py
@@ -0,0 +1,103 @@
+"""Reads which experts are chosen, for all groups of a service together.
+
+Callers of a service ask every group about the same things, so a few ranks tell what is
+popular at all of them. Each reading holds a group up for a moment.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.drifting_popularity import DriftingPopularity
+from .decision_log import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.catalog import ExpertModel
+    from ...state.direct.drifting_popularity import CountsById
+    from ...state.direct.runner_list import RunnerList
+    from .decision_log import DecisionLog
+    from .rank_port import RankCalls
+
+_READ_ANSWER_S = 1.0  # after it a reading that has not come is made again
+
+
+class PopularityReading:
+    """Readings of one service's ranks.
+
+    :param take: called with the tokens of a span, by set and expert.
+    """
+
+    def __init__(
+        self,
+        runners: RunnerList,
+        calls: RankCalls,
+        clock: Clock,
+        log: DecisionLog,
+        take: Callable[[list[list[float]], ExpertModel], None],
+    ) -> None:
+        self._runners = runners
+        self._calls = calls
+        self._clock = clock
+        self._log = log
+        self._take = take
+        self._counts_by_id: CountsById = {}
+        self._asked: list[str] = []
+        self._read_at = float("-inf")
+        self.popularity = DriftingPopularity()
+
+    def tick(
+        self, ranks: list[str], experts: ExpertModel, stream_cost_s: float
+    ) -> bool:
+        """Read if it is due, and return whether a reading was begun.
+
+        :param ranks: those to read if a span begins.
+        :param stream_cost_s: what a stream adds to a pass now; 0 if not known.
+        """
+        now = self._clock.seconds()
+        if self._asked and now - self._read_at < _READ_ANSWER_S:
+            return False
+        if not self.popularity.wants_reading(stream_cost_s, now):
+            return False
+        asked = self.popularity.ranks_read or ranks
+        runners = [self._runners.get(runner_id) for runner_id in asked]
+        if not asked or None in runners:
+            self.popularity.begin_anew()
+            return False
+        self._asked, self._counts_by_id, self._read_at = asked, {}, now
+        for runner in filter(None, runners):
+            self._calls.counts(runner).addCallbacks(
+                self._take_counts,
+                self._note_lost,
+                callbackArgs=(runner.runner_id, experts, now),
+            )
+        return True
+
+    def _take_counts(
+        self, counts: list[int], runner_id: str, experts: ExpertModel, read_at: float
+    ) -> None:
+        size = experts.experts
+        by_set = [counts[first : first + size] for first in range(0, len(counts), size)]
+        if len(counts) != size * experts.sets or read_at != self._read_at:
+            return
+        self._counts_by_id[runner_id] = by_set
+        if len(self._counts_by_id) < len(self._asked):
+            return
+        tokens = self.popularity.read(self._counts_by_id, self._clock.seconds())
+        self._log.note(
+            Decision.POPULARITY_READ, ranks=self._asked, span_ends=tokens is not None
+        )
+        self._asked = []
+        if tokens is not None:
+            self._take(tokens, experts)
+
+    def _note_lost(self, failure: Failure) -> None:
+        self._log.note(Decision.RANK_SILENT, reason=failure.getErrorMessage())
+
+
+__all__ = ["PopularityReading"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
@@ -20,6 +20,7 @@
 
 _RANDOM_BITS = 20  # tells versions apart that two coordinators choose at once
 _LOOK_EVERY_S = 0.3  # between surveys while something is in the way
+_SURVEY_GOOD_S = 0.3  # about the lag of a report; a switch checks what it rests on
 _REPORT_ANSWER_S = 1.0  # after it a rank that has not answered is asked again
 _ABANDONED_S = 0.4  # many times what a switch holds the group
 _BACK_OFF_S = 2.0  # after a switch that failed; its orders may still be on their way
@@ -54,6 +55,7 @@
         self._asked_at_by_id: dict[str, float] = {}
         self._survey_from: float | None = None
         self._next_survey_at = 0.0
+        self._clear_at = -math.inf
         self._held_since: tuple[int, float] | None = None
         self._wanted: tuple[ExpertSets, ...] | None = None
         self._newest_version = 0
@@ -96,9 +98,12 @@
         """Return the ranks to ask for a report now."""
         switch = self._under_way()
         if switch is not None:
-            wanted = switch.looks(now)
+            wanted, since = switch.looks(now), -math.inf
             pause_s = _COPY_POLL_S
         else:
+            if self._wanted is not None and now - self._clear_at <= _SURVEY_GOOD_S:
+                self._start_wanted(self._wanted, now)
+                return []
             if self._wanted is not None and self._survey_from is None:
                 self._survey_from = max(now, self._next_survey_at)
             if self._survey_from is None or now < self._survey_from:
@@ -108,11 +113,11 @@
                 for runner_id in self.runner_ids
                 if not self._is_fresh(runner_id)
             ]
-            pause_s = _REPORT_ANSWER_S
+            pause_s, since = _REPORT_ANSWER_S, self._survey_from
         due = [
             runner_id
             for runner_id in wanted
-            if now - self._asked_at_by_id.get(runner_id, -math.inf) >= pause_s
+            if now - self._asked_at(runner_id, since) >= pause_s
         ]
         self._asked_at_by_id.update((runner_id, now) for runner_id in due)
         return due
@@ -168,12 +173,19 @@
             self._take_hold(reports, held, now)
             return
         self._held_since = None
-        if any(each.armed is not None for each in reports) or self._wanted is None:
+        if any(each.armed is not None for each in reports):
             return
-        wanted, self._wanted = self._wanted, None
+        self._clear_at = now
+        if self._wanted is not None:
+            self._start_wanted(self._wanted, now)
+
+    def _start_wanted(self, wanted: tuple[ExpertSets, ...], now: float) -> None:
+        """Begin to switch; the last survey has found nothing in the way."""
+        self._wanted = None
+        self._survey_from = None
         switch = SequencedSwitch(
             self.runner_ids,
-            reports[0].epoch,
+            self.epoch or 0,
             self._next_version(),
             wanted,
             self._first_map,
@@ -202,6 +214,7 @@
     ) -> None:
         self.switch = switch
         self._switching = experts_by_rank
+        self._clear_at = -math.inf
         self._held_since = None
 
     def _take_end(self, now: float) -> None:
@@ -253,6 +266,11 @@
         since = self._survey_from
         return known is not None and since is not None and known[1] >= since
 
+    def _asked_at(self, runner_id: str, since: float) -> float:
+        """Return when a rank was last asked, if that was since then."""
+        asked_at = self._asked_at_by_id.get(runner_id, -math.inf)
+        return asked_at if asked_at >= since else -math.inf
+
     def _under_way(self) -> SequencedSwitch | None:
         return None if self.switch is None or self.switch.over else self.switch
 
--- a/tests/features/entry/state/direct/lockstep_groups.feature
+++ b/tests/features/entry/state/direct/lockstep_groups.feature
@@ -41,6 +41,39 @@
     And the popularity turns out to be the same
     Then no reading is wanted while streams cost 1.8 ms
 
+  Scenario: A jump while a new map settles is noticed
+    Given a map that fits, with streams that cost 1.0 ms
+    When streams cost that for 3 s, and then another map is in use and found to fit
+    And streams cost 1.7 ms from then on
+    Then a reading is wanted within 0.8 s
+
+  Scenario: False alarms become rarer
+    Given a map that fits, with streams that cost 1.0 ms
+    When streams cost that for 3 s, and then 1.7 ms for 20 s, while the map still fits
+    Then at most 6 spans are read
+
+  Scenario: A switch begins at once if the ranks have just been looked at
+    Given a group of 4 ranks whose coordinator has looked at it 0.2 s ago
+    When a map is wanted
+    Then the coordinator sends 4 orders to prepare it and asks for no report
+
+  Scenario: A switch waits for a look at the ranks if the last one is old
+    Given a group of 4 ranks whose coordinator has looked at it 0.6 s ago
+    When a map is wanted
+    Then the coordinator asks 4 ranks for a report and sends no order
+
+  Scenario: A few ranks tell what is popular at all groups of a service
+    Given readings of 3 ranks of one service
+    When the alarm is raised
+    Then each rank is read once, and once more after 0.3 s
+    And the tokens of all ranks are added up
+
+  Scenario: A rank that goes while it is read ends the span
+    Given readings of 3 ranks of one service
+    When the alarm is raised
+    And a rank goes before the span ends
+    Then the next reading begins a span
+
   Scenario: Two coordinators switch maps while orders are late, lost and doubled
     Then 60 simulated groups never begin a pass with two maps, and none stays held
 
--- a/tests/features/steps/lockstep_groups_steps.py
+++ b/tests/features/steps/lockstep_groups_steps.py
@@ -9,18 +9,32 @@
 from unittest import mock
 
 from behave import given, then, when
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
 
+from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
+from corianderrelay_entry.coordination.direct.popularity_reading import (
+    PopularityReading,
+)
 from corianderrelay_entry.state.direct import sequenced_switch
+from corianderrelay_entry.state.direct.catalog import ExpertModel
 from corianderrelay_entry.state.direct.drifting_popularity import DriftingPopularity
-from corianderrelay_entry.state.direct.group_coordinator import turned_map
+from corianderrelay_entry.state.direct.group_coordinator import (
+    GroupCoordinator,
+    turned_map,
+)
+from corianderrelay_entry.state.direct.rank_orders import OrderKind
 from corianderrelay_entry.state.direct.replica_plan import (
     ReplicaRules,
     pass_skew,
     plan_replicas,
 )
+from corianderrelay_entry.state.direct.runner_list import RegisteredRunner
+from corianderrelay_entry.state.direct.sequenced_switch import SwitchRules
 
 from tests.machines.group_coordinator_simulation import GroupSimulation
 from tests.machines.late_release import LateRelease
+from tests.machines.sequenced_group import ModelGroup
 
 _ZIPF = 1.3
 _SEED = 11
@@ -176,6 +190,162 @@
     assert context.popularity.ranks_read == ["a"]
 
 
+_TICK_S = 0.05
+
+
+def _costs(context: Any, cost: float, seconds: float) -> int:
+    """Let streams cost this for a while; return the spans that were read."""
+    popularity = context.popularity
+    spans = 0
+    for _ in range(round(seconds / _TICK_S)):
+        context.now += _TICK_S
+        if not popularity.wants_reading(cost / 1000, context.now):
+            continue
+        counts = {"a": [[int(context.now * 10000)], [int(context.now * 10000)]]}
+        if popularity.read(counts, context.now) is not None:
+            spans += 1
+            popularity.balanced(context.now)
+    return spans
+
+
+@when(
+    "streams cost that for {seconds:d} s, and then another map is in use and "
+    "found to fit"
+)
+def step_switched(context: Any, seconds: int) -> None:
+    _costs(context, 1.0, seconds)
+    context.popularity.changed()
+    context.popularity.balanced(context.now)
+
+
+@when("streams cost {cost:f} ms from then on")
+def step_from_then(context: Any, cost: float) -> None:
+    context.cost_s = cost / 1000
+
+
+@then("a reading is wanted within {seconds:f} s")
+def step_wanted_within(context: Any, seconds: float) -> None:
+    end = context.now + seconds
+    while not context.popularity.wants_reading(context.cost_s, context.now):
+        context.now += _TICK_S
+        assert context.now <= end
+
+
+@when(
+    "streams cost that for {calm:d} s, and then {cost:f} ms for {seconds:d} s, "
+    "while the map still fits"
+)
+def step_dearer(context: Any, calm: int, cost: float, seconds: int) -> None:
+    _costs(context, 1.0, calm)
+    context.spans = _costs(context, cost, seconds)
+
+
+@then("at most {most:d} spans are read")
+def step_spans(context: Any, most: int) -> None:
+    assert 1 <= context.spans <= most, context.spans
+
+
+@given("a group of {ranks:d} ranks whose coordinator has looked at it {age:f} s ago")
+def step_looked(context: Any, ranks: int, age: float) -> None:
+    context.group = ModelGroup(ranks, copy_s=0.1)
+    context.map = tuple(((rank,),) for rank in range(ranks))
+    context.coordinator = GroupCoordinator(
+        context.group.names, context.map, "first", SwitchRules(), Random(1)
+    )
+    context.group.advance(0.0)
+    context.coordinator.look(0.0)
+    for name in context.coordinator.asks(0.0):
+        context.coordinator.reported(context.group.report(name, 0.0, 0.0), 0.0, 0.0)
+    context.now = age
+
+
+@when("a map is wanted")
+def step_want(context: Any) -> None:
+    context.coordinator.want(context.map)
+    context.asked = context.coordinator.asks(context.now)
+    context.orders = context.coordinator.orders(0.06, context.now)
+
+
+@then("the coordinator sends {orders:d} orders to prepare it and asks for no report")
+def step_prepares(context: Any, orders: int) -> None:
+    assert context.asked == []
+    assert [each.kind for each in context.orders] == [OrderKind.PREPARE] * orders
+
+
+@then("the coordinator asks {ranks:d} ranks for a report and sends no order")
+def step_asks(context: Any, ranks: int) -> None:
+    assert len(context.asked) == ranks
+    assert context.orders == []
+
+
+class _CountingRanks:
+    """Ranks whose counts grow; one may be gone."""
+
+    def __init__(self) -> None:
+        self.read: list[str] = []
+        self.gone = ""
+
+    def get(self, runner_id: str) -> RegisteredRunner | None:
+        if runner_id == self.gone:
+            return None
+        return RegisteredRunner(runner_id, "assistant", "", 0, "", 5)
+
+    def counts(self, runner: RegisteredRunner) -> Deferred[list[int]]:
+        self.read.append(runner.runner_id)
+        return succeed([1000 * self.read.count(runner.runner_id)] * 4)
+
+
+@given("readings of {ranks:d} ranks of one service")
+def step_readings(context: Any, ranks: int) -> None:
+    context.clock = Clock()
+    context.ranks = [f"rank-{number}" for number in range(ranks)]
+    context.calls = _CountingRanks()
+    context.taken = []
+    context.reading = PopularityReading(
+        context.calls,
+        context.calls,
+        context.clock,
+        DecisionLog(context.clock.seconds),
+        lambda tokens, _: context.taken.append(tokens),
+    )
+    context.experts = ExpertModel(2, 2, 1, 1, 0.1)
+
+
+@when("the alarm is raised")
+def step_alarm(context: Any) -> None:
+    assert context.reading.tick(context.ranks, context.experts, 0.0)
+
+
+@then("each rank is read once, and once more after {span:f} s")
+def step_read_twice(context: Any, span: float) -> None:
+    assert context.calls.read == context.ranks
+    assert not context.reading.tick(context.ranks, context.experts, 0.0)
+    context.clock.advance(span)
+    assert context.reading.tick(["others"], context.experts, 0.0)
+    assert context.calls.read == context.ranks * 2
+
+
+@then("the tokens of all ranks are added up")
+def step_added(context: Any) -> None:
+    assert context.taken == [[[3000.0, 3000.0], [3000.0, 3000.0]]]
+
+
+@when("a rank goes before the span ends")
+def step_goes(context: Any) -> None:
+    context.calls.gone = context.ranks[1]
+    context.clock.advance(0.35)
+    assert not context.reading.tick(context.ranks, context.experts, 0.0)
+
+
+@then("the next reading begins a span")
+def step_span_anew(context: Any) -> None:
+    context.calls.gone = ""
+    context.calls.read.clear()
+    assert context.reading.tick(context.ranks, context.experts, 0.0)
+    assert context.calls.read == context.ranks
+    assert context.taken == []
+
+
 @when("the popularity turns out to be the same")
 def step_same(context: Any) -> None:
     assert context.popularity.wants_reading(context.cost_s, context.now)
