Test that each failed answer has one line with its cause, and that the log stays bounded

Every kind of answer that is no success, and bytes that are no request, have exactly one line; a flood of 600 refusals leaves at most the bucket's lines, and lines and those left out add up.

--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -133,3 +133,13 @@
     Then one line of the log says how the request ended, and why
     And the metrics count it
     And "explain" tells its story from the logs of both entries
+
+  Scenario: Each answer that is no success has one line that names its cause
+    When callers get answers of every kind that is no success
+    Then the log has one line for each, with its status and a reason
+    And requests that cannot be read have one line each
+
+  Scenario: An overload does not flood the log, and the log tells what it left out
+    When 600 requests with an unknown key come at once
+    Then the log has at most 180 lines for them, and 60 for each second
+    And lines and those left out make 601 together, with the one that comes 1.1 s later
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -10,6 +10,7 @@
 import threading
 import time
 import urllib.error
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from behave import then, when
@@ -24,6 +25,7 @@
     "the error": b"no",
     "all events": whole_stream(),
 }
+_LOG_FILLS_S = 3.2  # the log's bucket holds the lines of three seconds
 _KEYS = {"no key": None, "an unknown key": "unknown", "its key": KEY}
 
 
@@ -343,6 +345,100 @@
         assert got == status, got
 
 
+_NO_SUCCESS = (
+    "/orders/lost",
+    "/orders/reset",
+    "/orders/garbage",
+    "/orders/error",
+    "/orders/busy",
+    "/orders/unsigned",
+    "/orders/cut",
+    "/orders/unframed-reset",
+    "/orders/hang",
+    "/orders/reject",
+    "/orders/misdirected",
+    "/nowhere/x",
+)
+_UNREADABLE = (
+    "GET / HTTP/9.9",
+    "a request without Host",
+    "two lengths that differ",
+    "a body over the limit",
+    "headers over the limit",
+)
+
+
+@when("callers get answers of every kind that is no success")
+def step_no_success(context: Any) -> None:
+    system = context.system
+    context.malformed_before = len(_lines(context, "request:malformed"))
+    context.answers = [system.ask(path) for path in _NO_SUCCESS]
+    context.answers += [system.ask("/orders/x", key=key) for key in (None, "unknown")]
+    assert all(answer[1] >= 400 for answer in context.answers), context.answers
+    for name in _UNREADABLE:
+        with system.connect() as connection:
+            connection.sendall(_bytes_of(name))
+            assert connection.recv(4096).split()[1] >= b"400", name
+
+
+def _lines(context: Any, kind: str) -> list[dict[str, Any]]:
+    lines = context.system.log_lines()
+    return [line for line in lines if line.get("message_type") == kind]
+
+
+@then("the log has one line for each, with its status and a reason")
+def step_one_line_each(context: Any) -> None:
+    ended = _lines(context, "request:ended")
+    for request_id, status, _, _ in context.answers:
+        lines = [line for line in ended if line["request"] == request_id]
+        assert [line["status"] for line in lines] == [status], (request_id, lines)
+        assert lines[0]["reason"], lines
+
+
+@then("requests that cannot be read have one line each")
+def step_malformed_lines(context: Any) -> None:
+    malformed = _lines(context, "request:malformed")[context.malformed_before :]
+    assert len(malformed) == len(_UNREADABLE), malformed
+    assert all(line["status"] >= 400 and line["reason"] for line in malformed)
+
+
+@when("{count:d} requests with an unknown key come at once")
+def step_flood(context: Any, count: int) -> None:
+    time.sleep(_LOG_FILLS_S)
+    context.lines_before = _ended_lines_and_left_out(context)
+    context.flood_began = time.monotonic()
+    with ThreadPoolExecutor(8) as pool:
+        list(pool.map(lambda _: context.system.ask("/x/x", key="u"), range(count)))
+    context.flood_s = time.monotonic() - context.flood_began
+
+
+def _ended_lines_and_left_out(context: Any) -> tuple[int, int]:
+    lines = _lines(context, "request:ended")
+    return len(lines), sum(line.get("left_out", 0) for line in lines)
+
+
+@then("the log has at most {burst:d} lines for them, and {rate:d} for each second")
+def step_bounded(context: Any, burst: int, rate: int) -> None:
+    lines = _ended_lines_and_left_out(context)[0] - context.lines_before[0]
+    assert lines <= burst + rate * (context.flood_s + 1.0), (lines, context.flood_s)
+
+
+@then(
+    "lines and those left out make {count:d} together, "
+    "with the one that comes {later:g} s later"
+)
+def step_told_what_left_out(context: Any, count: int, later: float) -> None:
+    time.sleep(later)
+    context.system.ask("/x/x", key="u")
+
+    def all_told() -> bool:
+        lines, left_out = _ended_lines_and_left_out(context)
+        accounted: int = lines + left_out - sum(context.lines_before)
+        return accounted == count
+
+    wait_until(all_told, f"the log accounts for {count} requests")
+
+
 @then("one line of the log says how the request ended, and why")
 def step_one_line(context: Any) -> None:
     ended = [
