--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -10,6 +10,7 @@
 import itertools
 import math
 import statistics
+from collections.abc import Collection
 from pathlib import Path
 
 import click
@@ -91,8 +92,8 @@
     return statistics.fmean(getattr(outcome, field) for outcome in outcomes)
 
 
-def _names(known: dict[str, object], option: str, chosen: str) -> list[str]:
-    names = chosen.split(",") if chosen else list(known)
+def _names(known: Collection[str], option: str, chosen: str) -> list[str]:
+    names = chosen.split(",") if chosen else [*known]
     unknown = [name for name in names if name not in known]
     if unknown:
         raise click.BadParameter(
@@ -114,9 +115,9 @@
 ) -> None:
     """Play each pattern with each policy and print how the streams fared."""
     chosen = itertools.product(
-        _names({**SITES}, "--sites", sites),
-        _names({**LOADS}, "--loads", loads),
-        _names({**POLICIES}, "--policies", policies),
+        _names(SITES, "--sites", sites),
+        _names(LOADS, "--loads", loads),
+        _names(POLICIES, "--policies", policies),
     )
     print("| site | load | policy | in time | late | refused | first p90 s | pass s |")
     print("|---|---|---|---|---|---|---|---|")
