Let one piece serve where the direct path had written it again

Found on reading the whole change; behaviour is as it was, no test asserts less. - Three readers kept their own 'lost, back' state: coordination/direct/dependency.py. - Three get-or-create functions by service: defaultdict. - Each tick ranked all ranks by their streams although a reading was hardly ever due: PopularityReading.is_due is asked first.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -11,6 +11,7 @@
 import math
 import statistics
 from collections.abc import Collection
+from dataclasses import replace
 from pathlib import Path
 
 import click
@@ -38,23 +39,15 @@
     report_lag_s=0.2,
     zipf=1.05,  # gives the skew of 3.4 that was played
 )
-_LARGE = GroupShape(
+_LARGE = replace(
+    _SMALL,
     groups=3,
     ranks=24,
     places=5,
-    step_s=0.00455,
     steps_per_pass=5,
-    writing_s=0.00142,  # fitted to medians of played passes
-    expert_share=0.85,
-    prompt_tokens_per_s=61400.0,
-    chunk=512,
     sets=4,  # stands for 16, of which each behaves alike
-    experts=96,
     expert_places=5,
-    new_in_set=2,
-    copies=1,
     copy_s=0.23,  # the time of the copies of 16 sets
-    report_lag_s=0.2,
     zipf=0.75,  # gives the skew of 3.3 that was played
 )
 SITES = {
--- a/bench/experiment_run.py
+++ b/bench/experiment_run.py
@@ -20,6 +20,8 @@
 from corianderrelay_entry.state.direct.surge_admission import Elsewhere, SurgeAdmission
 
 from bench.served_model import (
+    USUAL_PROMPT_SPREAD,
+    USUAL_PROMPT_TOKENS,
     GroupShape,
     ModelGroup,
     ModelPopularity,
@@ -27,12 +29,11 @@
     prompt_tokens,
 )
 
-FIRST_AIM_S = 0.5
+FIRST_AIM_S = 0.5  # to the first event, as on both users' sites
+# The periods of an entry; see its own constants for why.
 _MEASURE_S = 0.25
 _TICK_S = 0.05
 _RETURNED_WAIT_S = 0.1
-_PROMPT_SPREAD = 0.9
-_PROMPT_TOKENS = 780.0
 _SPAN_S = 0.3
 
 
@@ -66,7 +67,7 @@
 
     factor: Callable[[float], float]
     jump_every_s: float = 3.6
-    prompt_spread: float = _PROMPT_SPREAD
+    prompt_spread: float = USUAL_PROMPT_SPREAD
     returns: bool = True
 
 
@@ -155,7 +156,7 @@
         self._at(now + self._random.expovariate(rate), self._arrive)
         events = 1 + round(self._random.uniform(0.2, 1.8) * self._site.events)
         spread = self._load.prompt_spread
-        prompt = prompt_tokens(_PROMPT_TOKENS, spread, self._random)
+        prompt = prompt_tokens(USUAL_PROMPT_TOKENS, spread, self._random)
         stream = ModelStream(now, prompt, events)
         self._streams.append(stream)
         self._ask(stream, now)
--- a/bench/served_model.py
+++ b/bench/served_model.py
@@ -28,8 +28,8 @@
 
     from corianderrelay_entry.state.direct.rank_orders import ExpertSets
 
-_USUAL_PROMPT_TOKENS = 780.0  # mean over the kinds of streams
-_USUAL_SPREAD = 0.9
+USUAL_PROMPT_TOKENS = 780.0  # mean over the kinds of streams of both users
+USUAL_PROMPT_SPREAD = 0.9  # standard deviation over the mean, of the same
 _READING_NOISE = 0.15  # of counts that a few ranks give, against the true popularity
 
 
@@ -246,7 +246,7 @@
     for _ in range(passes):
         for _ in range(streams - sum(map(len, group.running))):
             rank = min(range(shape.ranks), key=lambda each: len(group.running[each]))
-            prompt = prompt_tokens(_USUAL_PROMPT_TOKENS, _USUAL_SPREAD, random)
+            prompt = prompt_tokens(USUAL_PROMPT_TOKENS, USUAL_PROMPT_SPREAD, random)
             left = 1 + round(random.uniform(0.2, 1.8) * events)
             group.add(rank, ModelStream(now, prompt, left))
         group.make_pass(popularity.at(now), now)
@@ -260,6 +260,8 @@
     "ModelGroup",
     "ModelPopularity",
     "ModelStream",
+    "USUAL_PROMPT_SPREAD",
+    "USUAL_PROMPT_TOKENS",
     "prompt_tokens",
     "steady_pass_s",
 ]
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -66,7 +66,7 @@
         """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            found = next((line for line in self._json_lines() if key in line), None)
+            found = next((line for line in self.json_lines() if key in line), None)
             if found is not None:
                 return found
             if self.exit_code is not None:
@@ -99,7 +99,8 @@
         self.signal(signal.SIGKILL)
         return self.wait()
 
-    def _json_lines(self) -> list[dict[str, Any]]:
+    def json_lines(self) -> list[dict[str, Any]]:
+        """Return the whole JSON lines that were written so far."""
         lines = self.log_path.read_text(errors="replace").splitlines()
         return [
             json.loads(line)
--- a/packages/corianderrelay-core/src/corianderrelay/state/expert_planner.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/expert_planner.py
@@ -128,14 +128,18 @@
     skew: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Trial:
-    """A prediction under observation: the new map saves a share of the old one's."""
+    """A prediction under observation: the new map saves a share of the old one's.
+
+    :param refuted: decisions in a row at which it fell far short.
+    """
 
     old_map: ExpertMap
     new_map: ExpertMap
     saved_share: float
     ends_s: float
+    refuted: int = 0
 
     def share_at(self, tokens_per_s_by_expert: Sequence[float]) -> float:
         """Return the share of step time that the new map saves at this load."""
@@ -146,13 +150,12 @@
 class ExpertPlanner:
     """Plans one group's expert map and remembers how well its predictions held."""
 
-    __slots__ = ("_rules", "_trial", "_shortfall", "_refuted")
+    __slots__ = ("_rules", "_trial", "_shortfall")
 
     def __init__(self, rules: PlannerRules) -> None:
         self._rules = rules
         self._trial: _Trial | None = None
         self._shortfall = _FIRST_SHORTFALL
-        self._refuted = 0
 
     @property
     def shortfall(self) -> float:
@@ -230,7 +233,6 @@
         self, old_map: ExpertMap, new_map: ExpertMap, saved_share: float, now: float
     ) -> None:
         ends_s = now + self._rules.horizon_s
-        self._refuted = 0
         self._trial = _Trial(old_map, new_map, saved_share, ends_s)
 
     @property
@@ -239,7 +241,7 @@
 
         Its shortfall has been learnt; going on would hold back what fits demand now.
         """
-        return self._trial is None or self._refuted >= _REFUTED_DECISIONS
+        return self._trial is None or self._trial.refuted >= _REFUTED_DECISIONS
 
     def _observe_trial(
         self, tokens_per_s_by_expert: Sequence[float], now: float
@@ -251,7 +253,7 @@
         missing = trial.saved_share - trial.share_at(tokens_per_s_by_expert)
         missing = max(0.0, missing)
         is_refuted = missing > _REFUTED_SHARE * trial.saved_share
-        self._refuted = self._refuted + 1 if is_refuted else 0
+        trial.refuted = trial.refuted + 1 if is_refuted else 0
         rising = missing > self._shortfall
         step = _SHORTFALL_RISE if rising else _SHORTFALL_FALL
         self._shortfall += step * (missing - self._shortfall)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -8,6 +8,7 @@
 
 from ...state.direct.config_freshness import ConfigFreshness
 from .decision_log import Decision
+from .dependency import Dependency
 from .ports import LogGapError
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
         self._wait_s = _USUAL_WAIT_S if revoke_s is None else _WAIT_SHARE * revoke_s
         self._offset: int | None = None
         self._trusted = False
-        self._reachable = True
+        self._dependency = Dependency("configuration log", log)
         self.catalog: Catalog | None = None
 
     @property
@@ -95,9 +96,7 @@
 
     def _take(self, answer: tuple[Catalog | None, int], asked_at: float) -> None:
         catalog, self._offset = answer
-        if not self._reachable:
-            self._reachable = True
-            self._log.note(Decision.DEPENDENCY_BACK, dependency="configuration log")
+        self._dependency.back()
         self._freshness.proved(asked_at)
         if catalog is not None:
             self._put_in_force(catalog)
@@ -129,14 +128,9 @@
                 version=self.version,
             )
         elif failure.check(LogUnavailableError):
-            if self._reachable:
-                self._reachable = False
-                self._log.note(
-                    Decision.DEPENDENCY_LOST,
-                    dependency="configuration log",
-                    reason=failure.getErrorMessage(),
-                    proof_age_s=self.age_s,
-                )
+            self._dependency.lost(
+                reason=failure.getErrorMessage(), proof_age_s=self.age_s
+            )
         else:
             self._log.note(
                 Decision.CONFIG_REJECTED,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -349,10 +349,7 @@
     def on_not_sent(self, opened: OpenDirectCall, reason: str) -> None:
         """No byte of the present send reached the runner."""
         now = self._clock.seconds()
-        runner_id = opened.runner_id
-        self._places.failed(runner_id, now)
-        self._end_send(opened, now, cancel=False)
-        self._note_left(opened, runner_id, reason, True)
+        self._lose_send(opened, reason, True, now)
         self._carry_out(opened, opened.attempts.not_sent(now, reason), now)
 
     def on_head(self, opened: OpenDirectCall, head: RunnerHead) -> None:
@@ -395,11 +392,16 @@
     def on_broken(self, opened: OpenDirectCall, reason: str) -> None:
         """The present send may have run, and its answer is lost."""
         now = self._clock.seconds()
+        self._lose_send(opened, reason, False, now)
+        self._carry_out(opened, opened.attempts.broken(now, reason), now)
+
+    def _lose_send(
+        self, opened: OpenDirectCall, reason: str, not_run: bool, now: float
+    ) -> None:
         runner_id = opened.runner_id
         self._places.failed(runner_id, now)
         self._end_send(opened, now, cancel=False)
-        self._note_left(opened, runner_id, reason, False)
-        self._carry_out(opened, opened.attempts.broken(now, reason), now)
+        self._note_left(opened, runner_id, reason, not_run)
 
     def _note_left(
         self, opened: OpenDirectCall, runner_id: str, reason: str, not_run: bool
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -116,7 +116,9 @@
         self._found_by_id: dict[str, RankReport] = {}
         self._find_at = 0.0
         self._had_turn = False
-        self._reading = PopularityReading(runners, calls, clock, log, self._take_tokens)
+        self._reading = PopularityReading(
+            runners, calls, clock, log, self._take_tokens, self._note_lost
+        )
 
     def slow_runners(self) -> dict[str, float]:
         """Return how many times longer than usual the slow ranks take."""
@@ -217,11 +219,11 @@
             for group in self._groups_by_name.values()
             if group.coordinator.may_switch(now)
         ]
-        if not idle:
+        if not idle or not self._reading.is_due(self._stream_cost_s()):
             return
         by_group = math.ceil(_RANKS_READ / len(idle))
         ranks = [each for group in idle for each in self._busiest(group)[:by_group]]
-        if self._reading.tick(ranks, experts, self._stream_cost_s()):
+        if self._reading.read(ranks, experts):
             # So that a switch need not wait until the ranks have been looked at.
             for group in idle:
                 group.coordinator.look(now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -6,6 +6,7 @@
 
 from ...state.direct.entry_peers import EntryNews, EntryPeers
 from .decision_log import Decision
+from .dependency import Dependency
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -47,7 +48,7 @@
         self._tell = tell
         self._on_news = on_news
         self._sequence = 0
-        self._reachable = True
+        self._dependency = Dependency("entry registry", log)
         self.peers = EntryPeers(settings.entry_id)
 
     def start(self) -> None:
@@ -100,21 +101,13 @@
 
     def _take_known(self, known: dict[str, tuple[str, int]]) -> None:
         now = self._clock.seconds()
-        if not self._reachable:
-            self._reachable = True
-            self._log.note(Decision.DEPENDENCY_BACK, dependency="entry registry")
+        self._dependency.back()
         for entry_id, (host, port) in known.items():
             self.peers.introduce(entry_id, host, port, now)
         self._clock.callLater(_LOOK_AGAIN_S, self._look)
 
     def _failed(self, failure: Failure) -> None:
-        if self._reachable:
-            self._reachable = False
-            self._log.note(
-                Decision.DEPENDENCY_LOST,
-                dependency="entry registry",
-                reason=failure.getErrorMessage(),
-            )
+        self._dependency.lost(reason=failure.getErrorMessage())
         self._clock.callLater(_INTRODUCE_RETRY_S, self.start)
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/popularity_reading.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/popularity_reading.py
@@ -31,6 +31,7 @@
     """Readings of one service's ranks.
 
     :param take: called with the tokens of a span, by set and expert.
+    :param note_lost: called with why a rank's counts did not come.
     """
 
     def __init__(
@@ -40,7 +41,9 @@
         clock: Clock,
         log: DecisionLog,
         take: Callable[[list[list[float]], ExpertModel], None],
+        note_lost: Callable[[Failure], None],
     ) -> None:
+        self._note_lost = note_lost
         self._runners = runners
         self._calls = calls
         self._clock = clock
@@ -51,24 +54,27 @@
         self._read_at = float("-inf")
         self.popularity = DriftingPopularity()
 
-    def tick(
-        self, ranks: list[str], experts: ExpertModel, stream_cost_s: float
-    ) -> bool:
-        """Read if it is due, and return whether a reading was begun.
+    def is_due(self, stream_cost_s: float) -> bool:
+        """Whether ranks should be read now.
 
-        :param ranks: those to read if a span begins.
         :param stream_cost_s: what a stream adds to a pass now; 0 if not known.
         """
         now = self._clock.seconds()
         if self._asked and now - self._read_at < _READ_ANSWER_S:
             return False
-        if not self.popularity.wants_reading(stream_cost_s, now):
-            return False
+        return self.popularity.wants_reading(stream_cost_s, now)
+
+    def read(self, ranks: list[str], experts: ExpertModel) -> bool:
+        """Begin a reading if the ranks are there; return whether one was begun.
+
+        :param ranks: those to read unless a span is under way.
+        """
         asked = self.popularity.ranks_read or ranks
         runners = [self._runners.get(runner_id) for runner_id in asked]
         if not asked or None in runners:
             self.popularity.begin_anew()
             return False
+        now = self._clock.seconds()
         self._asked, self._counts_by_id, self._read_at = asked, {}, now
         for runner in filter(None, runners):
             self._calls.counts(runner).addCallbacks(
@@ -96,8 +102,5 @@
         if tokens is not None:
             self._take(tokens, experts)
 
-    def _note_lost(self, failure: Failure) -> None:
-        self._log.note(Decision.RANK_SILENT, reason=failure.getErrorMessage())
-
 
 __all__ = ["PopularityReading"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -7,6 +7,7 @@
 from corianderrelay.state.errors import LogUnavailableError
 
 from .decision_log import Decision
+from .dependency import Dependency
 from .ports import LogGapError
 
 if TYPE_CHECKING:
@@ -24,7 +25,7 @@
 # Each heartbeat is a record, so a waiting read would return at once. The rest of the
 # time in which a leaving runner must be known is left to a slow call.
 _PERIOD_SHARE = 0.6
-_RETRY_S = 0.3
+_RETRY_S = 0.3  # some tries fit into the time in which a leaving runner must be known
 
 
 class RunnerWatch:
@@ -52,7 +53,7 @@
         self._metrics = metrics
         self._on_gone = on_gone
         self._offset: int | None = None
-        self._reachable = True
+        self._dependency = Dependency("runner records", log)
         self.known = False
 
     def start(self) -> None:
@@ -97,9 +98,7 @@
 
     def _answered(self) -> None:
         self._runners.log_answered(self._clock.seconds())
-        if not self._reachable:
-            self._reachable = True
-            self._log.note(Decision.DEPENDENCY_BACK, dependency="runner records")
+        self._dependency.back()
 
     def _note(self, runner: RegisteredRunner, before: RegisteredRunner | None) -> None:
         if before is None or before.started_ms != runner.started_ms:
@@ -126,15 +125,10 @@
             self._offset = None
         else:
             self._runners.log_lost()
-            if self._reachable:
-                self._reachable = False
-                expected = failure.check(LogUnavailableError) is not None
-                self._log.note(
-                    Decision.DEPENDENCY_LOST,
-                    dependency="runner records",
-                    reason=failure.getErrorMessage(),
-                    expected=expected,
-                )
+            self._dependency.lost(
+                reason=failure.getErrorMessage(),
+                expected=failure.check(LogUnavailableError) is not None,
+            )
         self._clock.callLater(_RETRY_S, self.start)
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_places.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from ...state.direct.catalog import RequestKind
@@ -66,12 +68,21 @@
         self._engines = engines
         self._runners = runners
         self._peers = peers
-        self._bounds = bounds
         self._random = random
         self._placement = LockstepPlacement(random)
-        self._admission_by_service: dict[str, SurgeAdmission[OpenDirectCall]] = {}
-        self._budget_by_service: dict[str, RepeatBudget] = {}
-        self._groups_by_service: dict[str, _Group] = {}
+        self._admission_by_service: defaultdict[str, SurgeAdmission[OpenDirectCall]] = (
+            defaultdict(SurgeAdmission)
+        )
+        self._budget_by_service: defaultdict[str, RepeatBudget] = defaultdict(
+            partial(
+                RepeatBudget,
+                bounds.repeat_ratio,
+                bounds.repeat_allowance,
+                bounds.repeat_window_s,
+            )
+        )
+        # Only services that stream have a group, from their first request on.
+        self._groups_by_service: defaultdict[str, _Group] = defaultdict(_Group)
 
     def service_of(self, route: Route) -> str:
         """Draw the service of a request."""
@@ -108,13 +119,13 @@
 
     def take_repeat(self, opened: OpenDirectCall, now: float) -> bool:
         """Pay for sending a request once more."""
-        return self._budget(opened.service).take(len(self._peers) + 1, now)
+        return self._budget_by_service[opened.service].take(len(self._peers) + 1, now)
 
     def arrived(self, opened: OpenDirectCall, now: float) -> None:
         """Count a request of a caller."""
-        self._budget(opened.service).request_arrived(now)
+        self._budget_by_service[opened.service].request_arrived(now)
         if opened.route.kind is RequestKind.STREAM:
-            self._group(opened.service).aim_s = opened.route.gap_objective_s
+            self._groups_by_service[opened.service].aim_s = opened.route.gap_objective_s
 
     def hear_peers(self, now: float) -> None:
         """Take what the other entries run."""
@@ -142,7 +153,7 @@
 
     def has_place(self, opened: OpenDirectCall, now: float) -> bool:
         """Whether the request may start at once."""
-        waiting = len(self._admission(opened.service))
+        waiting = len(self._admission_by_service[opened.service])
         waiting += self._elsewhere(opened.service, now).waiting
         return self.free(opened.service, now) > waiting
 
@@ -151,7 +162,7 @@
         if not self._runners.usable(opened.service):
             return False
         returned = opened.returned
-        return self._admission(opened.service).wait(
+        return self._admission_by_service[opened.service].wait(
             opened,
             returned=returned,
             priority=opened.priority,
@@ -163,12 +174,12 @@
     def _latest_s(self, opened: OpenDirectCall) -> float:
         needed_s = _PLAIN_ANSWER_S
         if opened.route.kind is RequestKind.STREAM:
-            needed_s = self._group(opened.service).pace.first_event_s
+            needed_s = self._groups_by_service[opened.service].pace.first_event_s
         return opened.call.received_at + opened.route.objective_s - needed_s
 
     def stop_waiting(self, opened: OpenDirectCall) -> None:
         """Forget a request that has ended while it waited."""
-        self._admission(opened.service).remove(opened)
+        self._admission_by_service[opened.service].remove(opened)
 
     def admitted(self, now: float) -> list[OpenDirectCall]:
         """Take the waiting requests for which there are places."""
@@ -193,7 +204,7 @@
     def retry_after_s(self, service: str, now: float) -> float:
         """Return when a refused caller can expect a place."""
         elsewhere = self._elsewhere(service, now)
-        return self._admission(service).retry_after_s(elsewhere)
+        return self._admission_by_service[service].retry_after_s(elsewhere)
 
     def sent(self, opened: OpenDirectCall, runner_id: str, now: float) -> None:
         """Note that a runner has the request."""
@@ -204,7 +215,7 @@
         """Note that the runner does not have the request any longer."""
         self._placement.standing(opened.runner_id).running -= 1
         opened.runner_id = ""
-        self._admission(opened.service).ended(now)
+        self._admission_by_service[opened.service].ended(now)
 
     def progressed(self, opened: OpenDirectCall, now: float) -> None:
         """Note whole events of a stream."""
@@ -212,10 +223,10 @@
             standing = self._placement.standing(opened.runner_id)
             first_s = now - opened.attempts.sent_at
             standing.answered(first_s, now)
-            self._group(opened.service).pace.began(first_s)
+            self._groups_by_service[opened.service].pace.began(first_s)
         else:
             pause_s = now - opened.last_event_at
-            self._group(opened.service).pace.paused(pause_s, now)
+            self._groups_by_service[opened.service].pace.paused(pause_s, now)
         opened.last_event_at = now
 
     def answered(self, opened: OpenDirectCall, status: int, now: float) -> None:
@@ -241,7 +252,7 @@
         """Return what decided about a place, for the log."""
         usable = self._runners.usable(service)
         elsewhere = self._elsewhere(service, now)
-        admission = self._admission(service)
+        admission = self._admission_by_service[service]
         return {
             "usable_runners": len(usable),
             "free_places": self.free(service, now),
@@ -302,7 +313,7 @@
             "first_event_s": round(group.pace.first_event_s, 4),
             "running": running,
             "limit": self._limit(service, now),
-            "waiting": len(self._admission(service)),
+            "waiting": len(self._admission_by_service[service]),
         }
 
     def _limit(self, service: str, now: float) -> int:
@@ -346,27 +357,6 @@
             default=1.0,
         )
 
-    def _group(self, service: str) -> _Group:
-        found = self._groups_by_service.get(service)
-        if found is None:
-            found = self._groups_by_service[service] = _Group()
-        return found
-
-    def _admission(self, service: str) -> SurgeAdmission[OpenDirectCall]:
-        found = self._admission_by_service.get(service)
-        if found is None:
-            found = self._admission_by_service[service] = SurgeAdmission()
-        return found
-
-    def _budget(self, service: str) -> RepeatBudget:
-        found = self._budget_by_service.get(service)
-        if found is None:
-            bounds = self._bounds
-            found = self._budget_by_service[service] = RepeatBudget(
-                bounds.repeat_ratio, bounds.repeat_allowance, bounds.repeat_window_s
-            )
-        return found
-
 
 class CallPicker:
     """Picks the runners of one request; see ``RunnerPicker``."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/request_metrics.py
@@ -49,17 +49,7 @@
 
     def collectors(self) -> list[Collector]:
         """Return all collectors, to be registered."""
-        return [
-            self.answers,
-            self.failures,
-            self.first_byte_s,
-            self.open_requests,
-            self.agents,
-            self.attempts,
-            self.attaches,
-            self.retries_denied,
-            self.usable_agents,
-        ]
+        return [getattr(self, name) for name in self.__slots__]
 
 
 __all__ = ["RequestMetrics"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -37,7 +37,7 @@
     from .transport.direct.caller_http import CallerConnection, CallerRequest
 
 _TICK_S = 0.05  # a request is ended within this time of its deadline
-_HOUSEKEEPING_S = 0.5
+_HOUSEKEEPING_S = 0.5  # idle connections and lapsed records are due within seconds
 _MEASURING_S = 0.25  # some passes; what a stream costs changes within seconds
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/entry_news.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/entry_news.py
@@ -7,8 +7,6 @@
 
 from ...state.direct.entry_peers import EntryNews
 
-MAX_DATAGRAM_BYTES = 8192
-
 
 class _Message(msgspec.Struct, array_like=True):
     entry_id: str
@@ -42,4 +40,4 @@
     return Ok(EntryNews(*msgspec.structs.astuple(message)))
 
 
-__all__ = ["MAX_DATAGRAM_BYTES", "decode_news", "encode_news"]
+__all__ = ["decode_news", "encode_news"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -30,7 +30,7 @@
     from .state.direct.settings import Address
 
 _BACKLOG = 512  # callers open many connections at once when an entry goes away
-_DRAIN_POLL_S = 0.05
+_DRAIN_POLL_S = 0.05  # small beside the seconds that a drain takes
 _DIRECTORY_TTL_HELD_TIMES = 3.0  # some callers keep an answer three times as long
 _ARRIVALS_SHARE = 0.5  # of the time until the kill; the rest is for what runs
 _LAST_GRACE_S = 0.5  # time to exit before the kill
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
@@ -117,7 +117,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds on what callers send and how long they take."""
+    """Bounds on what callers send and how long they take.
+
+    The defaults hold until a configuration names others; they are usual for servers.
+    """
 
     header_bytes: int = 32_768
     body_bytes: int = 1_048_576
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/group_coordinator.py
@@ -24,10 +24,10 @@
 _REPORT_ANSWER_S = 1.0  # after it a rank that has not answered is asked again
 _ABANDONED_S = 0.4  # many times what a switch holds the group
 _BACK_OFF_S = 2.0  # after a switch that failed; its orders may still be on their way
-_MOST_BACK_OFF_S = 8.0
+_MOST_BACK_OFF_S = 8.0  # two jumps of popularity; longer would leave the map unfit
 _LEAD_S = 0.03  # time of a hold order and of arming
-_LEAD_PASSES = 1
-_COPY_POLL_S = 0.15
+_LEAD_PASSES = 1  # the present pass may end before the hold order arrives
+_COPY_POLL_S = 0.15  # shorter than the lag of a report, so that none is missed
 
 
 class GroupCoordinator:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/lockstep_placement.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "_standing_by_id",
+        "_heard",
         "_elsewhere_by_id",
         "_slowness_found",
         "_slowness_told",
@@ -39,6 +40,7 @@
 
     def __init__(self, random: Random) -> None:
         self._standing_by_id: dict[str, RunnerStanding] = {}
+        self._heard: list[EntryNews] = []
         self._elsewhere_by_id: dict[str, int] = {}
         self._slowness_found: dict[str, float] = {}
         self._slowness_told: dict[str, float] = {}
@@ -65,10 +67,17 @@
             del self._standing_by_id[runner_id]
 
     def hear(self, peers: Iterable[EntryNews]) -> None:
-        """Take what the other entries say that they run."""
+        """Take what the other entries say that they run.
+
+        It is added up when it is asked for: many news come between two requests.
+        """
+        self._heard = list(peers)
         self._elsewhere_by_id = {}
         self._slowness_told = {}
-        for news in peers:
+
+    def _add_up(self) -> None:
+        heard, self._heard = self._heard, []
+        for news in heard:
             self._slowness_told.update(news.slowness_by_runner)
             for runner_id, running in news.running_by_runner.items():
                 known = self._elsewhere_by_id.get(runner_id, 0)
@@ -80,11 +89,13 @@
 
     def slowness(self, runner_id: str) -> float:
         """Return how many times longer than usual a runner takes, as far as known."""
+        self._add_up()
         found = self._slowness_found.get(runner_id, 1.0)
         return max(found, self._slowness_told.get(runner_id, 1.0))
 
     def running(self, runner_id: str) -> int:
         """Return the requests of all entries at a runner, as far as known."""
+        self._add_up()
         standing = self._standing_by_id.get(runner_id)
         own = standing.running if standing is not None else 0
         return own + self._elsewhere_by_id.get(runner_id, 0)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_standing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_standing.py
@@ -14,7 +14,7 @@
 _PRIOR_ANSWERS = 2.0  # good answers that a new runner is credited with
 _FAILURE_EXPONENT = 3.0  # failures weigh more than the same factor in latency
 _UNKNOWN_LATENCY_S = 0.05  # less than most, so that an untried runner is tried
-_MIN_RATE = 0.05
+_MIN_RATE = 0.05  # keeps the cost of a failing runner finite
 
 
 @dataclass(slots=True)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/surge_admission.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/surge_admission.py
@@ -18,7 +18,7 @@
 
 _PACE_WEIGHT = 0.1  # share of the newest interval in the mean time between ends
 _USUAL_INTERVAL_S = 0.2  # between the ends of one entry's requests, until two are seen
-_MIN_RETRY_AFTER_S = 0.05
+_MIN_RETRY_AFTER_S = 0.05  # about a pass; nothing comes free sooner
 _MAX_RETRY_AFTER_S = 2.0  # a surge changes within seconds; a longer wait says nothing
 
 T = TypeVar("T")
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -242,9 +242,8 @@
         self._body = []
         opened = self._handler.handle(read, self)
         # The answer may have been sent already, and the next request begun.
-        if self._http.our_state is h11.SEND_RESPONSE and self._request is request:
-            self._open = opened
-        elif self._http.our_state is h11.SEND_BODY and self._request is request:
+        answering = self._http.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if answering and self._request is request:
             self._open = opened
 
     def _send_head(self, status: int, headers: Headers) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -28,8 +28,8 @@
 _CONNECT_TIMEOUT_S = 0.4  # a path takes a few ms; a lost opening packet takes 1 s
 _MAX_IDLE_S = 8.0  # shorter than the idle limits that servers usually have
 _KEEP_ALIVE_MARGIN_S = 1.0  # the server counts from earlier than this side
-_MAX_IDLE_PER_RUNNER = 6
-_MAX_HEAD_BYTES = 65_536
+_MAX_IDLE_PER_RUNNER = 6  # the requests that a runner usually takes at once
+_MAX_HEAD_BYTES = 65_536  # a runner that sends more is not speaking HTTP
 
 
 class RunnerConnection(Protocol):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/socket_options.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/socket_options.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 _KEEPALIVE_IDLE_S = 2  # a connection that lost its path shows within about 4 s
-_KEEPALIVE_EVERY_S = 1
-_KEEPALIVE_PROBES = 2
+_KEEPALIVE_EVERY_S = 1  # the shortest that the kernel takes
+_KEEPALIVE_PROBES = 2  # one may be lost on a path that is there
 _UNACKNOWLEDGED_MS = 3000  # written bytes that nobody has received
 
 
--- a/tests/features/steps/lockstep_groups_steps.py
+++ b/tests/features/steps/lockstep_groups_steps.py
@@ -301,27 +301,34 @@
     context.ranks = [f"rank-{number}" for number in range(ranks)]
     context.calls = _CountingRanks()
     context.taken = []
+    context.lost = []
     context.reading = PopularityReading(
         context.calls,
         context.calls,
         context.clock,
         DecisionLog(context.clock.seconds),
         lambda tokens, _: context.taken.append(tokens),
+        lambda failure: context.lost.append(failure),
     )
     context.experts = ExpertModel(2, 2, 1, 1, 0.1)
 
 
+def _read(context: Any, ranks: list[str]) -> bool:
+    reading = context.reading
+    return bool(reading.is_due(0.0) and reading.read(ranks, context.experts))
+
+
 @when("the alarm is raised")
 def step_alarm(context: Any) -> None:
-    assert context.reading.tick(context.ranks, context.experts, 0.0)
+    assert _read(context, context.ranks)
 
 
 @then("each rank is read once, and once more after {span:f} s")
 def step_read_twice(context: Any, span: float) -> None:
     assert context.calls.read == context.ranks
-    assert not context.reading.tick(context.ranks, context.experts, 0.0)
+    assert not _read(context, context.ranks)
     context.clock.advance(span)
-    assert context.reading.tick(["others"], context.experts, 0.0)
+    assert _read(context, ["others"])
     assert context.calls.read == context.ranks * 2
 
 
@@ -334,14 +341,14 @@
 def step_goes(context: Any) -> None:
     context.calls.gone = context.ranks[1]
     context.clock.advance(0.35)
-    assert not context.reading.tick(context.ranks, context.experts, 0.0)
+    assert not _read(context, context.ranks)
 
 
 @then("the next reading begins a span")
 def step_span_anew(context: Any) -> None:
     context.calls.gone = ""
     context.calls.read.clear()
-    assert context.reading.tick(context.ranks, context.experts, 0.0)
+    assert _read(context, context.ranks)
     assert context.calls.read == context.ranks
     assert context.taken == []
 
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -443,9 +443,8 @@
 def step_one_line(context: Any) -> None:
     ended = [
         line
-        for line in context.system.log_lines()
-        if line.get("message_type") == "request:ended"
-        and line.get("request") == context.answer[0]
+        for line in _lines(context, "request:ended")
+        if line.get("request") == context.answer[0]
     ]
     assert len(ended) == 1, ended
     assert ended[0]["status"] == 502 and ended[0]["may_have_run"]
@@ -494,8 +493,7 @@
     def reloaded() -> list[Any]:
         return [
             (line["changed"], line["remedy"])
-            for line in context.system.log_lines()
-            if line.get("message_type") == "process:reloaded"
+            for line in _lines(context, "process:reloaded")
         ]
 
     wait_until(reloaded, "the entry says so")
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -190,8 +190,7 @@
 
     def log_lines(self, number: int = 0) -> list[dict[str, Any]]:
         """Return the structured lines of an entry's log."""
-        text = self.entries[number].log_path.read_text(errors="replace")
-        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+        return self.entries[number].json_lines()
 
     def close(self) -> None:
         """End all processes and stand-ins."""
