Log fingerprints and the retry budget of failed attempts

Neither the log nor the metrics could tell three hypotheses apart: nothing linked the requests of a caller that ask for the same, and the retry budget was not shown anywhere.

request:taken and request:left_runner now carry a fingerprint of the workspace, host, method, target and body; request:left_runner also the retries spent in the window, the limit and the number of entries that share it. No decision changes.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -31,7 +31,8 @@
 
     REQUEST_TAKEN = (
         "request:taken",
-        "a request was accepted; route, workspace, configuration version and its age",
+        "a request was accepted; route, workspace, configuration version and its age; "
+        "repeats of a request have the same fingerprint",
     )
     REQUEST_QUEUED = (
         "request:queued",
@@ -47,7 +48,8 @@
     )
     REQUEST_LEFT_RUNNER = (
         "request:left_runner",
-        "an attempt failed or was abandoned; the reason, and whether it had run",
+        "an attempt failed or was abandoned; the reason, whether it had run, and the "
+        "retries spent of this entry's limit",
     )
     REQUEST_CANCELLED = (
         "request:cancelled",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -149,6 +149,7 @@
             request=call.request_id,
             route=route.name,
             service=service,
+            fingerprint=opened.fingerprint,
             workspace=accepted.workspace,
             version=self._config.version,
             proof_age_s=round(self._config.age_s, 3),
@@ -230,9 +231,11 @@
         self._log.note(
             Decision.REQUEST_LEFT_RUNNER,
             request=opened.call.request_id,
+            fingerprint=opened.fingerprint,
             runner=runner_id,
             reason="the runner has stopped sending",
             silent_s=round(now - last_received_at, 3),
+            **self._scheduler.retry_log_fields(opened.service, now),
         )
         self._execute(opened, actions, now)
 
@@ -430,10 +433,12 @@
         self._log.note(
             Decision.REQUEST_LEFT_RUNNER,
             request=opened.call.request_id,
+            fingerprint=opened.fingerprint,
             runner=runner_id,
             reason=reason,
             not_run=not_run,
             events=opened.attempts.events,
+            **self._scheduler.retry_log_fields(opened.service, self._clock.seconds()),
         )
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ...state.direct.catalog import RequestKind
+from ...state.direct.fingerprint import request_fingerprint
 
 if TYPE_CHECKING:
     from ...state.direct.attempts import DirectAttempts
@@ -20,12 +21,14 @@
     :param number: unique in this process, unlike the ids that callers choose.
     :param accepted: the result of the request's validation.
     :param service: the service that was chosen for the request.
+    :ivar fingerprint: the same for all requests of a caller that ask for the same.
     """
 
     __slots__ = (
         "number",
         "call",
         "sink",
+        "fingerprint",
         "route",
         "service",
         "workspace",
@@ -57,6 +60,7 @@
         self.route = accepted.route
         self.service = service
         self.workspace = accepted.workspace
+        self.fingerprint = request_fingerprint(call, accepted.workspace)
         self.requires_valid_key = accepted.requires_valid_key
         self.priority = accepted.priority
         self.attempt_events: AttemptEvents | None = None
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
@@ -129,6 +129,16 @@
         """Charge a retry to the service's budget; return false if it is exhausted."""
         return self._budget_by_service[opened.service].spend(len(self._peers) + 1, now)
 
+    def retry_log_fields(self, service: str, now: float) -> dict[str, object]:
+        """Return the state of a service's retry budget as log fields."""
+        entries = len(self._peers) + 1
+        budget = self._budget_by_service[service]
+        return {
+            "retries": budget.spent(now),
+            "retry_limit": round(budget.limit(entries, now), 2),
+            "entries": entries,
+        }
+
     def on_arrived(self, opened: OpenDirectCall, now: float) -> None:
         """Record a new request of a caller."""
         self._budget_by_service[opened.service].record_request(now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/retry_budget.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/retry_budget.py
@@ -38,6 +38,11 @@
         own = self._ratio * len(self._requests)
         return _SAFETY_FACTOR * (own + self._allowance / max(entries, 1))
 
+    def spent(self, now: float) -> int:
+        """Return the number of retries in the current window."""
+        self._trim(now)
+        return len(self._retries)
+
     def spend(self, entries: int, now: float) -> bool:
         """Spend one retry; return false if the budget is exhausted.
 
