--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,7 +1,8 @@
 """Behave hooks: clean-up, and a running system for features with a system tag.
 
 The scenarios of a feature with the tag ``demo_system`` or ``platform_system`` share one
-system of processes.
+system of processes. Each scenario of a feature with the tag ``crashing_runners`` has a
+system of its own, with three entries.
 """
 
 from __future__ import annotations
@@ -43,6 +44,11 @@
 def before_scenario(context: Any, scenario: Any) -> None:
     """Create the stack that collects the scenario's clean-up callbacks."""
     context.cleanup = ExitStack()
+    if "crashing_runners" in scenario.feature.tags:
+        folder = context.cleanup.enter_context(temporary_folder())
+        context.system = PlatformSystem(Path(folder), entries=3)
+        context.cleanup.callback(context.system.close)
+        context.system.start()
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import threading
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,8 @@
 _MIN_OCTET = 10
 _OCTET_COUNT = 200
 _system_numbers = itertools.count()
+_RESTART_S = 1.0  # between the crash of a runner and its next start
+_LAPSE_S = 2.0  # between the crash of a runner and the removal of its record
 _PORTS = {"Front": 8100, "Ready": 8101, "Directory": 8102}
 _LIMITS = {
     "MaxHeaderBytes": 8192,
@@ -34,14 +37,24 @@
 class PlatformSystem:
     """Runs a store, three runners of one service, and entries on loopback addresses.
 
+    A runner that crashes starts again under a new id and at a new address; with
+    ``restart_in_place`` it keeps both and starts at once.
+
     :param entries: the number of entries.
     """
 
     def __init__(self, folder: Path, entries: int = 2) -> None:
+        self.restart_in_place = False
+        self._lock = threading.Lock()
+        self._closed = False
         self.folder = folder
         self.store = PlatformStore()
         self.fleet = RunnerFleet()
-        self.runners = [PlatformRunner(f"i-{n}", self.fleet) for n in range(3)]
+        self._runner_numbers = itertools.count(3)
+        self.runners = [
+            PlatformRunner(f"i-{n}", self.fleet, self._on_runner_crash)
+            for n in range(3)
+        ]
         self.entry_processes: list[Process] = []
         self._request_numbers = itertools.count(1)
         self._configuration_version = 0
@@ -139,7 +152,35 @@
         }
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
-    def register_runner(self, runner: PlatformRunner, state: str = "ready") -> None:
+    def _on_runner_crash(self, runner: PlatformRunner) -> None:
+        if self.restart_in_place:
+            port = int(runner.address.rpartition(":")[2])
+            self._replace_runner(runner, runner.runner_id, port)
+            return
+        runner_id = f"i-{next(self._runner_numbers)}"
+        restart = threading.Timer(
+            _RESTART_S, self._replace_runner, (runner, runner_id, 0)
+        )
+        lapse = threading.Timer(
+            _LAPSE_S, self.store.put, ("keyed.servers", runner.runner_id, b"")
+        )
+        for timer in (restart, lapse):
+            timer.daemon = True
+            timer.start()
+
+    def _replace_runner(
+        self, crashed: PlatformRunner, runner_id: str, port: int
+    ) -> None:
+        with self._lock:
+            if self._closed:
+                return
+            runner = PlatformRunner(runner_id, self.fleet, self._on_runner_crash, port)
+            self.runners[self.runners.index(crashed)] = runner
+        self.register_runner(runner, born=2 if port else 1)
+
+    def register_runner(
+        self, runner: PlatformRunner, state: str = "ready", born: int = 1
+    ) -> None:
         """Write a runner's record to the store."""
         record = {
             "Service": "kit",
@@ -148,7 +189,7 @@
             "Version": "v1",
             "Slots": 6,
             "State": state,
-            "born": 1,
+            "born": born,
         }
         value = json.dumps(record).encode()
         self.store.put("keyed.servers", runner.runner_id, value)
@@ -204,6 +245,8 @@
 
     def close(self) -> None:
         """Kill the entries and close the stand-ins."""
+        with self._lock:
+            self._closed = True
         for process in self.entry_processes:
             process.kill()
         for runner in self.runners:
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -2,7 +2,9 @@
 
 The last segment of a request's path selects the behaviour: ``whole``, ``lost`` and so
 on. A behaviour with ``-once`` applies only to the first request that names it, at any
-runner; later requests are answered normally.
+runner; later requests are answered normally. ``crash`` and ``crash-silent`` end the
+runner that begins to run the request: its connections are reset, or stay open and
+silent, and it accepts no new ones.
 """
 
 from __future__ import annotations
@@ -12,17 +14,35 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 EVENT_COUNT = 8
 _EVENT_INTERVAL_S = 0.02
 _HANG_S = 3.0
 
 
+class RunnerCrash:
+    """A runner that ended because of a request.
+
+    :param path: path of the request.
+    :param at_s: monotonic time of the crash in seconds.
+    """
+
+    __slots__ = ("runner_id", "path", "at_s")
+
+    def __init__(self, runner_id: str, path: str, at_s: float) -> None:
+        self.runner_id = runner_id
+        self.path = path
+        self.at_s = at_s
+
+
 class RunnerFleet:
     """Records of requests that the runners of one test share.
 
     ``received`` lists all requests and ``runs`` the executed ones, each with the id of
     its runner. ``interrupted`` has the ids of requests whose stream could not be sent.
+    ``crashes`` lists the runners that ended because of a request, and ``arrivals`` the
+    path and monotonic time of each request.
     """
 
     def __init__(self) -> None:
@@ -31,6 +51,8 @@
         self.received: list[tuple[str, str]] = []
         self.used_behaviours: set[str] = set()
         self.interrupted: list[str] = []
+        self.crashes: list[RunnerCrash] = []
+        self.arrivals: list[tuple[str, float]] = []
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -39,25 +61,64 @@
 
 
 class PlatformRunner:
-    """One runner that listens on the loopback address."""
+    """One runner that listens on the loopback address.
 
-    def __init__(self, runner_id: str, fleet: RunnerFleet) -> None:
+    :param on_crash: called when a request has ended this runner.
+    :param port: port to listen on; 0 for any free one.
+    """
+
+    def __init__(
+        self,
+        runner_id: str,
+        fleet: RunnerFleet,
+        on_crash: Callable[[PlatformRunner], None] | None = None,
+        port: int = 0,
+    ) -> None:
         self.runner_id = runner_id
         self._fleet = fleet
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._on_crash = on_crash
+        self._connections: set[socket.socket] = set()
+        self._crashed = False
+        self._listener = socket.create_server(("127.0.0.1", port))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
         """Stop listening."""
+        # Closing alone does not wake up the thread that waits in accept().
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
+    def _crash(self, path: str, *, silent: bool) -> bool:
+        """End this runner: it accepts nothing, and its connections end or fall silent.
+
+        :return: whether the connection of the request stays open.
+        """
+        with self._fleet.lock:
+            if self._crashed:
+                return False
+            self._crashed = True
+            crash = RunnerCrash(self.runner_id, path, time.monotonic())
+            self._fleet.crashes.append(crash)
+            connections = list(self._connections)
+        self.close()
+        if self._on_crash is not None:
+            self._on_crash(self)
+        if silent:
+            time.sleep(_HANG_S)
+        for connection in connections:
+            _reset(connection)
+        return False
+
     def _accept(self) -> None:
         while True:
             try:
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            with self._fleet.lock:
+                self._connections.add(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
@@ -67,9 +128,11 @@
         try:
             while self._serve_request(connection, stream):
                 pass
-        except OSError:
-            pass  # the entry closed the connection
+        except (OSError, ValueError):
+            pass  # the entry closed the connection, or the runner has crashed
         finally:
+            with self._fleet.lock:
+                self._connections.discard(connection)
             connection.close()
 
     def _serve_request(self, connection: socket.socket, stream: object) -> bool:
@@ -77,10 +140,14 @@
         if request is None:
             return False
         path, headers = request
+        if self._crashed:
+            time.sleep(_HANG_S)
+            return False
         request_id = headers.get("corianderrelay-request-id", "")
         behaviour = path.rsplit("/", 1)[-1]
         with self._fleet.lock:
             self._fleet.received.append((self.runner_id, request_id))
+            self._fleet.arrivals.append((path, time.monotonic()))
             if "-once" in behaviour:
                 first = behaviour not in self._fleet.used_behaviours
                 self._fleet.used_behaviours.add(behaviour)
@@ -108,8 +175,10 @@
         with self._fleet.lock:
             self._fleet.runs.append((self.runner_id, request_id, headers))
         if "/stream/" in path:
-            return self._stream(behaviour, request_id, headers, connection)
+            return self._stream(behaviour, path, request_id, headers, connection)
         answers: dict[str, Callable[[], bool]] = {
+            "crash": lambda: self._crash(path, silent=False),
+            "crash-silent": lambda: self._crash(path, silent=True),
             "lost": lambda: False,
             "reset": lambda: _reset(connection),
             "garbage": lambda: _send(connection, b"\x00\x01 no answer\r\n\r\n", False),
@@ -168,6 +237,7 @@
     def _stream(
         self,
         behaviour: str,
+        path: str,
         request_id: str,
         headers: dict[str, str],
         connection: socket.socket,
@@ -184,6 +254,8 @@
             if behaviour == "torn" and number == 4:
                 connection.sendall(_chunk(event[:9]))
                 return _reset(connection)
+            if behaviour.startswith("crash") and number == start + 2:
+                return self._crash(path, silent=behaviour == "crash-silent")
             if behaviour == "slow":
                 time.sleep(0.2)
             try:
@@ -249,7 +321,9 @@
 
 def _reset(connection: socket.socket) -> bool:
     linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.shutdown(socket.SHUT_RD)  # wakes up a thread that reads
     connection.close()
     return False
 
@@ -259,4 +333,10 @@
     return False
 
 
-__all__ = ["EVENT_COUNT", "PlatformRunner", "RunnerFleet", "whole_stream"]
+__all__ = [
+    "EVENT_COUNT",
+    "PlatformRunner",
+    "RunnerCrash",
+    "RunnerFleet",
+    "whole_stream",
+]
