Hold requests that end their runners, at all entries together

Callers saw: a request under which runners ended was sent to one runner after another; everything else that ran there was cut off each time.

Cause: on the direct path nothing outlived a request id. Each request counted its own two attempts; the caller's next one, at any entry, started at zero. Class of fault: state that bounds the whole system, kept per request in one process.

Fix: entries record attempts that are lost without an answer by fingerprint, runner life and round, send the records to each other at once, and judge the runner by a probe and by the runner list. After two rounds (three if another request was lost with the same two runners) every attempt of such a request is refused: first ones, retries, resumed streams and moved stuck requests take their runner from one guarded picker. A completed run clears the request. Quarantines last an hour and are kept in the platform's log for entries that start later or cannot reach the others.

Before: the five scenarios of crashing_requests.feature failed and were known red. After: they pass, as do scenarios with entries killed, frozen, without the log, copies at the same time, runners restarted in place and other streams beside.

--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -0,0 +1,180 @@
+"""Finds the requests that end their runners, together with the other entries.
+
+An attempt without an answer is recorded and shared at once. Then its runner is probed:
+a runner that refuses a connection has ended, one that accepts it lives. A silent runner
+is probed again, and one that disappears from the list, or has started again, has ended.
+A request that has ended too many runners by these records is held, see ``CrashLedger``.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.crash_ledger import CrashLedger, LostAttempt, Verdict, runner_life
+from .decision_log import Decision
+from .ports import Reachability
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.attempts import RunnerPicker
+    from ...state.direct.runner_list import RegisteredRunner, RunnerList
+    from .decision_log import DecisionLog
+    from .open_direct_call import OpenDirectCall
+    from .ports import RunnerConnections
+
+_PROBE_AGAIN_S = 1.0  # a silent runner, or the path to it, is often back in seconds
+
+
+class CrashWatch:
+    """Records lost attempts, judges their runners, and holds back requests.
+
+    :param on_changed: called when the other entries should learn of a change soon.
+    """
+
+    def __init__(
+        self,
+        runners: RunnerList,
+        connections: RunnerConnections,
+        clock: Clock,
+        log: DecisionLog,
+        on_changed: Callable[[], None],
+    ) -> None:
+        self._runners = runners
+        self._connections = connections
+        self._clock = clock
+        self._log = log
+        self._on_changed = on_changed
+        self._probed_at_by_life: dict[str, float] = {}
+        self.ledger = CrashLedger()
+
+    def held_s(self, fingerprint: str) -> float | None:
+        """Return the seconds until a request may run; ``None`` if it may run now."""
+        return self.ledger.held_s(fingerprint, self._clock.seconds())
+
+    def guard(self, picker: RunnerPicker, fingerprint: str) -> GuardedPicker:
+        """Return a picker that finds no runner while the request is held."""
+        return GuardedPicker(picker, self, fingerprint)
+
+    def on_sent(self, opened: OpenDirectCall) -> None:
+        """Record the crash rounds that are known when an attempt is sent."""
+        opened.crash_round = self.ledger.rounds(opened.fingerprint) + 1
+
+    def on_attempt_lost(self, opened: OpenDirectCall, runner_id: str) -> None:
+        """Record an attempt that ended, or may never end, without an answer."""
+        runner = self._runners.get(runner_id)
+        started_ms = 0 if runner is None else runner.started_ms
+        life = runner_life(runner_id, started_ms)
+        lost = LostAttempt(opened.fingerprint, life, opened.crash_round)
+        if not self.ledger.merge(lost, self._clock.seconds()):
+            return
+        self._log_lost(lost)
+        self._on_changed()
+        if runner is not None and life not in self._probed_at_by_life:
+            self._probe(runner, life)
+
+    def on_completed(self, fingerprint: str) -> None:
+        """Discard what counts against a request: a runner has completed it."""
+        if self.ledger.clear(fingerprint, self._clock.seconds()):
+            self._log.note(
+                Decision.CRASHES_CLEARED,
+                fingerprint=fingerprint,
+                reason="a runner has completed the request",
+            )
+            self._on_changed()
+
+    def receive(self, lost_attempts: Iterable[LostAttempt]) -> None:
+        """Apply the records of another entry."""
+        now = self._clock.seconds()
+        for lost in lost_attempts:
+            if self.ledger.merge(lost, now) and lost.counts:
+                self._log_lost(lost)
+
+    def tick(self) -> None:
+        """Judge runners by the runner list, probe silent ones again, and expire."""
+        now = self._clock.seconds()
+        self.ledger.expire(now)
+        recent = self.ledger.recent_lives()
+        for life in self._probed_at_by_life.keys() - set(recent):
+            del self._probed_at_by_life[life]
+        for life in recent:
+            self._judge_by_list(life, now)
+
+    def _judge_by_list(self, life: str, now: float) -> None:
+        runner_id = life.rpartition("/")[0]
+        runner = self._runners.get(runner_id)
+        if runner is None or runner_life(runner_id, runner.started_ms) != life:
+            self._judge(life, Verdict.ENDED, "it is not registered any more")
+            return
+        probed_at = self._probed_at_by_life.get(life)
+        if probed_at is not None and now - probed_at >= _PROBE_AGAIN_S:
+            self._probe(runner, life)
+
+    def _probe(self, runner: RegisteredRunner, life: str) -> None:
+        # Infinite while a probe is open, so that there is one at a time.
+        self._probed_at_by_life[life] = float("inf")
+        self._connections.probe(runner).addCallback(self._on_probed, life)
+
+    def _on_probed(self, reachability: Reachability, life: str) -> None:
+        if reachability is Reachability.SILENT:
+            self._probed_at_by_life[life] = self._clock.seconds()
+        elif reachability is Reachability.REFUSED:
+            self._judge(life, Verdict.ENDED, "it refuses connections")
+        else:
+            self._judge(life, Verdict.ALIVE, "it accepts connections")
+
+    def _judge(self, life: str, verdict: Verdict, reason: str) -> None:
+        changed = self.ledger.judge(life, verdict, self._clock.seconds())
+        if not changed:
+            return
+        self._log.note(
+            Decision.RUNNER_JUDGED,
+            runner=life,
+            verdict=verdict.name.lower(),
+            reason=reason,
+            lost_attempts=len(changed),
+        )
+        for lost in changed:
+            self._log_lost(lost)
+        self._on_changed()
+
+    def _log_lost(self, lost: LostAttempt) -> None:
+        self._log.note(
+            Decision.ATTEMPT_LOST,
+            fingerprint=lost.fingerprint,
+            runner=lost.runner_life,
+            round=lost.round,
+            verdict=lost.verdict.name.lower(),
+            rounds=self.ledger.rounds(lost.fingerprint),
+            quarantined=lost.fingerprint in self.ledger.quarantined(),
+        )
+
+
+class GuardedPicker:
+    """A ``RunnerPicker`` that finds no runner for a request that is held."""
+
+    __slots__ = ("_picker", "_crashes", "_fingerprint")
+
+    def __init__(
+        self, picker: RunnerPicker, crashes: CrashWatch, fingerprint: str
+    ) -> None:
+        self._picker = picker
+        self._crashes = crashes
+        self._fingerprint = fingerprint
+
+    def pick(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a usable runner that is not excluded, ``None`` if held."""
+        if self._crashes.held_s(self._fingerprint) is not None:
+            return None
+        return self._picker.pick(excluded, now)
+
+    def spend_retry(self, now: float) -> bool:
+        """Charge a retry; return false if there is no budget or it is held."""
+        if self._crashes.held_s(self._fingerprint) is not None:
+            return False
+        return self._picker.spend_retry(now)
+
+
+__all__ = ["CrashWatch", "GuardedPicker"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -51,6 +51,28 @@
         "an attempt failed or was abandoned; the reason, whether it had run, and the "
         "retries spent of this entry's limit",
     )
+    ATTEMPT_LOST = (
+        "attempt:lost",
+        "an attempt here or at another entry ended without an answer; the verdict on "
+        "its runner, and the crash rounds that count against the fingerprint",
+    )
+    RUNNER_JUDGED = (
+        "runner:judged",
+        "whether the runner of lost attempts has ended; the evidence",
+    )
+    REQUEST_HELD = (
+        "request:held",
+        "a request is refused, since runners have ended under its fingerprint; the "
+        "rounds that count, and the seconds until it may run",
+    )
+    REQUEST_QUARANTINED = (
+        "request:quarantined",
+        "a fingerprint was quarantined by another entry; the remaining time",
+    )
+    CRASHES_CLEARED = (
+        "crashes:cleared",
+        "lost attempts no longer count against a fingerprint; the reason",
+    )
     REQUEST_CANCELLED = (
         "request:cancelled",
         "the caller disconnected; the attempt was cancelled",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
@@ -23,6 +23,7 @@
         "running",
         "usable_runners",
         "peers",
+        "quarantined",
         "config_version",
         "config_age_s",
         "log_failures",
@@ -69,6 +70,9 @@
             "direct_usable_runners", "Usable runners, by service."
         )
         self.peers = Gauge("direct_entries_alive", "Other entries with recent updates.")
+        self.quarantined = Gauge(
+            "direct_quarantined", "Quarantined fingerprints of requests."
+        )
         self.config_version = Gauge(
             "direct_config_version", "Active configuration version."
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -31,6 +31,7 @@
     from ...state.direct.call import DirectCall, RunnerHead
     from .call_validation import AcceptedCall
     from .config_watch import ConfigWatch
+    from .crash_watch import CrashWatch
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import AnswerSink, Dialect, RunnerConnections
@@ -50,6 +51,7 @@
 
     :param connections: sends requests to runners.
     :param scheduler: admits requests and picks their runners.
+    :param crashes: holds back requests that end their runners.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         connections: RunnerConnections,
         config: ConfigWatch,
         scheduler: ServiceScheduler,
+        crashes: CrashWatch,
         clock: Clock,
         log: DecisionLog,
         metrics: DirectMetrics,
@@ -66,6 +69,7 @@
         self._connections = connections
         self._config = config
         self._scheduler = scheduler
+        self._crashes = crashes
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -96,6 +100,9 @@
         if opened.number not in self._open_by_number:
             return
         now = self._clock.seconds()
+        silent_s = now - opened.attempts.last_received_at
+        if opened.attempts.in_flight and silent_s > _STUCK_STREAM_S:
+            self._crashes.on_attempt_lost(opened, opened.runner_id)
         self._metrics.abandoned.inc({"service": opened.service})
         self._log.note(
             Decision.REQUEST_CANCELLED,
@@ -123,6 +130,8 @@
         for opened in list(self._open_by_number.values()):
             if now >= opened.attempts.deadline_s:
                 self._scheduler.dequeue(opened)
+                if opened.attempts.in_flight:
+                    self._crashes.on_attempt_lost(opened, opened.runner_id)
                 self._execute(opened, opened.attempts.deadline_passed(now), now)
             elif opened.attempts.in_flight and self._is_stuck(opened, now):
                 self._abandon_stuck_attempt(opened, now)
@@ -137,7 +146,7 @@
         max_wait_s = route.timeout_s
         if call.max_wait_s is not None:
             max_wait_s = min(max_wait_s, call.max_wait_s)
-        picker = self._scheduler.picker(opened)
+        picker = self._crashes.guard(self._scheduler.picker(opened), opened.fingerprint)
         opened.attempts = DirectAttempts(
             call, route, picker, call.received_at + max_wait_s
         )
@@ -159,7 +168,25 @@
         self._start_or_enqueue(opened, now)
         return opened
 
+    def _refuse_if_held(self, opened: OpenDirectCall, now: float) -> bool:
+        """Refuse a request that ends its runners; return whether it was refused."""
+        held_s = self._crashes.held_s(opened.fingerprint)
+        if held_s is None:
+            return False
+        self._log.note(
+            Decision.REQUEST_HELD,
+            request=opened.call.request_id,
+            fingerprint=opened.fingerprint,
+            rounds=self._crashes.ledger.rounds(opened.fingerprint),
+            held_s=round(held_s, 3),
+        )
+        reason = "runners have ended under earlier requests with this fingerprint"
+        self._execute(opened, opened.attempts.refuse_unsent(reason, held_s), now)
+        return True
+
     def _start_or_enqueue(self, opened: OpenDirectCall, now: float) -> None:
+        if self._refuse_if_held(opened, now):
+            return
         if self._scheduler.has_free_slot(opened, now):
             self._dispatch(opened, now)
             return
@@ -183,8 +210,8 @@
             reason = "the API key is no longer valid, or cannot be validated"
             actions = opened.attempts.refuse_unsent(reason, NOT_READY_RETRY_S)
             self._execute(opened, actions, now)
-            return
-        self._execute(opened, opened.attempts.start(now), now)
+        elif not self._refuse_if_held(opened, now):
+            self._execute(opened, opened.attempts.start(now), now)
 
     def _refuse_overloaded(
         self, opened: OpenDirectCall, reason: str, now: float
@@ -224,6 +251,8 @@
     def _abandon_stuck_attempt(self, opened: OpenDirectCall, now: float) -> None:
         runner_id = opened.attempts.runner_id
         last_received_at = opened.attempts.last_received_at
+        if opened.route.retryable:
+            self._crashes.on_attempt_lost(opened, runner_id)
         actions = opened.attempts.stalled(now)
         if not actions:
             return
@@ -253,6 +282,7 @@
                 case WriteResponse():
                     opened.sink.write(action.data)
                 case FinishResponse():
+                    self._crashes.on_completed(opened.fingerprint)
                     self._record_end(opened, opened.status, "whole", now)
                     opened.sink.finish()
                 case RefuseRequest():
@@ -270,6 +300,7 @@
         events = AttemptEvents(self, opened)
         opened.attempt_events = events
         self._scheduler.on_sent(opened, action.runner_id, now)
+        self._crashes.on_sent(opened)
         first = opened.attempts.sends == 1
         self._metrics.runner_attempts.inc({"kind": "first" if first else "again"})
         self._log.note(
@@ -319,6 +350,7 @@
         if action.body is None:
             opened.sink.start(status, action.head.headers)
             return
+        self._crashes.on_completed(opened.fingerprint)
         self._record_end(opened, status, "whole", now)
         opened.sink.answer(status, action.head.headers, action.body)
 
@@ -416,6 +448,7 @@
     def on_incomplete(self, opened: OpenDirectCall, reason: str) -> None:
         """The current attempt failed without a complete answer; it may have run."""
         now = self._clock.seconds()
+        self._crashes.on_attempt_lost(opened, opened.runner_id)
         self._fail_attempt(opened, reason, False, now)
         self._execute(opened, opened.attempts.connection_lost(now, reason), now)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -22,6 +22,7 @@
     :param accepted: the result of the request's validation.
     :param service: the service that was chosen for the request.
     :ivar fingerprint: the same for all requests of a caller that ask for the same.
+    :ivar crash_round: round of the current attempt, see ``CrashLedger``.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "call",
         "sink",
         "fingerprint",
+        "crash_round",
         "route",
         "service",
         "workspace",
@@ -63,6 +65,7 @@
         self.fingerprint = request_fingerprint(call, accepted.workspace)
         self.requires_valid_key = accepted.requires_valid_key
         self.priority = accepted.priority
+        self.crash_round = 0
         self.attempt_events: AttemptEvents | None = None
         self.runner_attempt: RunnerAttempt | None = None
         self.runner_id = ""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -15,6 +15,7 @@
 
     from corianderrelay.coordination.clock import Clock
 
+    from ...state.direct.crash_ledger import LostAttempt
     from ...state.direct.settings import DirectSettings
     from .decision_log import DecisionLog
     from .ports import EntryRegistry
@@ -76,6 +77,7 @@
         running: dict[str, int],
         waiting: dict[str, int],
         slowness: dict[str, float],
+        lost_attempts: tuple[LostAttempt, ...],
     ) -> None:
         """Send this entry's state to all others, and evict silent ones."""
         self._sequence += 1
@@ -91,6 +93,7 @@
             running,
             waiting,
             slowness,
+            lost_attempts,
         )
         self._send_update(peer_update, self.peers.addresses())
         for entry_id in self.peers.evict_silent(self._clock.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -57,6 +58,14 @@
         """Cancel the attempt and close its connection."""
 
 
+class Reachability(Enum):
+    """How a runner's address reacts to a new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class RunnerConnections(Protocol):
     """Sends requests to runners."""
 
@@ -68,6 +77,9 @@
     ) -> RunnerAttempt:
         """Start one attempt."""
 
+    def probe(self, runner: RegisteredRunner) -> Deferred[Reachability]:
+        """Open a connection, close it at once and return the reaction."""
+
     def close_idle(self, runner_id: str) -> None:
         """Close the idle connections to a removed runner."""
 
@@ -184,12 +196,40 @@
         """Return the peer addresses (host, port) of all registered entries by id."""
 
 
+class QuarantineStore(Protocol):
+    """Stores until when fingerprints are quarantined, in Unix seconds.
+
+    Calls can fail with ``LogUnavailableError``.
+    """
+
+    def newest(self) -> Deferred[tuple[dict[str, float | None], int]]:
+        """Return the end of each quarantine by fingerprint, and the next offset."""
+
+    def follow(
+        self, offset: int, wait_s: float
+    ) -> Deferred[tuple[dict[str, float | None], int]]:
+        """Return the changed ends, ``None`` for removed ones, and the next offset.
+
+        Waits up to ``wait_s`` seconds for a change.
+
+        :raises LogGapError: the caller must start over with ``newest``.
+        """
+
+    def put(self, fingerprint: str, ends_at: float) -> Deferred[None]:
+        """Store the end of a quarantine."""
+
+    def remove(self, fingerprint: str) -> Deferred[None]:
+        """Remove a quarantine."""
+
+
 __all__ = [
     "ConfigSource",
     "Dialect",
     "AnswerSink",
     "EntryRegistry",
     "LogGapError",
+    "QuarantineStore",
+    "Reachability",
     "RunnerConnections",
     "RunnerRequest",
     "RunnerAttempt",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -11,10 +11,12 @@
 from corianderrelay.transport.metrics import Metrics
 
 from .coordination.direct.config_watch import ConfigWatch
+from .coordination.direct.crash_watch import CrashWatch
 from .coordination.direct.decision_log import Decision, DecisionLog
 from .coordination.direct.direct_metrics import DirectMetrics
 from .coordination.direct.direct_relay import DirectRelay
 from .coordination.direct.peer_exchange import PeerExchange
+from .coordination.direct.quarantine_watch import QuarantineWatch
 from .coordination.direct.runner_watch import RunnerWatch
 from .coordination.direct.service_balancers import ServiceBalancers
 from .coordination.direct.service_scheduler import ServiceScheduler
@@ -29,6 +31,7 @@
         ConfigSource,
         Dialect,
         EntryRegistry,
+        QuarantineStore,
         RunnerSource,
     )
     from .coordination.direct.rank_client import RankClient
@@ -38,6 +41,7 @@
 
 _TICK_S = 0.05  # maximum delay between a deadline and the end of its request
 _HOUSEKEEPING_S = 0.5  # idle connections and records live for several seconds
+_URGENT_UPDATE_S = 0.05  # collects changes of the same moment in one update
 _MEASURING_S = 0.25  # several passes; the cost of a stream changes within seconds
 
 
@@ -45,16 +49,18 @@
     """The platform's implementations of the interfaces that an entry uses.
 
     :param dialect: codec of the headers of callers and runners.
+    :param quarantine: stores the quarantined fingerprints of requests.
     :param ranks: client for the ranks of lock-step groups.
     """
 
-    __slots__ = ("config", "runners", "entries", "dialect", "ranks")
+    __slots__ = ("config", "runners", "entries", "quarantine", "dialect", "ranks")
 
     def __init__(
         self,
         config: ConfigSource,
         runners: RunnerSource,
         entries: EntryRegistry,
+        quarantine: QuarantineStore,
         dialect: Dialect,
         ranks: RankClient,
     ) -> None:
@@ -62,6 +68,7 @@
         self.config = config
         self.runners = runners
         self.entries = entries
+        self.quarantine = quarantine
         self.dialect = dialect
 
 
@@ -111,11 +118,28 @@
             self._remove_runner,
             settings.bounds.leaving_s,
         )
+        self.crashes = CrashWatch(
+            self.runners,
+            self.connections,
+            reactor,
+            self.log,
+            self._send_update_soon,
+        )
+        self.quarantine_watch = QuarantineWatch(
+            sources.quarantine,
+            self.crashes.ledger,
+            reactor,
+            time.time,
+            random,
+            self.log,
+            self.collectors,
+        )
         self.relay = DirectRelay(
             sources.dialect,
             self.connections,
             self.config,
             self.scheduler,
+            self.crashes,
             reactor,
             self.log,
             self.collectors,
@@ -157,6 +181,7 @@
         self.config.start()
         self.runner_watch.start()
         self.exchange.start()
+        self.quarantine_watch.start()
         self._tick.start(_TICK_S)
         self._housekeeping.start(_HOUSEKEEPING_S)
         self._measuring.start(_MEASURING_S)
@@ -198,10 +223,16 @@
 
     def _send_updates_periodically(self) -> None:
         self._send_update()
-        self._reactor.callLater(
+        self._next_update = self._reactor.callLater(
             self.exchange.peers.send_interval_s, self._send_updates_periodically
         )
 
+    def _send_update_soon(self) -> None:
+        """Advance the next update: other entries may hold requests by it."""
+        due_s = self._next_update.getTime() - self._reactor.seconds()
+        if due_s > _URGENT_UPDATE_S:
+            self._next_update.reset(_URGENT_UPDATE_S)
+
     def _send_update(self) -> None:
         slowness = self.balancers.slow_runners()
         self.scheduler.set_own_slowness(slowness)
@@ -210,9 +241,11 @@
             self.scheduler.own_running(),
             self.scheduler.own_waiting(),
             slowness,
+            self.crashes.ledger.next_shared(self._reactor.seconds()),
         )
 
     def _on_peer_update(self, peer_update: PeerUpdate) -> None:
+        self.crashes.receive(peer_update.lost_attempts)
         self.exchange.receive(peer_update)
 
     def _on_peers_changed(self) -> None:
@@ -235,12 +268,15 @@
 
     def _run_housekeeping(self) -> None:
         self.runner_watch.expire()
+        self.crashes.tick()
+        self.quarantine_watch.tick()
         self.connections.close_expired()
         now = self._reactor.seconds()
         collectors = self.collectors
         collectors.peers.set({}, len(self.exchange.peers.alive(now)))
         collectors.running.set({}, sum(self.scheduler.own_running().values()))
         collectors.config_age_s.set({}, self.config.age_s)
+        collectors.quarantined.set({}, len(self.crashes.ledger.quarantined()))
         for service in {runner.service for runner in self.runners.all()}:
             usable = len(self.runners.usable(service))
             collectors.usable_runners.set({"service": service}, usable)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 from result import Err, Ok, Result
 
+from ...state.direct.crash_ledger import LostAttempt, Verdict
 from ...state.direct.entry_peers import PeerUpdate
 
 
+class _LostAttempt(msgspec.Struct, array_like=True):
+    fingerprint: str
+    runner_life: str
+    round: int
+    verdict: Verdict
+
+
 class _Message(msgspec.Struct, array_like=True):
     entry_id: str
     incarnation: int
@@ -19,6 +29,7 @@
     running_by_runner: dict[str, int]
     waiting_by_service: dict[str, int]
     slowness_by_runner: dict[str, float]
+    lost_attempts: list[_LostAttempt] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -27,8 +38,14 @@
 
 def encode_peer_update(peer_update: PeerUpdate) -> bytes:
     """Encode an entry's update."""
-    fields = (getattr(peer_update, name) for name in _Message.__struct_fields__)
-    return _ENCODER.encode(_Message(*fields))
+    fields: dict[str, Any] = {
+        name: getattr(peer_update, name) for name in _Message.__struct_fields__
+    }
+    fields["lost_attempts"] = [
+        _LostAttempt(lost.fingerprint, lost.runner_life, lost.round, lost.verdict)
+        for lost in peer_update.lost_attempts
+    ]
+    return _ENCODER.encode(_Message(**fields))
 
 
 def decode_peer_update(datagram: bytes) -> Result[PeerUpdate, str]:
@@ -37,7 +54,11 @@
         message = _DECODER.decode(datagram)
     except msgspec.DecodeError as error:
         return Err(str(error))
-    return Ok(PeerUpdate(*msgspec.structs.astuple(message)))
+    fields: dict[str, Any] = msgspec.structs.asdict(message)
+    fields["lost_attempts"] = tuple(
+        LostAttempt(*msgspec.structs.astuple(lost)) for lost in message.lost_attempts
+    )
+    return Ok(PeerUpdate(**fields))
 
 
 __all__ = ["decode_peer_update", "encode_peer_update"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -7,6 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .crash_ledger import LostAttempt
 
 _MIN_LIVENESS_TIMEOUT_S = 1.5  # shorter than the TTL of callers' entry lists
 _LIVENESS_INTERVALS = 4  # tolerates the loss of a few datagrams
@@ -26,6 +30,7 @@
     :param waiting_by_service: the entry's own requests waiting for a slot.
     :param slowness_by_runner: slow runners and the factor by which their passes take
         longer than usual.
+    :param lost_attempts: attempts that may have ended their runners.
     """
 
     entry_id: str
@@ -38,6 +43,7 @@
     running_by_runner: dict[str, int] = field(default_factory=dict)
     waiting_by_service: dict[str, int] = field(default_factory=dict)
     slowness_by_runner: dict[str, float] = field(default_factory=dict)
+    lost_attempts: tuple[LostAttempt, ...] = ()
 
 
 @dataclass(slots=True)
--- a/tests/features/platform/crashing_requests.feature
+++ b/tests/features/platform/crashing_requests.feature
@@ -15,3 +15,56 @@
       | /stream/crash        |
       | /stock/crash-silent  |
       | /stream/crash-silent |
+
+  # Guards against a held request that runs again because the entries have forgotten it.
+  Scenario: All entries are killed and started again
+    Given /stock/crash has crashed 2 runners
+    When all entries are killed and started again
+    And /stock/crash is requested 6 times, at each entry in turn
+    Then it has crashed at most 2 runners
+    And other requests are served by every entry
+
+  # Guards against an entry that runs a held request because it was frozen meanwhile.
+  Scenario: An entry is frozen while the others learn of the crashes
+    Given entry 3 is frozen
+    And /stock/crash has crashed 2 runners
+    When entry 3 wakes up
+    And /stock/crash is requested 6 times, at each entry in turn
+    Then it has crashed at most 2 runners
+    And other requests are served by every entry
+
+  # Guards against entries that learn of crashes only from the platform's log.
+  Scenario: The platform's log is unavailable
+    Given the platform's log refuses all calls
+    When /open/crash is requested 9 times, at each entry in turn
+    Then it has crashed at most 2 runners
+    When the platform's log is available again and holds the quarantine
+    And all entries are killed and started again
+    And /open/crash is requested 6 times, at each entry in turn
+    Then it has crashed at most 2 runners
+
+  # Guards against an entry that other entries cannot reach and that knows nothing.
+  Scenario: A quarantine in the platform's log holds the request at every entry
+    When the platform's log quarantines /stock/whole
+    Then /stock/whole gets 503 at every entry
+    When the platform's log no longer quarantines /stock/whole
+    Then /stock/whole gets 200 at every entry
+
+  # Guards against a runner that restarts before it can be probed.
+  Scenario: Runners restart at once, with the same id and address
+    Given runners that restart in place
+    When /stock/crash is requested 15 times, at each entry in turn
+    Then it reached no runner later than 3 s after its third crash
+    And other requests are served by every entry
+
+  # Guards against copies of a request that run at the same time at several entries.
+  Scenario: Copies of the request arrive together
+    When /stock/crash is requested at all entries together, 5 times, 1 s apart
+    Then it reached no runner later than 3 s after its third crash
+    And other requests are served by every entry
+
+  # Guards against holding back requests that only ran beside one that ends runners.
+  Scenario: Requests that run beside it are served
+    When /stream/crash is requested 6 times while others stream at every entry
+    Then no other request is held, and each other caller has had a complete stream
+    And other requests are served by every entry
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -4,12 +4,29 @@
 
 import http.client
 import itertools
+import signal
+import threading
 import time
 import urllib.error
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from typing import Any
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
 
+from corianderrelay_entry.state.direct.call import DirectCall
+from corianderrelay_entry.state.direct.fingerprint import request_fingerprint
+
+from tests.harness.platform_system import HOST, WORKSPACE
+from tests.standins.platform_runner import whole_stream
+from tests.waiting import wait_until
+
+_QUARANTINE_TOPIC = "keyed.quarantine"
+_OTHER_STREAMS = 6
+_OTHERS_PAUSE_S = 0.1  # a refused caller comes back after it
+_RECOVERY_S = 6.0  # new runners are registered, and a stream takes two seconds
+_WAKE_UP_S = 0.5  # an entry that wakes up first handles what has arrived meanwhile
 _REQUEST_INTERVAL_S = 0.4
 _REFUSED_AT_ONCE_S = 0.5
 
@@ -57,3 +74,159 @@
     ):
         status = context.system.send_request(path, host=host)[1]
         assert status == 200, (path, host, status)
+
+
+@given("{path:S} has crashed {count:d} runners")
+def step_has_crashed(context: Any, path: str, count: int) -> None:
+    context.outcomes = []
+    fleet = context.system.fleet
+    hosts = itertools.cycle(context.system.hosts[:2])
+    while len(fleet.crashes) < count:
+        _request(context, path, next(hosts))
+    fingerprint = _fingerprint(path)
+    wait_until(
+        lambda: fingerprint in context.system.store.newest_keys(_QUARANTINE_TOPIC),
+        "the platform's log holds the quarantine",
+    )
+
+
+@given("entry {number:d} is frozen")
+def step_freeze(context: Any, number: int) -> None:
+    process = context.system.entry_processes[number - 1]
+    process.signal(signal.SIGSTOP)
+    context.cleanup.callback(process.signal, signal.SIGCONT)
+
+
+@when("entry {number:d} wakes up")
+def step_wake(context: Any, number: int) -> None:
+    context.system.entry_processes[number - 1].signal(signal.SIGCONT)
+    time.sleep(_WAKE_UP_S)
+
+
+@when("all entries are killed and started again")
+def step_restart_all(context: Any) -> None:
+    system = context.system
+    for process in system.entry_processes:
+        process.kill()
+    system.entry_processes.clear()
+    for host in system.hosts:
+        system.start_entry(host)
+    wait_until(lambda: all(map(system.ready, system.hosts)), "the entries are ready")
+
+
+@given("the platform's log refuses all calls")
+def step_log_unavailable(context: Any) -> None:
+    context.system.store.mode = "busy"
+
+
+@when("the platform's log is available again and holds the quarantine")
+def step_log_available(context: Any) -> None:
+    store = context.system.store
+    store.mode = "ok"
+    wait_until(
+        lambda: store.newest_keys(_QUARANTINE_TOPIC),
+        "the platform's log holds the quarantine",
+    )
+
+
+@given("runners that restart in place")
+def step_restart_in_place(context: Any) -> None:
+    context.system.restart_in_place = True
+
+
+@when("the platform's log quarantines {path:S}")
+def step_quarantine(context: Any, path: str) -> None:
+    value = msgspec.msgpack.encode(time.time() + 600.0)
+    context.system.store.put(_QUARANTINE_TOPIC, _fingerprint(path), value)
+
+
+@when("the platform's log no longer quarantines {path:S}")
+def step_lift(context: Any, path: str) -> None:
+    context.system.store.put(_QUARANTINE_TOPIC, _fingerprint(path), b"")
+
+
+@then("{path:S} gets {status:d} at every entry")
+def step_gets_everywhere(context: Any, path: str, status: int) -> None:
+    system = context.system
+    for host in system.hosts:
+        wait_until(
+            lambda: system.send_request(path, host=host)[1] == status,
+            f"{path} gets {status} at {host}",
+        )
+
+
+@when(
+    "{path:S} is requested at all entries together, {rounds:d} times, {gap_s:d} s apart"
+)
+def step_together(context: Any, path: str, rounds: int, gap_s: int) -> None:
+    context.outcomes = []
+    hosts = context.system.hosts
+    with ThreadPoolExecutor(len(hosts)) as pool:
+        for _ in range(rounds):
+            list(pool.map(lambda host: _request(context, path, host), hosts))
+            time.sleep(gap_s)
+
+
+@then("it reached no runner later than {seconds:d} s after its third crash")
+def step_reached(context: Any, seconds: int) -> None:
+    fleet = context.system.fleet
+    assert fleet.crashes, "no runner has crashed"
+    if len(fleet.crashes) < 3:
+        return
+    path, limit_s = fleet.crashes[0].path, fleet.crashes[2].at_s + seconds
+    late = [at_s - limit_s for each, at_s in fleet.arrivals if each == path]
+    assert max(late) <= 0.0, (len(fleet.crashes), late)
+
+
+@when("{path:S} is requested {count:d} times while others stream at every entry")
+def step_beside(context: Any, path: str, count: int) -> None:
+    context.outcomes = []
+    hosts = context.system.hosts
+    context.others = []
+    stop = threading.Event()
+
+    def stream(number: int) -> None:
+        body = b"other %d" % number
+        host = hosts[number % len(hosts)]
+        while not stop.is_set():
+            with suppress(http.client.HTTPException):  # the stream was cut twice
+                answer = context.system.send_request(
+                    "/stream/slow", host=host, body=body
+                )
+                context.others.append((number, answer[1:4:2]))
+            time.sleep(_OTHERS_PAUSE_S)
+
+    with ThreadPoolExecutor(_OTHER_STREAMS) as pool:
+        streams = [pool.submit(stream, number) for number in range(_OTHER_STREAMS)]
+        time.sleep(_REQUEST_INTERVAL_S)
+        for host in itertools.islice(itertools.cycle(hosts), count):
+            _request(context, path, host)
+            time.sleep(_REQUEST_INTERVAL_S)
+        context.others.clear()
+        time.sleep(_RECOVERY_S)
+        stop.set()
+    for each in streams:
+        each.result()
+    context.path = path
+
+
+@then("no other request is held, and each other caller has had a complete stream")
+def step_others_complete(context: Any) -> None:
+    ended = itertools.chain.from_iterable(
+        context.system.log_lines(number) for number in range(len(context.system.hosts))
+    )
+    held = {
+        line["fingerprint"]
+        for line in ended
+        if line.get("message_type") == "request:held"
+    }
+    assert held == {_fingerprint(context.path)}, held
+    whole = (200, whole_stream())
+    served = {number for number, answer in context.others if answer == whole}
+    assert len(served) == _OTHER_STREAMS, context.others
+
+
+def _fingerprint(path: str) -> str:
+    """Return the fingerprint of the requests that ``send_request`` sends."""
+    call = DirectCall("", b"POST", path.encode(), HOST, [], b"{}", None, 0.0)
+    return request_fingerprint(call, WORKSPACE)
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -51,6 +51,7 @@
         self.store = PlatformStore()
         self.fleet = RunnerFleet()
         self._runner_numbers = itertools.count(3)
+        self._start_times_ms = itertools.count(2)
         self.runners = [
             PlatformRunner(f"i-{n}", self.fleet, self._on_runner_crash)
             for n in range(3)
@@ -176,7 +177,7 @@
                 return
             runner = PlatformRunner(runner_id, self.fleet, self._on_runner_crash, port)
             self.runners[self.runners.index(crashed)] = runner
-        self.register_runner(runner, born=2 if port else 1)
+        self.register_runner(runner, born=next(self._start_times_ms))
 
     def register_runner(
         self, runner: PlatformRunner, state: str = "ready", born: int = 1
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -108,7 +108,8 @@
         if silent:
             time.sleep(_HANG_S)
         for connection in connections:
-            _reset(connection)
+            with suppress(OSError):  # its thread has closed it
+                connection.shutdown(socket.SHUT_RDWR)
         return False
 
     def _accept(self) -> None:
@@ -321,9 +322,7 @@
 
 def _reset(connection: socket.socket) -> bool:
     linger = struct.pack("ii", 1, 0)
-    with suppress(OSError):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.shutdown(socket.SHUT_RD)  # wakes up a thread that reads
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     connection.close()
     return False
 
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -58,6 +58,12 @@
         with self._lock:
             self._records_by_topic.setdefault(topic, []).append((key, value))
 
+    def newest_keys(self, topic: str) -> set[str]:
+        """Return the keys of a topic that have a value."""
+        with self._lock:
+            newest = dict(self._records_by_topic.get(topic, []))
+        return {key for key, value in newest.items() if value}
+
     def drop_superseded_records(self, topic: str) -> None:
         """Expire all current offsets; the newest record of each key stays available."""
         with self._lock:
