Cut off runners that send bytes without end

Callers saw: nothing but a 504 at the end of the time limit, and with enough bytes an entry that runs out of memory and takes all its callers with it.

Cause: only the head of an answer was bounded. A body that is not streamed, an event without an end, interim answers and a late answer to another request could grow until the deadline. Bytes of an event without an end also counted as progress, so that the stream was not moved to another runner.

Fix: each kind has a limit and fails the attempt, naming the limit in the log. Only complete events count as progress.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -421,11 +421,15 @@
     def on_data(self, opened: OpenDirectCall, data: bytes) -> None:
         """Body data of the current attempt's answer was received."""
         now = self._clock.seconds()
-        self._progress_at_by_service[opened.service] = now
+        runner_id = opened.runner_id
         events_before = opened.attempts.events
         actions = opened.attempts.data(data, now)
         if opened.attempts.events != events_before:
+            self._progress_at_by_service[opened.service] = now
             self._scheduler.on_progress(opened, now)
+        if any(isinstance(action, CancelAttempt) for action in actions):
+            self._scheduler.on_failed(runner_id, now)
+            self._log_failed_attempt(opened, runner_id, "its answer is too long", False)
         self._execute(opened, actions, now)
 
     def on_end(self, opened: OpenDirectCall) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
@@ -14,12 +14,14 @@
 
 from .call import RunnerHead
 from .catalog import RequestKind
-from .event_buffer import EventBuffer
+from .event_buffer import MAX_EVENT_BYTES, EventBuffer
 
 if TYPE_CHECKING:
     from .call import DirectCall
     from .catalog import Route
 
+# Bodies that are not streamed are kept in memory until they are complete.
+_MAX_BODY_BYTES = 4_194_304
 _MAX_CONNECT_FAILURES = 3  # failed connections after which the request fails
 _RETRY_AFTER_S = 0.1  # a rejected request finds a free runner in about one pass
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # callers read them as "not run"
@@ -146,7 +148,7 @@
         self._picker = picker
         self._buffer = EventBuffer(call.resume_after)
         self._head: RunnerHead | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._excluded: frozenset[str] = frozenset()
         self._connect_failures = 0
         self.deadline_s = deadline_s
@@ -213,18 +215,28 @@
         """Handle bytes of the response body."""
         if self.finished or self._head is None:
             return []
-        self.last_received_at = now
         if not self._is_stream(self._head):
-            self._body.append(data)
-            return []
-        complete_events = self._buffer.add(data)
-        if not complete_events:
-            return []
+            return self._on_body_data(data, now)
         actions: list[AttemptAction] = []
-        if not self.started:
-            self.started = True
-            actions.append(StartResponse(self._head))
-        return [*actions, WriteResponse(complete_events)]
+        if complete_events := self._buffer.add(data):
+            self.last_received_at = now
+            if not self.started:
+                self.started = True
+                actions.append(StartResponse(self._head))
+            actions.append(WriteResponse(complete_events))
+        if self._buffer.too_long:
+            reason = f"the runner's event is longer than {MAX_EVENT_BYTES} bytes"
+            actions += self._retry_or_fail(now, reason)
+        return actions
+
+    def _on_body_data(self, data: bytes, now: float) -> list[AttemptAction]:
+        self.last_received_at = now
+        self._body += data
+        if len(self._body) <= _MAX_BODY_BYTES:
+            return []
+        return self._retry_or_fail(
+            now, f"the runner's body is longer than {_MAX_BODY_BYTES} bytes"
+        )
 
     def response_ended(self, now: float) -> list[AttemptAction]:
         """Handle the end of a response that is complete by its HTTP framing."""
@@ -234,7 +246,7 @@
         if self._is_stream(head):
             return self._on_stream_end(head, now)
         if head.success:
-            return self._finish([StartResponse(head, b"".join(self._body))])
+            return self._finish([StartResponse(head, bytes(self._body))])
         return self._on_error_response(head, now)
 
     def connection_lost(self, now: float, reason: str) -> list[AttemptAction]:
@@ -317,7 +329,7 @@
         if head.status in _NOT_RUN_STATUSES:
             reason = f"the runner failed with status {head.status}"
             return self._finish([RefuseRequest(_BAD_GATEWAY, reason)])
-        return self._finish([StartResponse(head, b"".join(self._body))])
+        return self._finish([StartResponse(head, bytes(self._body))])
 
     def _retry_or_fail(self, now: float, reason: str) -> list[AttemptAction]:
         cancel: list[AttemptAction] = (
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -34,6 +34,8 @@
 _KEEP_ALIVE_MARGIN_S = 1.0
 _MAX_IDLE_PER_RUNNER = 6  # the usual number of slots of a runner
 _MAX_HEAD_BYTES = 65_536  # a runner that sends a longer head does not speak HTTP
+# Interim answers and late answers to other requests are skipped up to this size.
+_MAX_SKIPPED_BYTES = 1_048_576
 
 
 class RunnerConnection(Protocol):
@@ -48,6 +50,7 @@
         self._request: RunnerRequest | None = None
         self._listener: AttemptListener | None = None
         self._skipping_answer = False
+        self._skipped_bytes = 0
         self._idle_limit_s = _MAX_IDLE_S
         self.idle_until = 0.0
         self.open = False
@@ -62,6 +65,7 @@
         """Send a request on the connection."""
         self._request = request
         self._listener = listener
+        self._skipped_bytes = 0
         self._write_request(to_wire=True)
 
     def cancel(self) -> None:
@@ -74,11 +78,17 @@
         if self._request is None:
             self._abort()
             return
+        self._skipped_bytes += len(data)
         try:
             self._http.receive_data(data)
             self._parse()
         except h11.RemoteProtocolError as error:
             self._fail(f"the runner's answer is not valid HTTP: {error}")
+        if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+            self._fail(
+                f"the runner sent {self._skipped_bytes} bytes without an answer to "
+                "this request"
+            )
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the current answer, complete or not, and leave the pool."""
@@ -123,6 +133,7 @@
                 self._on_head(event)
             elif isinstance(event, h11.Data):
                 if not self._skipping_answer and self._listener is not None:
+                    self._skipped_bytes = 0
                     self._listener.on_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._on_end()
--- a/tests/features/entry/state/direct/direct_attempts.feature
+++ b/tests/features/entry/state/direct/direct_attempts.feature
@@ -60,3 +60,11 @@
 
   Scenario: Events do not depend on how their bytes are split
     Then 500 event streams, split anywhere, yield the same complete events
+
+  # Guards against events that are dropped when the one after them is too long.
+  Scenario: Complete events before one that is too long are delivered
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and 300000 bytes of event 4
+    Then the request is retried after event 3
+    When a runner sends events 4 to 6 and ends the stream
+    Then the caller has events 1 to 6, once each, and a complete response
--- a/tests/features/steps/direct_attempts_steps.py
+++ b/tests/features/steps/direct_attempts_steps.py
@@ -157,6 +157,16 @@
         caller.apply_actions(caller.attempts.connection_lost(0.3, "reset"))
 
 
+@when(
+    "a runner sends events {first:d} to {last:d} and {count:d} bytes of event {next:d}"
+)
+def step_long_event(context: Any, first: int, last: int, count: int, next: int) -> None:
+    caller = context.caller
+    caller.apply_actions(caller.attempts.head(RunnerHead(200, signed=True), 0.1))
+    partial = b"id: %d\ndata: " % next + b"x" * count
+    caller.apply_actions(caller.attempts.data(_events(first, last) + partial, 0.2))
+
+
 @when("a runner sends events {first:d} to {last:d} and ends the stream")
 def step_remaining_events(context: Any, first: int, last: int) -> None:
     caller = context.caller
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -4,7 +4,8 @@
 on. A behaviour with ``-once`` applies only to the first request that names it, at any
 runner; later requests are answered normally. ``crash`` and ``crash-silent`` end the
 runner that begins to run the request: its connections are reset, or stay open and
-silent, and it accepts no new ones.
+silent, and it accepts no new ones. Behaviours that begin with ``endless`` send bytes
+until the connection is closed.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 EVENT_COUNT = 8
 _EVENT_INTERVAL_S = 0.02
 _HANG_S = 3.0
+_MAX_DRIBBLED = 400  # outlasts the time limit of a request
+_BLOCK_BYTES = 65_536
+_MAX_BLOCKS = 2048  # bounds the memory of an entry that stores everything
 
 
 class RunnerCrash:
@@ -42,7 +46,8 @@
     ``received`` lists all requests and ``runs`` the executed ones, each with the id of
     its runner. ``interrupted`` has the ids of requests whose stream could not be sent.
     ``crashes`` lists the runners that ended because of a request, and ``arrivals`` the
-    path and monotonic time of each request.
+    path and monotonic time of each request. ``endless`` has the ids of the requests
+    that get bytes without end now.
     """
 
     def __init__(self) -> None:
@@ -53,6 +58,7 @@
         self.interrupted: list[str] = []
         self.crashes: list[RunnerCrash] = []
         self.arrivals: list[tuple[str, float]] = []
+        self.endless: set[str] = set()
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -175,6 +181,8 @@
             return True
         with self._fleet.lock:
             self._fleet.runs.append((self.runner_id, request_id, headers))
+        if behaviour.startswith("endless"):
+            return self._send_endlessly(behaviour, request_id, connection)
         if "/stream/" in path:
             return self._stream(behaviour, path, request_id, headers, connection)
         answers: dict[str, Callable[[], bool]] = {
@@ -210,6 +218,9 @@
                 + b"Content-Length: 99\r\n\r\nab",
                 False,
             ),
+            "large": lambda: _send(
+                connection, _signed_answer(request_id, b"x" * 1_000_000), True
+            ),
             "extra": lambda: _send(
                 connection,
                 _signed_answer(request_id, b"body") + _signed_answer("other", b"stray"),
@@ -235,6 +246,40 @@
             return answer()
         return _send(connection, _signed_answer(request_id, b"body"), True)
 
+    def _send_endlessly(
+        self, behaviour: str, request_id: str, connection: socket.socket
+    ) -> bool:
+        own_head = _answer_head(200, request_id, signed=True)
+        beginnings = {
+            "endless-head": own_head,
+            "endless-noise": b"",
+            "endless-interim": b"",
+            "endless-other": _answer_head(200, "other", signed=True) + b"\r\n",
+            "endless-body": own_head + b"\r\n",
+            "endless-chunks": own_head + b"Transfer-Encoding: chunked\r\n\r\n",
+            "endless-error": _answer_head(500, request_id, signed=True) + b"\r\n",
+        }
+        units = {
+            "endless-head": b"X-Field: %s\r\n" % (b"x" * 1000),
+            "endless-noise": b"\x00noise",
+            "endless-interim": b"HTTP/1.1 102 Processing\r\n\r\n",
+            "endless-chunks": _chunk(b"x" * 1000),
+        }
+        unit = units.get(behaviour, b"x" * 1000)
+        block = unit * (_BLOCK_BYTES // len(unit))
+        with self._fleet.lock:
+            self._fleet.endless.add(request_id)
+        try:
+            connection.sendall(beginnings[behaviour])
+            for _ in range(_MAX_BLOCKS):
+                connection.sendall(block)
+            while connection.recv(1):  # until the entry closes the connection
+                pass
+        finally:
+            with self._fleet.lock:
+                self._fleet.endless.discard(request_id)
+        return False
+
     def _stream(
         self,
         behaviour: str,
@@ -257,6 +302,8 @@
                 return _reset(connection)
             if behaviour.startswith("crash") and number == start + 2:
                 return self._crash(path, silent=behaviour == "crash-silent")
+            if behaviour == "dribble" and number == 4:
+                return _dribble(connection)
             if behaviour == "slow":
                 time.sleep(0.2)
             try:
@@ -327,6 +374,14 @@
     return False
 
 
+def _dribble(connection: socket.socket) -> bool:
+    """Send a byte of an event now and then until the connection is closed."""
+    for _ in range(_MAX_DRIBBLED):
+        connection.sendall(_chunk(b"x"))
+        time.sleep(_EVENT_INTERVAL_S)
+    return False
+
+
 def _hang(connection: socket.socket) -> bool:
     time.sleep(_HANG_S)
     return False
