Bound the bodies that ranks send to the balancer

A rank's report or selection counts could grow without end until the call's timeout of a second. Heads in this client are still bounded by the timeout only.

--- a/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
@@ -112,6 +112,7 @@
 
     :param base_url: scheme, address and port of the server, without trailing slash.
     :param connect_timeout_s: timeout for opening a connection, in seconds.
+    :param max_body_bytes: longest body that ``fetch`` accepts; ``None`` for any.
     """
 
     def __init__(
@@ -119,7 +120,9 @@
         reactor: ReactorBase,
         base_url: str,
         connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+        max_body_bytes: int | None = None,
     ) -> None:
+        self._max_body_bytes = max_body_bytes
         self._reactor = reactor
         self._base_url = base_url
         self._pool = HTTPConnectionPool(reactor)
@@ -166,7 +169,7 @@
         :raises HttpResponseLostError: the request may have been executed.
         """
         http_response = self.request(method, path, headers or {}, body).addCallback(
-            _read_body
+            _read_body, self._max_body_bytes
         )
         http_response.addTimeout(timeout_s, cast("Any", self._reactor), _on_timeout)
         return http_response
@@ -208,18 +211,26 @@
 class _BodyCollector(TwistedProtocol):
     """Collects a body and fires a deferred when it is complete."""
 
-    def __init__(self, completed: Deferred[bytes]) -> None:
+    def __init__(self, completed: Deferred[bytes], max_bytes: int | None) -> None:
         self._completed = completed
-        self._parts: list[bytes] = []
+        self._max_bytes = max_bytes
+        self._body = bytearray()
 
     def dataReceived(self, data: bytes) -> None:
-        self._parts.append(data)
+        if self._completed.called:
+            return
+        self._body += data
+        if self._max_bytes is not None and len(self._body) > self._max_bytes:
+            self._body.clear()
+            reason = f"the body is longer than {self._max_bytes} bytes"
+            self._completed.errback(HttpResponseLostError(reason))
+            abort_body(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self._completed.called:
             return
         if reason.check(ResponseDone):
-            self._completed.callback(b"".join(self._parts))
+            self._completed.callback(bytes(self._body))
         else:
             self._completed.errback(HttpResponseLostError(reason.getErrorMessage()))
 
@@ -236,9 +247,9 @@
     return str(values[-1], "latin-1")
 
 
-def _read_body(response: ResponseHead) -> Deferred[HttpResponse]:
+def _read_body(response: ResponseHead, max_bytes: int | None) -> Deferred[HttpResponse]:
     completed: Deferred[bytes] = Deferred(lambda _: abort_body(collector))
-    collector = _BodyCollector(completed)
+    collector = _BodyCollector(completed, max_bytes)
     response.deliverBody(collector)
     headers = {
         name.decode("latin-1").lower(): values[-1].decode("latin-1")
