Keep an entry's part of the retry allowance while it is cut off

A bound on the whole system rested on what one entry knows at the moment.

Cause: the allowance was divided by the entries known now. An entry forgets others that were silent for 20 s, so six entries that lose sight of each other for 30 s took the whole allowance each: 264 retries of 88 (half of it each, by the safety factor).

Fix: the part is computed from the largest number of entries known within ten minutes.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
@@ -127,11 +127,12 @@
 
     def spend_retry(self, opened: OpenDirectCall, now: float) -> bool:
         """Charge a retry to the service's budget; return false if it is exhausted."""
-        return self._budget_by_service[opened.service].spend(len(self._peers) + 1, now)
+        entries = self._peers.sharing_entries(now)
+        return self._budget_by_service[opened.service].spend(entries, now)
 
     def retry_log_fields(self, service: str, now: float) -> dict[str, object]:
         """Return the state of a service's retry budget as log fields."""
-        entries = len(self._peers) + 1
+        entries = self._peers.sharing_entries(now)
         budget = self._budget_by_service[service]
         return {
             "retries": budget.spent(now),
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -15,6 +15,7 @@
 _MIN_LIVENESS_TIMEOUT_S = 1.5  # shorter than the TTL of callers' entry lists
 _LIVENESS_INTERVALS = 4  # tolerates the loss of a few datagrams
 _EVICT_AFTER_S = 20.0  # a replaced entry comes back at another address
+_SHARE_KEPT_S = 600.0  # longer than usual partitions between entries
 _DATAGRAMS_PER_S = 125.0  # bounds CPU time and bandwidth for any number of entries
 _MIN_SEND_INTERVAL_S = 0.04  # half of the shortest pass; load changes once per pass
 
@@ -58,14 +59,13 @@
 class EntryPeers:
     """The known entries except this one."""
 
-    __slots__ = ("own_id", "_peers_by_id")
+    __slots__ = ("own_id", "_peers_by_id", "_most_peers", "_most_peers_at")
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
         self._peers_by_id: dict[str, _Peer] = {}
-
-    def __len__(self) -> int:
-        return len(self._peers_by_id)
+        self._most_peers = 0
+        self._most_peers_at = float("-inf")
 
     @property
     def send_interval_s(self) -> float:
@@ -77,6 +77,14 @@
         """Seconds without an update after which an entry is not considered alive."""
         return max(_MIN_LIVENESS_TIMEOUT_S, _LIVENESS_INTERVALS * self.send_interval_s)
 
+    def sharing_entries(self, now: float) -> int:
+        """Return the number of entries that share limits, this one included.
+
+        Peers that went silent count for a while, as they may only be cut off.
+        """
+        self._update_most_peers(now)
+        return 1 + self._most_peers
+
     def add_peer(self, entry_id: str, host: str, port: int, now: float) -> None:
         """Add an entry's address unless the entry is known."""
         if entry_id != self.own_id and entry_id not in self._peers_by_id:
@@ -135,6 +143,7 @@
 
     def evict_silent(self, now: float) -> list[str]:
         """Remove entries without recent updates and return their ids."""
+        self._update_most_peers(now)
         evicted = [
             entry_id
             for entry_id, peer in self._peers_by_id.items()
@@ -144,5 +153,10 @@
             del self._peers_by_id[entry_id]
         return evicted
 
+    def _update_most_peers(self, now: float) -> None:
+        count = len(self._peers_by_id)
+        if count >= self._most_peers or now - self._most_peers_at > _SHARE_KEPT_S:
+            self._most_peers, self._most_peers_at = count, now
+
 
 __all__ = ["PeerUpdate", "EntryPeers"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/retry_budget.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/retry_budget.py
@@ -1,7 +1,9 @@
 """Limits the retries of all entries together in a sliding window.
 
 Each entry may use an equal part of the fixed allowance plus a ratio of its own
-requests. The sum then stays within the bound without messages between entries.
+requests. The sum then stays within the bound without messages between entries, also
+while they cannot reach each other: an entry keeps its part for minutes after others
+have fallen silent.
 """
 
 from __future__ import annotations
