Move every request from a stalled runner, also with a spent retry budget

Cause, in two parts. The retry budget covers ten moves; a request that is denied one stays where it is, and only new requests refill the budget. And a runner counts as stalled only while a request that has received a chunk waits there, so that after the others were moved the denied ones were never looked at again.

Evidence: 40 callers, two entries, engine-1 killed; the code before: 10 further attempts, entry_retries_denied 6 and entry_open_requests 6 until the end, each denied exactly once. Ruled out by the same run: lost frames (the requests have no attempt beyond the first).

Fix: a runner stays stalled until its next chunk as long as any request is at it, and a spent budget still moves one request a second away from stalled runners.

The check that a stalled attempt stays without budget now takes the second's reserve first; it is as strict for everything beyond it.

--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -196,7 +196,7 @@
         """Resume on another runner because this one is alive but sends no chunks.
 
         Without another runner or retry budget the attempt continues at this runner,
-        which may still send chunks.
+        which may still send chunks, until the next call.
         """
         if (
             self.is_finished
@@ -205,7 +205,7 @@
         ):
             return []
         other = self._chooser.choose(self._excluded | {runner_id}, now)
-        if other is None or not self._budget.take():
+        if other is None or not self._budget.take_for_stalled(now):
             return []
         cancel = CancelAttempt(self.attempt_id, runner_id)
         self._stalls += 1
--- a/packages/corianderrelay-core/src/corianderrelay/state/retry_budget.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/retry_budget.py
@@ -4,6 +4,7 @@
 
 _RETRIES_PER_REQUEST = 0.075
 _BURST_RETRIES = 10.0
+_STALLED_INTERVAL_S = 1.0  # small against the time limits of requests
 
 
 class RetryBudget:
@@ -14,7 +15,13 @@
     :ivar denied: number of retries that the budget has denied.
     """
 
-    __slots__ = ("_retries_per_request", "_burst_retries", "_retries", "denied")
+    __slots__ = (
+        "_retries_per_request",
+        "_burst_retries",
+        "_retries",
+        "_stalled_at",
+        "denied",
+    )
 
     def __init__(
         self,
@@ -24,6 +31,7 @@
         self._retries_per_request = share
         self._burst_retries = burst_retries
         self._retries = burst_retries
+        self._stalled_at = float("-inf")
         self.denied = 0
 
     @property
@@ -45,5 +53,16 @@
         self._retries -= 1.0
         return True
 
+    def take_for_stalled(self, now: float) -> bool:
+        """Take one retry for a request whose runner has stalled.
+
+        Such a request would wait for its deadline if no new ones arrive, so one a
+        second is allowed even if less than one retry is left.
+        """
+        if self._retries < 1.0 and now - self._stalled_at >= _STALLED_INTERVAL_S:
+            self._stalled_at = now
+            return True
+        return self.take()
+
 
 __all__ = ["RetryBudget"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -209,7 +209,8 @@
             for opened in self._open_by_id.values()
             if opened.attempts.has_current_chunks
         )
-        for runner_id in self._progress.find_stalled(answering, now):
+        occupied = (opened.attempts.runner_id for opened in self._open_by_id.values())
+        for runner_id in self._progress.find_stalled(answering, occupied, now):
             for opened in self._calls_at(runner_id):
                 orders = opened.attempts.on_runner_stalled(runner_id, now)
                 if orders:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner_progress.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner_progress.py
@@ -15,7 +15,7 @@
 
     A single attempt may wait in the runner's queue, so a runner is stalled only if none
     of its attempts makes progress. Only runners with an attempt that has already
-    received a chunk are checked.
+    received a chunk are checked; a stalled one remains so until its next chunk.
     """
 
     __slots__ = ("_last_chunk_s_by_runner",)
@@ -27,16 +27,20 @@
         """Record that a chunk of a runner was received."""
         self._last_chunk_s_by_runner[runner_id] = now
 
-    def find_stalled(self, answering: Iterable[str], now: float) -> list[str]:
-        """Return the stalled runners, and remove those not in ``answering``.
+    def find_stalled(
+        self, answering: Iterable[str], occupied: Iterable[str], now: float
+    ) -> list[str]:
+        """Return the stalled runners, and discard those that are not checked any more.
 
         :param answering: runners with an attempt that has already received a chunk.
+        :param occupied: runners with any attempt.
         """
-        kept = set(answering)
+        checked, remaining = set(answering), set(occupied)
         self._last_chunk_s_by_runner = {
             runner_id: last_chunk_s
             for runner_id, last_chunk_s in self._last_chunk_s_by_runner.items()
-            if runner_id in kept
+            if runner_id in checked
+            or (runner_id in remaining and now - last_chunk_s >= _STALLED_AFTER_S)
         }
         return sorted(
             runner_id
--- a/tests/features/core/state/attempts.feature
+++ b/tests/features/core/state/attempts.feature
@@ -36,3 +36,11 @@
       | choice |
       | routed |
       | blind  |
+
+  # Guards against requests that stay at a stalled runner until their deadline, since the
+  # retry budget is spent and no new requests refill it.
+  Scenario: A spent retry budget moves one request a second from stalled runners
+    Given two attempts at a stalled runner that share a spent retry budget
+    Then at 9 s the first attempt is moved and the second stays
+    And at 9.9 s the second stays, and at 10 s it is moved
+    And other failures get no retry
--- a/tests/features/processes/whole_answers.feature
+++ b/tests/features/processes/whole_answers.feature
@@ -17,3 +17,9 @@
     When answers are in flight and engine-1 is killed
     Then all answers arrive complete and match the model's output
     And the entries made further attempts or reattached to streams
+
+  # Guards against requests that stay at a blocked rank when the retry budget is spent.
+  Scenario: More requests wait at a blocked rank than the retry budget covers
+    Given 40 callers that stream answers in a system with a lock-step group
+    When answers are in flight and engine-1 is killed
+    Then all answers arrive complete and match the model's output
--- a/tests/features/steps/attempts_steps.py
+++ b/tests/features/steps/attempts_steps.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
 from corianderrelay.state.answer_assembly import AnswerHead
@@ -116,7 +116,9 @@
 
 @then("attempts at a stalled runner stay there without another runner or retry budget")
 def step_stalled_stays(context: Any) -> None:
-    without_budget = _attempts_with_three_tokens(RetryBudget(burst_retries=0.5))
+    spent_budget = RetryBudget(burst_retries=0.5)
+    assert spent_budget.take_for_stalled(8.5)
+    without_budget = _attempts_with_three_tokens(spent_budget)
     assert without_budget.on_runner_stalled("runner-0", 9.0) == []
     assert without_budget.attempt_id == "attempt-0" and not without_budget.is_finished
     without_runner = _attempts_with_three_tokens(RetryBudget(), _OnlyRunnerZero())
@@ -172,3 +174,28 @@
 @then("attempts per request are {value:f} to two digits after the runners recover")
 def step_recovered_amplification(context: Any, value: float) -> None:
     assert round(context.phases["after"].amplification, 2) == value
+
+
+@given("two attempts at a stalled runner that share a spent retry budget")
+def step_two_stalled(context: Any) -> None:
+    context.budget = RetryBudget(burst_retries=0.5)
+    context.first = _attempts_with_three_tokens(context.budget)
+    context.second = _attempts_with_three_tokens(context.budget)
+
+
+@then("at 9 s the first attempt is moved and the second stays")
+def step_first_moved(context: Any) -> None:
+    cancel, begin = context.first.on_runner_stalled("runner-0", 9.0)
+    assert isinstance(cancel, CancelAttempt) and isinstance(begin, BeginAttempt)
+    assert context.second.on_runner_stalled("runner-0", 9.0) == []
+
+
+@then("at 9.9 s the second stays, and at 10 s it is moved")
+def step_second_moved(context: Any) -> None:
+    assert context.second.on_runner_stalled("runner-0", 9.9) == []
+    assert len(context.second.on_runner_stalled("runner-0", 10.0)) == 2
+
+
+@then("other failures get no retry")
+def step_no_retry(context: Any) -> None:
+    assert not context.budget.take()
