Read what has arrived before a caller's time limit is applied

Cause: after a pause the reactor can run the due timer before it reads the sockets. The limit for receiving a request, and the idle limit, then closed a connection whose bytes had already arrived.

Fix: a due limit is applied in the next iteration of the reactor, unless the read in between has completed the request. A caller that really sends nothing still gets 408.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -278,6 +278,11 @@
         self._timer = self._clock.callLater(seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
+        # After a pause of this process the timer is due before the bytes that arrived
+        # meanwhile are read. The next iteration of the reactor reads them first.
+        self._timer = self._clock.callLater(0.0, self._on_timeout_confirmed)
+
+    def _on_timeout_confirmed(self) -> None:
         self._timer = None
         if self._request is not None:
             self._reject(_REQUEST_TIMEOUT, "the request was not received in time")
--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -143,3 +143,12 @@
     When 600 requests with an unknown key arrive at once
     Then the log has at most 180 lines for them, plus 60 per second
     And logged and omitted lines add up to 601, with the request sent 1.1 s later
+
+  # Guards against an entry that counts its own pause as the caller's delay.
+  Scenario: A request that arrives while its entry is paused is served
+    When entry 1 is paused for 2.5 s after the head of a request, and the body arrives
+    Then that request gets the status 200
+
+  Scenario: A request that is not received in time is refused
+    When only the head of a request is sent
+    Then that request gets the status 408
--- /dev/null
+++ b/tests/features/steps/caller_http_steps.py
@@ -0,0 +1,116 @@
+"""Steps for the time limits of callers' connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from corianderrelay_entry.state.direct.catalog import CallerLimits
+from corianderrelay_entry.transport.direct.caller_http import (
+    CallerConnection,
+    CallerRequest,
+)
+
+_LIMITS = CallerLimits(receive_head_s=2.0, idle_s=5.0)
+_HEAD = b"POST /p/x HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\n"
+_BODY = b"body"
+
+
+class _ReactorClock(Clock):
+    """Runs only calls that were scheduled before it advances, as the reactor does."""
+
+    def advance(self, amount: float) -> None:
+        """Let time pass and run the due calls once."""
+        self.rightNow += amount
+        due = [call for call in self.calls if call.getTime() <= self.rightNow]
+        for call in due:
+            self.calls.remove(call)
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+
+class _Transport(StringTransport):
+    """A transport whose socket options are ignored."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Do nothing."""
+
+    def getHandle(self) -> _Transport:
+        """Return an object that accepts socket options."""
+        return self
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Do nothing."""
+
+
+class _Handler:
+    """Records the requests that it is given."""
+
+    limits = _LIMITS
+    draining = False
+
+    def __init__(self) -> None:
+        self.bodies: list[bytes] = []
+
+    def handle(self, request: CallerRequest, connection: CallerConnection) -> Any:
+        self.bodies.append(request.body)
+        connection.answer(200, [], b"")
+        return None
+
+    def on_malformed_request(self, status: int, reason: str) -> None:
+        pass
+
+
+@given("a caller's connection is idle")
+def step_idle(context: Any) -> None:
+    context.clock, context.handler = _ReactorClock(), _Handler()
+    context.connection = CallerConnection(context.handler, context.clock)
+    context.transport = _Transport()
+    context.connection.makeConnection(context.transport)
+    context.limit_s = _LIMITS.idle_s
+
+
+@given("a caller has sent the head of a request")
+def step_head(context: Any) -> None:
+    step_idle(context)
+    context.connection.dataReceived(_HEAD)
+    context.limit_s = _LIMITS.receive_head_s
+
+
+@when("the time limit becomes due and the body is read in the same pass of the reactor")
+def step_body(context: Any) -> None:
+    context.clock.advance(context.limit_s)
+    context.connection.dataReceived(_BODY)
+    context.clock.advance(0.0)
+
+
+@when(
+    "the time limit becomes due and a request is read in the same pass of the reactor"
+)
+def step_request(context: Any) -> None:
+    context.clock.advance(context.limit_s)
+    context.connection.dataReceived(_HEAD + _BODY)
+    context.clock.advance(0.0)
+
+
+@when("the time limit becomes due and nothing is read")
+def step_nothing(context: Any) -> None:
+    context.clock.advance(context.limit_s)
+    context.clock.advance(0.0)
+
+
+@then("the request is handled")
+def step_handled(context: Any) -> None:
+    assert context.handler.bodies == [_BODY], context.transport.value()
+    assert context.transport.value().startswith(b"HTTP/1.1 200")
+    assert not context.transport.disconnecting
+
+
+@then("the caller gets the status {status:d}")
+def step_status(context: Any, status: int) -> None:
+    assert context.handler.bodies == []
+    assert context.transport.value().startswith(b"HTTP/1.1 %d" % status)
+    assert context.transport.disconnecting
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -511,3 +511,37 @@
     wait_until(reloaded, "the entry logs the reload")
     assert reloaded() == [(["bounds"], "restart the process to use them")]
     assert context.system.send_request("/stock/whole")[1] == 200
+
+
+_HEAD_OF_FOUR_BYTES = (
+    f"POST /open/whole HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n"
+    f"Corianderrelay-Request-Id: two-parts\r\n\r\n"
+).encode()
+
+
+@when(
+    "entry {number:d} is paused for {seconds:g} s after the head of a request, "
+    "and the body arrives"
+)
+def step_pause_between_parts(context: Any, number: int, seconds: float) -> None:
+    process = context.system.entry_processes[number - 1]
+    with context.system.connect(context.system.hosts[number - 1]) as connection:
+        connection.sendall(_HEAD_OF_FOUR_BYTES)
+        time.sleep(0.3)  # the entry reads the head
+        process.signal(signal.SIGSTOP)
+        connection.sendall(b"body")
+        time.sleep(seconds)
+        process.signal(signal.SIGCONT)
+        context.first_bytes = connection.recv(4096)
+
+
+@when("only the head of a request is sent")
+def step_no_body(context: Any) -> None:
+    with context.system.connect() as connection:
+        connection.sendall(_HEAD_OF_FOUR_BYTES)
+        context.first_bytes = connection.recv(4096)
+
+
+@then("that request gets the status {status:d}")
+def step_first_bytes(context: Any, status: int) -> None:
+    assert context.first_bytes.split()[1] == b"%d" % status, context.first_bytes
