Judge a runner only at the entry that lost the attempt, after each loss

Cause: an entry judged runners of records that it had learned from others by its own runner list. The list is read about once a second, so a runner that had just started was 'not registered any more' there, and a lost attempt counted as a crash everywhere. Also, a runner that had been probed within ten seconds was not probed for later losses, which then stayed unconfirmed, and a quarantine that was lifted because another request was lost with the same runners erased the records everywhere when its stored record was removed.

Fix: the watch keeps the runner's registration from the moment of sending and judges only its own losses, each with a probe. A removed record clears a request only where it is still quarantined.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -47,6 +47,9 @@
         self._clock = clock
         self._log = log
         self._on_changed = on_changed
+        # Only the entry that lost an attempt judges its runner: the lists of the others
+        # may not have it yet.
+        self._own_runners_by_life: dict[str, RegisteredRunner] = {}
         self._probed_at_by_life: dict[str, float] = {}
         self.ledger = CrashLedger()
 
@@ -58,22 +61,24 @@
         """Return a picker that finds no runner while the request is held."""
         return GuardedPicker(picker, self, fingerprint)
 
-    def on_sent(self, opened: OpenDirectCall) -> None:
-        """Record the crash rounds that are known when an attempt is sent."""
+    def on_sent(self, opened: OpenDirectCall, runner: RegisteredRunner) -> None:
+        """Record what is known of the request and the runner of a new attempt."""
         opened.crash_round = self.ledger.rounds(opened.fingerprint) + 1
+        opened.sent_to = runner
 
-    def on_attempt_lost(self, opened: OpenDirectCall, runner_id: str) -> None:
+    def on_attempt_lost(self, opened: OpenDirectCall) -> None:
         """Record an attempt that ended, or may never end, without an answer."""
-        runner = self._runners.get(runner_id)
-        started_ms = 0 if runner is None else runner.started_ms
-        life = runner_life(runner_id, started_ms)
+        runner = opened.sent_to
+        assert runner is not None, "an attempt must be sent before it can be lost"
+        life = runner_life(runner.runner_id, runner.started_ms)
         lost = LostAttempt(opened.fingerprint, life, opened.crash_round)
         if not self.ledger.merge(lost, self._clock.seconds()):
             return
         self._log_lost(lost)
         self._on_changed()
-        if runner is not None and life not in self._probed_at_by_life:
-            self._probe(runner, life)
+        self._own_runners_by_life[life] = runner
+        if life not in self._probed_at_by_life:
+            self._probe(life)
 
     def on_completed(self, fingerprint: str) -> None:
         """Discard what counts against a request: a runner has completed it."""
@@ -96,28 +101,24 @@
         """Judge runners by the runner list, probe silent ones again, and expire."""
         now = self._clock.seconds()
         self.ledger.expire(now)
-        recent = self.ledger.recent_lives()
-        for life in self._probed_at_by_life.keys() - set(recent):
-            del self._probed_at_by_life[life]
-        for life in recent:
-            self._judge_by_list(life, now)
-
-    def _judge_by_list(self, life: str, now: float) -> None:
-        runner_id = life.rpartition("/")[0]
-        runner = self._runners.get(runner_id)
-        if runner is None or runner_life(runner_id, runner.started_ms) != life:
-            self._judge(life, Verdict.ENDED, "it is not registered any more")
-            return
-        probed_at = self._probed_at_by_life.get(life)
-        if probed_at is not None and now - probed_at >= _PROBE_AGAIN_S:
-            self._probe(runner, life)
-
-    def _probe(self, runner: RegisteredRunner, life: str) -> None:
+        for life in self._own_runners_by_life.keys() - self.ledger.recent_lives():
+            del self._own_runners_by_life[life]
+            self._probed_at_by_life.pop(life, None)
+        for life, runner in list(self._own_runners_by_life.items()):
+            registered = self._runners.get(runner.runner_id)
+            if registered is None or registered.started_ms != runner.started_ms:
+                self._judge(life, Verdict.ENDED, "it is not registered any more")
+            elif now - self._probed_at_by_life.get(life, now) >= _PROBE_AGAIN_S:
+                self._probe(life)
+
+    def _probe(self, life: str) -> None:
         # Infinite while a probe is open, so that there is one at a time.
         self._probed_at_by_life[life] = float("inf")
-        self._connections.probe(runner).addCallback(self._on_probed, life)
+        probed = self._connections.probe(self._own_runners_by_life[life])
+        probed.addCallback(self._on_probed, life)
 
     def _on_probed(self, reachability: Reachability, life: str) -> None:
+        self._probed_at_by_life.pop(life, None)
         if reachability is Reachability.SILENT:
             self._probed_at_by_life[life] = self._clock.seconds()
         elif reachability is Reachability.REFUSED:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -102,7 +102,7 @@
         now = self._clock.seconds()
         silent_s = now - opened.attempts.last_received_at
         if opened.attempts.in_flight and silent_s > _STUCK_STREAM_S:
-            self._crashes.on_attempt_lost(opened, opened.runner_id)
+            self._crashes.on_attempt_lost(opened)
         self._metrics.abandoned.inc({"service": opened.service})
         self._log.note(
             Decision.REQUEST_CANCELLED,
@@ -131,7 +131,7 @@
             if now >= opened.attempts.deadline_s:
                 self._scheduler.dequeue(opened)
                 if opened.attempts.in_flight:
-                    self._crashes.on_attempt_lost(opened, opened.runner_id)
+                    self._crashes.on_attempt_lost(opened)
                 self._execute(opened, opened.attempts.deadline_passed(now), now)
             elif opened.attempts.in_flight and self._is_stuck(opened, now):
                 self._abandon_stuck_attempt(opened, now)
@@ -252,7 +252,7 @@
         runner_id = opened.attempts.runner_id
         last_received_at = opened.attempts.last_received_at
         if opened.route.retryable:
-            self._crashes.on_attempt_lost(opened, runner_id)
+            self._crashes.on_attempt_lost(opened)
         actions = opened.attempts.stalled(now)
         if not actions:
             return
@@ -300,7 +300,7 @@
         events = AttemptEvents(self, opened)
         opened.attempt_events = events
         self._scheduler.on_sent(opened, action.runner_id, now)
-        self._crashes.on_sent(opened)
+        self._crashes.on_sent(opened, runner)
         first = opened.attempts.sends == 1
         self._metrics.runner_attempts.inc({"kind": "first" if first else "again"})
         self._log.note(
@@ -452,7 +452,7 @@
     def on_incomplete(self, opened: OpenDirectCall, reason: str) -> None:
         """The current attempt failed without a complete answer; it may have run."""
         now = self._clock.seconds()
-        self._crashes.on_attempt_lost(opened, opened.runner_id)
+        self._crashes.on_attempt_lost(opened)
         self._fail_attempt(opened, reason, False, now)
         self._execute(opened, opened.attempts.connection_lost(now, reason), now)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from ...state.direct.attempts import DirectAttempts
     from ...state.direct.call import DirectCall, RunnerHead
+    from ...state.direct.runner_list import RegisteredRunner
     from .call_validation import AcceptedCall
     from .direct_relay import DirectRelay
     from .ports import AnswerSink, RunnerAttempt
@@ -23,6 +24,7 @@
     :param service: the service that was chosen for the request.
     :ivar fingerprint: the same for all requests of a caller that ask for the same.
     :ivar crash_round: round of the current attempt, see ``CrashLedger``.
+    :ivar sent_to: the runner of the current attempt, as registered when it was sent.
     """
 
     __slots__ = (
@@ -31,6 +33,7 @@
         "sink",
         "fingerprint",
         "crash_round",
+        "sent_to",
         "route",
         "service",
         "workspace",
@@ -66,6 +69,7 @@
         self.requires_valid_key = accepted.requires_valid_key
         self.priority = accepted.priority
         self.crash_round = 0
+        self.sent_to: RegisteredRunner | None = None
         self.attempt_events: AttemptEvents | None = None
         self.runner_attempt: RunnerAttempt | None = None
         self.runner_id = ""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -123,6 +123,8 @@
 
     def _on_removed(self, fingerprint: str) -> None:
         self._stored.discard(fingerprint)
+        if fingerprint not in self._ledger.quarantined():
+            return  # lifted here already; its records may still count
         if self._ledger.clear(fingerprint, self._clock.seconds()):
             self._log.note(
                 Decision.CRASHES_CLEARED,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/crash_ledger.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/crash_ledger.py
@@ -160,9 +160,9 @@
             self.merge(lost, now)
         return changed
 
-    def recent_lives(self) -> list[str]:
+    def recent_lives(self) -> set[str]:
         """Return the runners whose lost attempts are open to further evidence."""
-        return list(self._lost_at_by_life)
+        return set(self._lost_at_by_life)
 
     def clear(self, fingerprint: str, now: float) -> bool:
         """Discard what counts against a fingerprint; return whether there was any."""
--- /dev/null
+++ b/tests/features/steps/crash_watch_steps.py
@@ -0,0 +1,99 @@
+"""Steps for an entry that judges the runners of lost attempts."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from corianderrelay_entry.coordination.direct.crash_watch import CrashWatch
+from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
+from corianderrelay_entry.coordination.direct.ports import Reachability
+from corianderrelay_entry.state.direct.crash_ledger import LostAttempt, runner_life
+from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
+
+_RUNNER_A = RegisteredRunner("A", "s", "10.0.0.1", 1, "z", 6, started_ms=1)
+_RESTARTED_A = RegisteredRunner("A", "s", "10.0.0.1", 1, "z", 6, started_ms=2)
+
+
+class _Connections:
+    """Reacts to each probe in the same way."""
+
+    reaction = Reachability.SILENT
+
+    def probe(self, runner: RegisteredRunner) -> Deferred[Reachability]:
+        return succeed(self.reaction)
+
+
+class _Opened:
+    """The parts of an open request that the watch uses."""
+
+    crash_round = 0
+    sent_to: RegisteredRunner | None = None
+
+    def __init__(self, fingerprint: str) -> None:
+        self.fingerprint = fingerprint
+
+
+@given("an entry that knows runner A")
+def step_entry(context: Any) -> None:
+    context.clock, context.runners = Clock(), RunnerList()
+    context.connections, context.shared = _Connections(), []
+    context.runners.put(_RUNNER_A)
+    context.watch = CrashWatch(
+        context.runners,
+        context.connections,
+        context.clock,
+        DecisionLog(context.clock.seconds),
+        lambda: context.shared.append(True),
+    )
+
+
+@when("an attempt of request {request:w} at runner A is lost and a probe is {reaction}")
+def step_lost(context: Any, request: str, reaction: str) -> None:
+    context.connections.reaction = Reachability(reaction)
+    opened: Any = _Opened(request)
+    context.watch.on_sent(opened, _RUNNER_A)
+    context.watch.on_attempt_lost(opened)
+    assert context.shared, "the other entries were not told"
+    context.request, context.life = request, runner_life("A", 1)
+
+
+@when("{seconds:d} s later a probe is {reaction}")
+def step_later(context: Any, seconds: int, reaction: str) -> None:
+    context.connections.reaction = Reachability(reaction)
+    context.clock.advance(seconds)
+    context.watch.tick()
+
+
+@when("runner A is not registered")
+def step_removed(context: Any) -> None:
+    context.runners.remove("A", context.clock.seconds())
+    context.watch.tick()
+
+
+@when("runner A has started again")
+def step_restarted(context: Any) -> None:
+    context.runners.put(_RESTARTED_A)
+    context.watch.tick()
+
+
+@when("another entry reports a lost attempt of request {request:w} at runner B")
+def step_reported(context: Any, request: str) -> None:
+    context.request, context.life = request, runner_life("B", 1)
+    context.watch.receive([LostAttempt(request, context.life, 1)])
+    context.clock.advance(1.0)
+    context.watch.tick()
+
+
+@then("the verdict on it is {verdict}")
+def step_verdict(context: Any, verdict: str) -> None:
+    shared = context.watch.ledger.next_shared(context.clock.seconds())
+    verdicts = [
+        lost.verdict.name.lower()
+        for lost in shared
+        if (lost.fingerprint, lost.runner_life) == (context.request, context.life)
+    ]
+    assert verdicts == [verdict], shared
