Cut off a runner after 16 interim answers

Traced: a mebibyte of them is 38,800 heads, and parsing them takes the entry 1.6 s on a busy machine, longer than the order's limit of 1.5 s, while all its other callers wait. The limit in bytes bounds memory, not time.

Fix: the answers are counted.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -34,8 +34,9 @@
 _KEEP_ALIVE_MARGIN_S = 1.0
 _MAX_IDLE_PER_RUNNER = 6  # the usual number of slots of a runner
 _MAX_HEAD_BYTES = 65_536  # a runner that sends a longer head does not speak HTTP
-# Interim answers and late answers to other requests are skipped up to this size.
+# Late answers to other requests are skipped up to this size.
 _MAX_SKIPPED_BYTES = 1_048_576
+_MAX_INTERIM_ANSWERS = 16  # servers send one or two; each costs as much as an answer
 
 
 class RunnerConnection(Protocol):
@@ -51,6 +52,7 @@
         self._listener: AttemptListener | None = None
         self._skipping_answer = False
         self._skipped_bytes = 0
+        self._interim_answers = 0
         self._idle_limit_s = _MAX_IDLE_S
         self.idle_until = 0.0
         self.open = False
@@ -66,6 +68,7 @@
         self._request = request
         self._listener = listener
         self._skipped_bytes = 0
+        self._interim_answers = 0
         self._write_request(to_wire=True)
 
     def cancel(self) -> None:
@@ -131,6 +134,8 @@
                 return
             if isinstance(event, h11.Response):
                 self._on_head(event)
+            elif isinstance(event, h11.InformationalResponse):
+                self._on_interim_answer()
             elif isinstance(event, h11.Data):
                 if not self._skipping_answer and self._listener is not None:
                     self._skipped_bytes = 0
@@ -140,6 +145,14 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def _on_interim_answer(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > _MAX_INTERIM_ANSWERS:
+            self._fail(
+                f"the runner sent {self._interim_answers} interim answers without an "
+                "answer"
+            )
+
     def _on_head(self, response: h11.Response) -> None:
         headers: Headers = list(response.headers)
         request = cast("RunnerRequest", self._request)
