--- a/tests/features/platform/crashing_requests.feature
+++ b/tests/features/platform/crashing_requests.feature
@@ -57,6 +57,20 @@
     Then it reached no runner later than 3 s after its third crash
     And other requests are served by every entry
 
+  # Guards against a probe that takes a runner that has come back at the address of a
+  # crashed one for that runner, so that the crash does not count.
+  Scenario Outline: Crashed runners come back at their address under a new id
+    Given 6 runners that reset connections for 2 s after a crash, and then serve under a new id
+    When <path> is requested 20 times, 0.7 s apart, at each entry in turn
+    Then it has crashed at most 4 runners
+    And it reached no runner later than 3 s after its third crash
+    And other requests are served by every entry
+
+    Examples: paths
+      | path          |
+      | /stock/crash  |
+      | /stream/crash |
+
   # Guards against copies of a request that run at the same time at several entries.
   Scenario: Copies of the request arrive together
     When /stock/crash is requested at all entries together, 5 times, 1 s apart
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -50,6 +50,24 @@
         time.sleep(_REQUEST_INTERVAL_S)
 
 
+@when("{path:S} is requested {count:d} times, {gap_s:g} s apart, at each entry in turn")
+def step_request_at_intervals(
+    context: Any, path: str, count: int, gap_s: float
+) -> None:
+    context.outcomes = []
+    for host in itertools.islice(itertools.cycle(context.system.hosts), count):
+        _request(context, path, host)
+        time.sleep(gap_s)
+
+
+@given(
+    "{count:d} runners that reset connections for {down_s:g} s after a crash, "
+    "and then serve under a new id"
+)
+def step_come_back(context: Any, count: int, down_s: float) -> None:
+    context.system.let_runners_come_back(count, down_s)
+
+
 @then("it has crashed at most {count:d} runners")
 def step_crashes(context: Any, count: int) -> None:
     crashes = context.system.fleet.crashes
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -38,13 +38,15 @@
     """Runs a store, three runners of one service, and entries on loopback addresses.
 
     A runner that crashes starts again under a new id and at a new address; with
-    ``restart_in_place`` it keeps both and starts at once.
+    ``restart_in_place`` it keeps both and starts at once. With ``down_s`` it resets
+    connections for that long, and serves again at its address under a new id.
 
     :param entries: the number of entries.
     """
 
     def __init__(self, folder: Path, entries: int = 2) -> None:
         self.restart_in_place = False
+        self.down_s: float | None = None
         self._lock = threading.Lock()
         self._closed = False
         self.folder = folder
@@ -159,6 +161,13 @@
             self._replace_runner(runner, runner.runner_id, port)
             return
         runner_id = f"i-{next(self._runner_numbers)}"
+        if self.down_s is not None:
+            back = threading.Timer(
+                self.down_s, self._return_runner, (runner, runner_id)
+            )
+            back.daemon = True
+            back.start()
+            return
         restart = threading.Timer(
             _RESTART_S, self._replace_runner, (runner, runner_id, 0)
         )
@@ -179,6 +188,36 @@
             self.runners[self.runners.index(crashed)] = runner
         self.register_runner(runner, born=next(self._start_times_ms))
 
+    def _return_runner(self, crashed: PlatformRunner, runner_id: str) -> None:
+        self.store.put("keyed.servers", crashed.runner_id, b"")
+        born = next(self._start_times_ms)
+        crashed.come_back(runner_id, born)
+        self.register_runner(crashed, born=born)
+
+    def let_runners_come_back(self, count: int, down_s: float) -> None:
+        """Have ``count`` runners, which come back ``down_s`` seconds after a crash."""
+        self.down_s = down_s
+        while len(self.runners) < count:
+            runner_id = f"i-{next(self._runner_numbers)}"
+            self.runners.append(
+                PlatformRunner(runner_id, self.fleet, self._on_runner_crash)
+            )
+            self.register_runner(self.runners[-1])
+        for runner in self.runners:
+            runner.resets_when_down = True
+        wait_until(
+            lambda: all(
+                self._known_runners(number) >= count
+                for number in range(len(self.hosts))
+            ),
+            "the entries know all runners",
+        )
+
+    def _known_runners(self, entry_index: int) -> int:
+        lines = self.log_lines(entry_index)
+        kinds = [line.get("message_type") for line in lines]
+        return kinds.count("runner:known")
+
     def register_runner(
         self, runner: PlatformRunner, state: str = "ready", born: int = 1
     ) -> None:
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -4,8 +4,8 @@
 on. A behaviour with ``-once`` applies only to the first request that names it, at any
 runner; later requests are answered normally. ``crash`` and ``crash-silent`` end the
 runner that begins to run the request: its connections are reset, or stay open and
-silent, and it accepts no new ones. Behaviours that begin with ``endless`` send bytes
-until the connection is closed.
+silent, and it accepts no new ones, or resets them until it comes back. Behaviours that
+begin with ``endless`` send bytes until the connection is closed.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 _HANG_S = 3.0
 _MAX_DRIBBLED = 400  # outlasts the time limit of a request
 _BLOCK_BYTES = 65_536
+_REPORT_PATH = "/api/report"
 _MAX_BLOCKS = 2048  # bounds the memory of an entry that stores everything
 
 
@@ -71,6 +72,9 @@
 
     :param on_crash: called when a request has ended this runner.
     :param port: port to listen on; 0 for any free one.
+    :ivar resets_when_down: whether the address accepts and resets connections after a
+        crash, until ``come_back`` is called.
+    :ivar started_ms: start time that the runner reports.
     """
 
     def __init__(
@@ -85,6 +89,8 @@
         self._on_crash = on_crash
         self._connections: set[socket.socket] = set()
         self._crashed = False
+        self.resets_when_down = False
+        self.started_ms = 1
         self._listener = socket.create_server(("127.0.0.1", port))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -96,6 +102,12 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
+    def come_back(self, runner_id: str, started_ms: int) -> None:
+        """Serve again after a crash, at the same address under another id."""
+        self.runner_id = runner_id
+        self.started_ms = started_ms
+        self._crashed = False
+
     def _crash(self, path: str, *, silent: bool) -> bool:
         """End this runner: it accepts nothing, and its connections end or fall silent.
 
@@ -108,7 +120,8 @@
             crash = RunnerCrash(self.runner_id, path, time.monotonic())
             self._fleet.crashes.append(crash)
             connections = list(self._connections)
-        self.close()
+        if not self.resets_when_down:
+            self.close()
         if self._on_crash is not None:
             self._on_crash(self)
         if silent:
@@ -124,6 +137,9 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            if self._crashed:
+                _reset(connection)
+                continue
             with self._fleet.lock:
                 self._connections.add(connection)
             threading.Thread(
@@ -150,6 +166,8 @@
         if self._crashed:
             time.sleep(_HANG_S)
             return False
+        if path == _REPORT_PATH:
+            return self._report(headers, connection)
         request_id = headers.get("corianderrelay-request-id", "")
         behaviour = path.rsplit("/", 1)[-1]
         with self._fleet.lock:
@@ -163,6 +181,16 @@
             behaviour = "misdirected"
         return self._respond(behaviour, path, request_id, headers, connection)
 
+    def _report(self, headers: dict[str, str], connection: socket.socket) -> bool:
+        if headers.get("corianderrelay-expect-instance") not in (None, self.runner_id):
+            return _send(
+                connection, _answer_head(421, "") + _body_with_length(b""), True
+            )
+        report = b'{"born": %d}' % self.started_ms
+        return _send(
+            connection, b"HTTP/1.1 200 X\r\n" + _body_with_length(report), True
+        )
+
     def _respond(
         self,
         behaviour: str,
