Ask the runner of a lost attempt who it is

Callers saw: one request after another was answered 502, and the runners of their service were down in turn, as the request was sent on after three had ended.

Cause: the probe took an accepted connection for life. A runner that is down but accepts and resets, or that is back at its address under a new id, was judged alive, so its end did not count until the list showed it, and all further losses had the same round. Class of fault: an address taken for an identity.

The probe is now a report call that names the expected id: it proves life only by the same id and start time. Without an answer the loss stays unconfirmed and counts.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -1,8 +1,10 @@
 """Finds the requests that end their runners, together with the other entries.
 
-An attempt without an answer is recorded and shared at once. Then its runner is probed:
-a runner that refuses a connection has ended, one that accepts it lives. A silent runner
-is probed again, and one that disappears from the list, or has started again, has ended.
+An attempt without an answer is recorded and shared at once. Then its runner is asked
+who it is: it lives if it answers as the process that had the attempt, and has ended if
+another process answers or the connection is refused. An accepted connection alone
+proves nothing, as another runner may have taken the address. A runner that does not
+answer is probed again; the list decides if it is removed, started again or kept.
 A request that has ended too many runners by these records is held, see ``CrashLedger``.
 """
 
@@ -12,7 +14,7 @@
 
 from ...state.direct.crash_ledger import CrashLedger, LostAttempt, Verdict, runner_life
 from .decision_log import Decision
-from .ports import Reachability
+from .ports import ProbeResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -23,9 +25,14 @@
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from .decision_log import DecisionLog
     from .open_direct_call import OpenDirectCall
-    from .ports import RunnerConnections
+    from .ports import RunnerProbe
 
 _PROBE_AGAIN_S = 1.0  # a silent runner, or the path to it, is often back in seconds
+_EVIDENCE = {
+    ProbeResult.ITSELF: (Verdict.ALIVE, "it answers as itself"),
+    ProbeResult.REPLACED: (Verdict.ENDED, "another process answers at its address"),
+    ProbeResult.REFUSED: (Verdict.ENDED, "it refuses connections"),
+}
 
 
 class CrashWatch:
@@ -37,13 +44,13 @@
     def __init__(
         self,
         runners: RunnerList,
-        connections: RunnerConnections,
+        probe: RunnerProbe,
         clock: Clock,
         log: DecisionLog,
         on_changed: Callable[[], None],
     ) -> None:
         self._runners = runners
-        self._connections = connections
+        self._probe = probe
         self._clock = clock
         self._log = log
         self._on_changed = on_changed
@@ -78,7 +85,7 @@
         self._on_changed()
         self._own_runners_by_life[life] = runner
         if life not in self._probed_at_by_life:
-            self._probe(life)
+            self._start_probe(life)
 
     def on_completed(self, fingerprint: str) -> None:
         """Discard what counts against a request: a runner has completed it."""
@@ -101,30 +108,37 @@
         """Judge runners by the runner list, probe silent ones again, and expire."""
         now = self._clock.seconds()
         self.ledger.expire(now)
-        for life in self._own_runners_by_life.keys() - self.ledger.recent_lives():
-            del self._own_runners_by_life[life]
-            self._probed_at_by_life.pop(life, None)
+        self._settle_old_losses()
         for life, runner in list(self._own_runners_by_life.items()):
             registered = self._runners.get(runner.runner_id)
             if registered is None or registered.started_ms != runner.started_ms:
                 self._judge(life, Verdict.ENDED, "it is not registered any more")
             elif now - self._probed_at_by_life.get(life, now) >= _PROBE_AGAIN_S:
-                self._probe(life)
+                self._start_probe(life)
+
+    def _settle_old_losses(self) -> None:
+        """End the watch on runners that would have disappeared from the list by now."""
+        if not self._runners.current:
+            return
+        for life in self._own_runners_by_life.keys() - self.ledger.recent_lives():
+            runner = self._own_runners_by_life.pop(life)
+            self._probed_at_by_life.pop(life, None)
+            registered = self._runners.get(runner.runner_id)
+            if registered is not None and registered.started_ms == runner.started_ms:
+                self._judge(life, Verdict.ALIVE, "it is still registered")
 
-    def _probe(self, life: str) -> None:
+    def _start_probe(self, life: str) -> None:
         # Infinite while a probe is open, so that there is one at a time.
         self._probed_at_by_life[life] = float("inf")
-        probed = self._connections.probe(self._own_runners_by_life[life])
+        probed = self._probe.identify(self._own_runners_by_life[life])
         probed.addCallback(self._on_probed, life)
 
-    def _on_probed(self, reachability: Reachability, life: str) -> None:
+    def _on_probed(self, result: ProbeResult, life: str) -> None:
         self._probed_at_by_life.pop(life, None)
-        if reachability is Reachability.SILENT:
+        if result is not ProbeResult.UNANSWERED:
+            self._judge(life, *_EVIDENCE[result])
+        elif life in self._own_runners_by_life:
             self._probed_at_by_life[life] = self._clock.seconds()
-        elif reachability is Reachability.REFUSED:
-            self._judge(life, Verdict.ENDED, "it refuses connections")
-        else:
-            self._judge(life, Verdict.ALIVE, "it accepts connections")
 
     def _judge(self, life: str, verdict: Verdict, reason: str) -> None:
         changed = self.ledger.judge(life, verdict, self._clock.seconds())
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -58,12 +58,20 @@
         """Cancel the attempt and close its connection."""
 
 
-class Reachability(Enum):
-    """How a runner's address reacts to a new connection."""
+class ProbeResult(Enum):
+    """Who answers at a runner's address."""
 
-    ACCEPTED = "accepted"
+    ITSELF = "itself"
+    REPLACED = "replaced"  # another process, or the same runner after a restart
     REFUSED = "refused"
-    SILENT = "silent"
+    UNANSWERED = "unanswered"  # no answer in time, or the connection was reset
+
+
+class RunnerProbe(Protocol):
+    """Asks runners who they are."""
+
+    def identify(self, runner: RegisteredRunner) -> Deferred[ProbeResult]:
+        """Return who answers at a runner's address; never fails."""
 
 
 class RunnerConnections(Protocol):
@@ -77,9 +85,6 @@
     ) -> RunnerAttempt:
         """Start one attempt."""
 
-    def probe(self, runner: RegisteredRunner) -> Deferred[Reachability]:
-        """Open a connection, close it at once and return the reaction."""
-
     def close_idle(self, runner_id: str) -> None:
         """Close the idle connections to a removed runner."""
 
@@ -229,8 +234,9 @@
     "EntryRegistry",
     "LogGapError",
     "QuarantineStore",
-    "Reachability",
+    "ProbeResult",
     "RunnerConnections",
+    "RunnerProbe",
     "RunnerRequest",
     "RunnerAttempt",
     "RunnerSource",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -32,6 +32,7 @@
         Dialect,
         EntryRegistry,
         QuarantineStore,
+        RunnerProbe,
         RunnerSource,
     )
     from .coordination.direct.rank_client import RankClient
@@ -51,9 +52,18 @@
     :param dialect: codec of the headers of callers and runners.
     :param quarantine: stores the quarantined fingerprints of requests.
     :param ranks: client for the ranks of lock-step groups.
+    :param probe: asks runners who they are.
     """
 
-    __slots__ = ("config", "runners", "entries", "quarantine", "dialect", "ranks")
+    __slots__ = (
+        "config",
+        "runners",
+        "entries",
+        "quarantine",
+        "dialect",
+        "ranks",
+        "probe",
+    )
 
     def __init__(
         self,
@@ -63,8 +73,10 @@
         quarantine: QuarantineStore,
         dialect: Dialect,
         ranks: RankClient,
+        probe: RunnerProbe,
     ) -> None:
         self.ranks = ranks
+        self.probe = probe
         self.config = config
         self.runners = runners
         self.entries = entries
@@ -120,7 +132,7 @@
         )
         self.crashes = CrashWatch(
             self.runners,
-            self.connections,
+            sources.probe,
             reactor,
             self.log,
             self._send_update_soon,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -58,6 +58,11 @@
         """Return a runner's record; ``None`` if it is not registered."""
         return self._runners_by_id.get(runner_id)
 
+    @property
+    def current(self) -> bool:
+        """Whether a runner that has ended would be removed within seconds."""
+        return not self._log_unavailable and not self._removal_due_by_id
+
     def on_log_unavailable(self) -> None:
         """Record that a request to the log failed."""
         self._log_unavailable = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -11,11 +11,8 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import h11
-from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
-from ...coordination.direct.ports import Reachability
 from .caller_http import end_to_end_headers
 from .socket_options import enable_dead_peer_detection
 
@@ -278,35 +275,6 @@
         self.send_request(*self._first_request)
 
 
-class _ProbeConnection(Protocol):
-    """Closes its connection when it is established."""
-
-    def connectionMade(self) -> None:
-        """Close the connection."""
-        cast("Any", self.transport).abortConnection()
-
-
-class _ProbeFactory(ClientFactory):
-    """Opens a connection to learn how a runner reacts."""
-
-    noisy = False
-    protocol = _ProbeConnection
-
-    def __init__(self) -> None:
-        self.reachability: Deferred[Reachability] = Deferred()
-
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        """Report that the runner has accepted the connection."""
-        self.reachability.callback(Reachability.ACCEPTED)
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        """Report that the runner refused the connection, or did not react."""
-        refused = reason.check(ConnectionRefusedError) is not None
-        self.reachability.callback(
-            Reachability.REFUSED if refused else Reachability.SILENT
-        )
-
-
 class RunnerPool:
     """Connects to runners; keeps idle connections for reuse for a limited time.
 
@@ -342,14 +310,6 @@
         )
         return connecting
 
-    def probe(self, runner: RegisteredRunner) -> Deferred[Reachability]:
-        """Open a connection, close it at once and return the reaction."""
-        factory = _ProbeFactory()
-        self._reactor.connectTCP(
-            runner.host, runner.port, factory, timeout=_CONNECT_TIMEOUT_S
-        )
-        return factory.reachability
-
     def keep_idle(
         self, runner_id: str, connection: RunnerConnection, idle_limit_s: float
     ) -> None:
--- a/tests/features/steps/crash_watch_steps.py
+++ b/tests/features/steps/crash_watch_steps.py
@@ -10,7 +10,7 @@
 
 from corianderrelay_entry.coordination.direct.crash_watch import CrashWatch
 from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
-from corianderrelay_entry.coordination.direct.ports import Reachability
+from corianderrelay_entry.coordination.direct.ports import ProbeResult
 from corianderrelay_entry.state.direct.crash_ledger import LostAttempt, runner_life
 from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
 
@@ -18,13 +18,13 @@
 _RESTARTED_A = RegisteredRunner("A", "s", "10.0.0.1", 1, "z", 6, started_ms=2)
 
 
-class _Connections:
-    """Reacts to each probe in the same way."""
+class _Probe:
+    """Gives each probe the same result."""
 
-    reaction = Reachability.SILENT
+    result = ProbeResult.UNANSWERED
 
-    def probe(self, runner: RegisteredRunner) -> Deferred[Reachability]:
-        return succeed(self.reaction)
+    def identify(self, runner: RegisteredRunner) -> Deferred[ProbeResult]:
+        return succeed(self.result)
 
 
 class _Opened:
@@ -40,20 +40,22 @@
 @given("an entry that knows runner A")
 def step_entry(context: Any) -> None:
     context.clock, context.runners = Clock(), RunnerList()
-    context.connections, context.shared = _Connections(), []
+    context.probe, context.shared = _Probe(), []
     context.runners.put(_RUNNER_A)
     context.watch = CrashWatch(
         context.runners,
-        context.connections,
+        context.probe,
         context.clock,
         DecisionLog(context.clock.seconds),
         lambda: context.shared.append(True),
     )
 
 
-@when("an attempt of request {request:w} at runner A is lost and a probe is {reaction}")
-def step_lost(context: Any, request: str, reaction: str) -> None:
-    context.connections.reaction = Reachability(reaction)
+@when(
+    "an attempt of request {request:w} at runner A is lost and a probe finds {result}"
+)
+def step_lost(context: Any, request: str, result: str) -> None:
+    context.probe.result = ProbeResult(result)
     opened: Any = _Opened(request)
     context.watch.on_sent(opened, _RUNNER_A)
     context.watch.on_attempt_lost(opened)
@@ -61,9 +63,9 @@
     context.request, context.life = request, runner_life("A", 1)
 
 
-@when("{seconds:d} s later a probe is {reaction}")
-def step_later(context: Any, seconds: int, reaction: str) -> None:
-    context.connections.reaction = Reachability(reaction)
+@when("{seconds:d} s later a probe finds {result}")
+def step_later(context: Any, seconds: int, result: str) -> None:
+    context.probe.result = ProbeResult(result)
     context.clock.advance(seconds)
     context.watch.tick()
 
@@ -80,6 +82,22 @@
     context.watch.tick()
 
 
+@when("the runner list cannot be read")
+def step_unreadable(context: Any) -> None:
+    context.runners.on_log_unavailable()
+
+
+@when("the runner list can be read again")
+def step_readable(context: Any) -> None:
+    context.runners.on_log_available(context.clock.seconds())
+    context.watch.tick()
+
+
+@then("no verdict on it is known")
+def step_no_verdict(context: Any) -> None:
+    assert context.watch.ledger.rounds(context.request) == 1
+
+
 @when("another entry reports a lost attempt of request {request:w} at runner B")
 def step_reported(context: Any, request: str) -> None:
     context.request, context.life = request, runner_life("B", 1)
