Reproduce prompt parts that crash runners, as known red

Six runners that come back after 2 s, three entries, a request with the part each 0.5 s, no two alike: 32 requests end 32 runners, 40 with one of two parts end 41. The fingerprint of a whole request cannot see them, and nothing reads the parts.

--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -5,7 +5,8 @@
 runner; later requests are answered normally. ``crash`` and ``crash-silent`` end the
 runner that begins to run the request: its connections are reset, or stay open and
 silent, and it accepts no new ones, or resets them until it comes back. Behaviours that
-begin with ``endless`` send bytes until the connection is closed.
+begin with ``endless`` send bytes until the connection is closed. A stream whose prompt
+has a part that crashes runners ends the runner before the first event, on any path.
 """
 
 from __future__ import annotations
@@ -48,7 +49,8 @@
     its runner. ``interrupted`` has the ids of requests whose stream could not be sent.
     ``crashes`` lists the runners that ended because of a request, and ``arrivals`` the
     path and monotonic time of each request. ``endless`` has the ids of the requests
-    that get bytes without end now.
+    that get bytes without end now. ``deadly_parts`` has the prompt parts that crash
+    runners.
     """
 
     def __init__(self) -> None:
@@ -60,6 +62,7 @@
         self.crashes: list[RunnerCrash] = []
         self.arrivals: list[tuple[str, float]] = []
         self.endless: set[str] = set()
+        self.deadly_parts: set[str] = set()
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -323,6 +326,8 @@
             + b"Content-Type: text/event-stream\r\n"
             + b"Transfer-Encoding: chunked\r\n\r\n"
         )
+        if self._fleet.deadly_parts & _shared_parts(headers):
+            return self._crash(path, silent=False)
         for number in range(start, EVENT_COUNT + 1):
             event = b"id: %d\ndata: event-%d\n\n" % (number, number)
             if behaviour == "torn" and number == 4:
@@ -367,6 +372,12 @@
     return first[1].decode(), headers
 
 
+def _shared_parts(headers: dict[str, str]) -> set[str]:
+    """Return the ids of a prompt's parts but for the last, which is its own."""
+    parts = headers.get("corianderrelay-prefix-hash", "").split(",")
+    return {part.partition(":")[0] for part in parts[:-1]}
+
+
 def _answer_head(
     status: int, request_id: str, *, signed: bool = False, not_run: bool = False
 ) -> bytes:
