Hold requests with parts of prompts that crash runners

Callers saw: requests that share one part of their prompts, and are otherwise all different, ended runner after runner; in a lock-step group each stopped all others for 3 to 4 s, and nobody was served.

Cause: only the fingerprint of a whole request was remembered, so each such request started at zero. Class of fault: what is common to several failures was not looked for.

A runner that ended leaves suspects: the shared parts of the requests that it had not begun to answer. Entries exchange these records with the verdict on the runner, and add whether they have seen a part answered before; the parts that explain a crash best are blamed for it and held everywhere. An answer clears a part; otherwise one request at a time is sent as a trial, after 4 s if it may be a mere neighbour of the culprit, after 30 s and then four times as long if it has all that is blamed. Long holds are stored in the log beside those of requests. A lost attempt whose parts are suspected waits for the probe before it is retried.

A hold whose record in the log is over is no longer removed at once: its removal would clear the part at entries that hold it still.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -5,7 +5,8 @@
 another process answers or the connection is refused. An accepted connection alone
 proves nothing, as another runner may have taken the address. A runner that does not
 answer is probed again; the list decides if it is removed, started again or kept.
-A request that has ended too many runners by these records is held, see ``CrashLedger``.
+A request that has ended too many runners by these records is held, see ``CrashLedger``;
+so is one with a part that ends runners, see ``PartLedger``.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 from ...state.direct.crash_ledger import CrashLedger, LostAttempt, Verdict, runner_life
 from .decision_log import Decision
+from .part_watch import PartWatch
 from .ports import ProbeResult
 
 if TYPE_CHECKING:
@@ -22,11 +24,13 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.attempts import RunnerPicker
+    from ...state.direct.part_ledger import PartLoss
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from .decision_log import DecisionLog
     from .open_direct_call import OpenDirectCall
     from .ports import RunnerProbe
 
+_PROBING = float("inf")  # no other probe is due while one is open
 _PROBE_AGAIN_S = 1.0  # a silent runner, or the path to it, is often back in seconds
 _EVIDENCE = {
     ProbeResult.ITSELF: (Verdict.ALIVE, "it answers as itself"),
@@ -58,20 +62,27 @@
         # may not have it yet.
         self._own_runners_by_life: dict[str, RegisteredRunner] = {}
         self._probed_at_by_life: dict[str, float] = {}
+        self._waiting_by_life: dict[str, list[Callable[[], None]]] = {}
         self.ledger = CrashLedger()
+        self.parts = PartWatch(clock, log, on_changed)
 
-    def held_s(self, fingerprint: str) -> float | None:
+    def held_s(self, opened: OpenDirectCall) -> float | None:
         """Return the seconds until a request may run; ``None`` if it may run now."""
-        return self.ledger.held_s(fingerprint, self._clock.seconds())
+        held_s = self.ledger.held_s(opened.fingerprint, self._clock.seconds())
+        part_hold = self.parts.hold(opened)
+        if part_hold is None:
+            return held_s
+        return max(part_hold.wait_s, held_s or 0.0)
 
-    def guard(self, picker: RunnerPicker, fingerprint: str) -> GuardedPicker:
+    def guard(self, picker: RunnerPicker, opened: OpenDirectCall) -> GuardedPicker:
         """Return a picker that finds no runner while the request is held."""
-        return GuardedPicker(picker, self, fingerprint)
+        return GuardedPicker(picker, self, opened)
 
     def on_sent(self, opened: OpenDirectCall, runner: RegisteredRunner) -> None:
         """Record what is known of the request and the runner of a new attempt."""
         opened.crash_round = self.ledger.rounds(opened.fingerprint) + 1
         opened.sent_to = runner
+        self.parts.on_sent(opened)
 
     def on_attempt_lost(self, opened: OpenDirectCall) -> None:
         """Record an attempt that ended, or may never end, without an answer."""
@@ -82,23 +93,43 @@
         if not self.ledger.merge(lost, self._clock.seconds()):
             return
         self._log_lost(lost)
+        self.parts.on_lost(opened, life)
         self._on_changed()
         self._own_runners_by_life[life] = runner
         if life not in self._probed_at_by_life:
             self._start_probe(life)
 
-    def on_completed(self, fingerprint: str) -> None:
+    def after_probe(self, opened: OpenDirectCall, resume: Callable[[], None]) -> None:
+        """Call ``resume`` once it is known whether a lost attempt ended its runner.
+
+        Only a request whose parts are suspected waits, so that it is retried if its
+        runner lives; the probe takes less than half a second.
+        """
+        runner = opened.sent_to
+        life = runner_life(runner.runner_id, runner.started_ms) if runner else ""
+        probing = self._probed_at_by_life.get(life) == _PROBING
+        if probing and self.parts.hold(opened) is not None:
+            self._waiting_by_life.setdefault(life, []).append(resume)
+        else:
+            resume()
+
+    def on_completed(self, opened: OpenDirectCall) -> None:
         """Discard what counts against a request: a runner has completed it."""
-        if self.ledger.clear(fingerprint, self._clock.seconds()):
+        reason = "a runner has completed the request"
+        self.parts.on_answered(opened, reason)
+        if self.ledger.clear(opened.fingerprint, self._clock.seconds()):
             self._log.note(
                 Decision.CRASHES_CLEARED,
-                fingerprint=fingerprint,
-                reason="a runner has completed the request",
+                fingerprint=opened.fingerprint,
+                reason=reason,
             )
             self._on_changed()
 
-    def receive(self, lost_attempts: Iterable[LostAttempt]) -> None:
+    def receive(
+        self, lost_attempts: Iterable[LostAttempt], lost_parts: Iterable[PartLoss]
+    ) -> None:
         """Apply the records of another entry."""
+        self.parts.receive(lost_parts)
         now = self._clock.seconds()
         for lost in lost_attempts:
             if self.ledger.merge(lost, now) and lost.counts:
@@ -108,6 +139,7 @@
         """Judge runners by the runner list, probe silent ones again, and expire."""
         now = self._clock.seconds()
         self.ledger.expire(now)
+        self.parts.ledger.expire(now)
         self._settle_old_losses()
         for life, runner in list(self._own_runners_by_life.items()):
             registered = self._runners.get(runner.runner_id)
@@ -128,8 +160,7 @@
                 self._judge(life, Verdict.ALIVE, "it is still registered")
 
     def _start_probe(self, life: str) -> None:
-        # Infinite while a probe is open, so that there is one at a time.
-        self._probed_at_by_life[life] = float("inf")
+        self._probed_at_by_life[life] = _PROBING
         probed = self._probe.identify(self._own_runners_by_life[life])
         probed.addCallback(self._on_probed, life)
 
@@ -139,10 +170,12 @@
             self._judge(life, *_EVIDENCE[result])
         elif life in self._own_runners_by_life:
             self._probed_at_by_life[life] = self._clock.seconds()
+        for resume in self._waiting_by_life.pop(life, ()):
+            resume()
 
     def _judge(self, life: str, verdict: Verdict, reason: str) -> None:
         changed = self.ledger.judge(life, verdict, self._clock.seconds())
-        if not changed:
+        if not self.parts.judge(life, verdict) and not changed:
             return
         self._log.note(
             Decision.RUNNER_JUDGED,
@@ -170,24 +203,24 @@
 class GuardedPicker:
     """A ``RunnerPicker`` that finds no runner for a request that is held."""
 
-    __slots__ = ("_picker", "_crashes", "_fingerprint")
+    __slots__ = ("_picker", "_crashes", "_opened")
 
     def __init__(
-        self, picker: RunnerPicker, crashes: CrashWatch, fingerprint: str
+        self, picker: RunnerPicker, crashes: CrashWatch, opened: OpenDirectCall
     ) -> None:
         self._picker = picker
         self._crashes = crashes
-        self._fingerprint = fingerprint
+        self._opened = opened
 
     def pick(self, excluded: frozenset[str], now: float) -> str | None:
         """Return a usable runner that is not excluded, ``None`` if held."""
-        if self._crashes.held_s(self._fingerprint) is not None:
+        if self._crashes.held_s(self._opened) is not None:
             return None
         return self._picker.pick(excluded, now)
 
     def spend_retry(self, now: float) -> bool:
         """Charge a retry; return false if there is no budget or it is held."""
-        if self._crashes.held_s(self._fingerprint) is not None:
+        if self._crashes.held_s(self._opened) is not None:
             return False
         return self._picker.spend_retry(now)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -62,12 +62,26 @@
     )
     REQUEST_HELD = (
         "request:held",
-        "a request is refused, since runners have ended under its fingerprint; the "
-        "rounds that count, and the seconds until it may run",
+        "a request is refused, since runners have ended under its fingerprint or a "
+        "part of its prompt; the rounds or crashes that count, and the seconds until "
+        "it may run",
+    )
+    PART_SUSPECTED = (
+        "part:suspected",
+        "a runner was lost before it had begun to answer a request with this part; the "
+        "verdict on it, and which parts are blamed for its end",
+    )
+    PART_TRIED = (
+        "part:tried",
+        "a request with suspected parts was sent to learn whether they are sound",
+    )
+    PART_CLEARED = (
+        "part:cleared",
+        "a part of prompts is no longer suspected; the reason",
     )
     REQUEST_QUARANTINED = (
         "request:quarantined",
-        "a fingerprint was quarantined by another entry; the remaining time",
+        "a fingerprint or part was quarantined by another entry; the remaining time",
     )
     CRASHES_CLEARED = (
         "crashes:cleared",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
@@ -24,6 +24,8 @@
         "usable_runners",
         "peers",
         "quarantined",
+        "suspected_parts",
+        "held",
         "config_version",
         "config_age_s",
         "log_failures",
@@ -73,6 +75,13 @@
         self.quarantined = Gauge(
             "direct_quarantined", "Quarantined fingerprints of requests."
         )
+        self.suspected_parts = Gauge(
+            "direct_suspected_parts", "Parts of prompts that are blamed for crashes."
+        )
+        self.held = Counter(
+            "direct_held_total",
+            "Requests refused since runners ended under them, by request or part.",
+        )
         self.config_version = Gauge(
             "direct_config_version", "Active configuration version."
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -146,7 +146,7 @@
         max_wait_s = route.timeout_s
         if call.max_wait_s is not None:
             max_wait_s = min(max_wait_s, call.max_wait_s)
-        picker = self._crashes.guard(self._scheduler.picker(opened), opened.fingerprint)
+        picker = self._crashes.guard(self._scheduler.picker(opened), opened)
         opened.attempts = DirectAttempts(
             call, route, picker, call.received_at + max_wait_s
         )
@@ -170,17 +170,21 @@
 
     def _refuse_if_held(self, opened: OpenDirectCall, now: float) -> bool:
         """Refuse a request that ends its runners; return whether it was refused."""
-        held_s = self._crashes.held_s(opened.fingerprint)
+        held_s = self._crashes.held_s(opened)
         if held_s is None:
             return False
+        part_hold = self._crashes.parts.hold(opened)
+        self._metrics.held.inc({"by": "request" if part_hold is None else "part"})
         self._log.note(
             Decision.REQUEST_HELD,
             request=opened.call.request_id,
             fingerprint=opened.fingerprint,
             rounds=self._crashes.ledger.rounds(opened.fingerprint),
+            part=None if part_hold is None else part_hold.part,
+            part_crashes=0 if part_hold is None else part_hold.crashes,
             held_s=round(held_s, 3),
         )
-        reason = "runners have ended under earlier requests with this fingerprint"
+        reason = "runners have ended under earlier requests like this one"
         self._execute(opened, opened.attempts.refuse_unsent(reason, held_s), now)
         return True
 
@@ -282,7 +286,7 @@
                 case WriteResponse():
                     opened.sink.write(action.data)
                 case FinishResponse():
-                    self._crashes.on_completed(opened.fingerprint)
+                    self._crashes.on_completed(opened)
                     self._record_end(opened, opened.status, "whole", now)
                     opened.sink.finish()
                 case RefuseRequest():
@@ -350,7 +354,7 @@
         if action.body is None:
             opened.sink.start(status, action.head.headers)
             return
-        self._crashes.on_completed(opened.fingerprint)
+        self._crashes.on_completed(opened)
         self._record_end(opened, status, "whole", now)
         opened.sink.answer(status, action.head.headers, action.body)
 
@@ -425,6 +429,8 @@
         events_before = opened.attempts.events
         actions = opened.attempts.data(data, now)
         if opened.attempts.events != events_before:
+            received = opened.attempts.events - events_before
+            self._crashes.parts.on_events(opened, received)
             self._progress_at_by_service[opened.service] = now
             self._scheduler.on_progress(opened, now)
         if any(isinstance(action, CancelAttempt) for action in actions):
@@ -454,6 +460,10 @@
         now = self._clock.seconds()
         self._crashes.on_attempt_lost(opened)
         self._fail_attempt(opened, reason, False, now)
+        self._crashes.after_probe(opened, lambda: self._retry_lost(opened, reason))
+
+    def _retry_lost(self, opened: OpenDirectCall, reason: str) -> None:
+        now = self._clock.seconds()
         self._execute(opened, opened.attempts.connection_lost(now, reason), now)
 
     def _fail_attempt(
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -25,6 +25,7 @@
     :ivar fingerprint: the same for all requests of a caller that ask for the same.
     :ivar crash_round: round of the current attempt, see ``CrashLedger``.
     :ivar sent_to: the runner of the current attempt, as registered when it was sent.
+    :ivar attempt_events_count: number of events that the current attempt received.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "fingerprint",
         "crash_round",
         "sent_to",
+        "attempt_events_count",
         "route",
         "service",
         "workspace",
@@ -70,6 +72,7 @@
         self.priority = accepted.priority
         self.crash_round = 0
         self.sent_to: RegisteredRunner | None = None
+        self.attempt_events_count = 0
         self.attempt_events: AttemptEvents | None = None
         self.runner_attempt: RunnerAttempt | None = None
         self.runner_id = ""
@@ -78,6 +81,11 @@
         self.first_byte_at = 0.0
         self.last_event_at = 0.0
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts of the prompt that other requests may have, too."""
+        return self.call.shared_parts
+
     @property
     def is_caller_retry(self) -> bool:
         """Whether the caller seems to retry: it waits less than the route's timeout."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -16,6 +16,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.crash_ledger import LostAttempt
+    from ...state.direct.part_ledger import PartLoss
     from ...state.direct.settings import DirectSettings
     from .decision_log import DecisionLog
     from .ports import EntryRegistry
@@ -78,6 +79,7 @@
         waiting: dict[str, int],
         slowness: dict[str, float],
         lost_attempts: tuple[LostAttempt, ...],
+        lost_parts: tuple[PartLoss, ...],
     ) -> None:
         """Send this entry's state to all others, and evict silent ones."""
         self._sequence += 1
@@ -94,6 +96,7 @@
             waiting,
             slowness,
             lost_attempts,
+            lost_parts,
         )
         self._send_update(peer_update, self.peers.addresses())
         for entry_id in self.peers.evict_silent(self._clock.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -1,4 +1,6 @@
-"""Keeps quarantined fingerprints in the platform's log and follows those of others.
+"""Keeps quarantines in the platform's log and follows those of others.
+
+A key is the fingerprint of a request or names a part of prompts.
 
 The other entries usually learn of a quarantine by updates. The log tells entries that
 start later, or that are cut off from the others.
@@ -13,14 +15,14 @@
 from .ports import LogGapError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterator, Mapping
     from random import Random
 
     from twisted.python.failure import Failure
 
     from corianderrelay.coordination.clock import Clock
 
-    from ...state.direct.crash_ledger import CrashLedger
+    from ...state.direct.quarantines import Quarantines
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import QuarantineStore
@@ -30,6 +32,10 @@
 # Entries that learn of a change together write it at different times, so that the first
 # one's record spares the others the call.
 _WRITE_SPREAD_S = 2.0
+_EXTENDED_S = 5.0  # a hold that ends so much later is stored again
+# A record whose hold is over is removed so much later: its removal clears the key at
+# entries that hold it still.
+_REMOVE_AFTER_S = 10.0
 
 
 class QuarantineWatch:
@@ -41,7 +47,7 @@
     def __init__(
         self,
         store: QuarantineStore,
-        ledger: CrashLedger,
+        quarantines: Quarantines,
         clock: Clock,
         wall_seconds: Callable[[], float],
         random: Random,
@@ -49,7 +55,7 @@
         metrics: DirectMetrics,
     ) -> None:
         self._store = store
-        self._ledger = ledger
+        self._quarantines = quarantines
         self._clock = clock
         self._wall_seconds = wall_seconds
         self._random = random
@@ -57,8 +63,8 @@
         self._metrics = metrics
         self._offset: int | None = None
         self._dependency = Dependency("quarantine records", log)
-        self._stored: set[str] = set()
-        self._write_at_by_fingerprint: dict[str, float] = {}
+        self._stored_ends_at_by_key: dict[str, float] = {}
+        self._write_at_by_key: dict[str, float] = {}
 
     def start(self) -> None:
         """Read the stored quarantines, and then their changes."""
@@ -72,63 +78,73 @@
     def tick(self) -> None:
         """Write the quarantines that have begun or ended here to the log."""
         now = self._clock.seconds()
-        quarantined = self._ledger.quarantined()
-        differing = quarantined ^ self._stored
-        for fingerprint in self._write_at_by_fingerprint.keys() - differing:
-            del self._write_at_by_fingerprint[fingerprint]
-        for fingerprint in differing:
+        left_s_by_key = self._quarantines.left_s_by_key(now)
+        differing = set(self._differing_keys(left_s_by_key))
+        for key in self._write_at_by_key.keys() - differing:
+            del self._write_at_by_key[key]
+        for key in differing:
             spread_s = self._random.uniform(0.0, _WRITE_SPREAD_S)
-            write_at = self._write_at_by_fingerprint.setdefault(
-                fingerprint, now + spread_s
-            )
+            write_at = self._write_at_by_key.setdefault(key, now + spread_s)
             if now >= write_at:
-                self._write_at_by_fingerprint[fingerprint] = now + _WRITE_SPREAD_S
-                self._write(fingerprint, now)
-
-    def _write(self, fingerprint: str, now: float) -> None:
-        remaining_s = self._ledger.quarantine_left_s(fingerprint, now)
-        if remaining_s > 0.0:
-            ends_at = self._wall_seconds() + remaining_s
-            written = self._store.put(fingerprint, ends_at)
+                self._write_at_by_key[key] = now + _WRITE_SPREAD_S
+                self._write(key, left_s_by_key.get(key, 0.0))
+
+    def _differing_keys(self, left_s_by_key: Mapping[str, float]) -> Iterator[str]:
+        wall_s = self._wall_seconds()
+        for key, left_s in left_s_by_key.items():
+            stored_ends_at = self._stored_ends_at_by_key.get(key, float("-inf"))
+            if wall_s + left_s > stored_ends_at + _EXTENDED_S:
+                yield key
+        for key, ends_at in self._stored_ends_at_by_key.items():
+            over = not ends_at <= wall_s < ends_at + _REMOVE_AFTER_S
+            if key not in left_s_by_key and over:
+                yield key
+
+    def _write(self, key: str, left_s: float) -> None:
+        if left_s > 0.0:
+            written = self._store.put(key, self._wall_seconds() + left_s)
         else:
-            written = self._store.remove(fingerprint)
+            written = self._store.remove(key)
         # The record itself arrives by the next poll; a lost write is repeated.
         written.addErrback(self._on_write_failed)
 
     def _replace(self, answer: tuple[Mapping[str, float | None], int]) -> None:
-        self._stored.clear()
+        self._stored_ends_at_by_key.clear()
         self._apply(answer)
 
     def _apply(self, answer: tuple[Mapping[str, float | None], int]) -> None:
-        ends_at_by_fingerprint, self._offset = answer
+        ends_at_by_key, self._offset = answer
         self._dependency.mark_available()
-        for fingerprint, ends_at in ends_at_by_fingerprint.items():
+        for key, ends_at in ends_at_by_key.items():
             if ends_at is None:
-                self._on_removed(fingerprint)
+                self._on_removed(key)
             else:
-                self._on_stored(fingerprint, ends_at - self._wall_seconds())
+                self._on_stored(key, ends_at)
         self._clock.callLater(0.0, self.start)
 
-    def _on_stored(self, fingerprint: str, remaining_s: float) -> None:
-        self._stored.add(fingerprint)
-        if remaining_s <= 0.0 or fingerprint in self._ledger.quarantined():
+    def _on_stored(self, key: str, ends_at: float) -> None:
+        now = self._clock.seconds()
+        self._stored_ends_at_by_key[key] = ends_at
+        remaining_s = ends_at - self._wall_seconds()
+        if remaining_s <= 0.0 or key in self._quarantines.left_s_by_key(now):
             return
-        self._ledger.quarantine(fingerprint, remaining_s, self._clock.seconds())
+        self._quarantines.hold(key, remaining_s, now)
         self._log.note(
             Decision.REQUEST_QUARANTINED,
-            fingerprint=fingerprint,
+            fingerprint=key,
             remaining_s=round(remaining_s, 1),
             reason="the log names it",
         )
 
-    def _on_removed(self, fingerprint: str) -> None:
-        self._stored.discard(fingerprint)
-        if fingerprint not in self._ledger.quarantined():
+    def _on_removed(self, key: str) -> None:
+        now = self._clock.seconds()
+        self._stored_ends_at_by_key.pop(key, None)
+        if key not in self._quarantines.left_s_by_key(now):
             return  # lifted here already; its records may still count
-        if self._ledger.clear(fingerprint, self._clock.seconds()):
+        if self._quarantines.clear(key, now):
             self._log.note(
                 Decision.CRASHES_CLEARED,
-                fingerprint=fingerprint,
+                fingerprint=key,
                 reason="its record was removed from the log",
             )
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -21,6 +21,7 @@
 from .coordination.direct.service_balancers import ServiceBalancers
 from .coordination.direct.service_scheduler import ServiceScheduler
 from .state.direct.catalog import CallerLimits
+from .state.direct.quarantines import Quarantines
 from .state.direct.runner_list import RunnerList
 from .transport.direct.peer_socket import PeerSocket
 from .transport.direct.runner_http import RunnerPool
@@ -139,7 +140,7 @@
         )
         self.quarantine_watch = QuarantineWatch(
             sources.quarantine,
-            self.crashes.ledger,
+            Quarantines(self.crashes.ledger, self.crashes.parts.ledger),
             reactor,
             time.time,
             random,
@@ -246,6 +247,7 @@
             self._next_update.reset(_URGENT_UPDATE_S)
 
     def _send_update(self) -> None:
+        now = self._reactor.seconds()
         slowness = self.balancers.slow_runners()
         self.scheduler.set_own_slowness(slowness)
         self.exchange.send_update(
@@ -253,11 +255,12 @@
             self.scheduler.own_running(),
             self.scheduler.own_waiting(),
             slowness,
-            self.crashes.ledger.next_shared(self._reactor.seconds()),
+            self.crashes.ledger.next_shared(now),
+            self.crashes.parts.ledger.next_shared(now),
         )
 
     def _on_peer_update(self, peer_update: PeerUpdate) -> None:
-        self.crashes.receive(peer_update.lost_attempts)
+        self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
         self.exchange.receive(peer_update)
 
     def _on_peers_changed(self) -> None:
@@ -289,6 +292,8 @@
         collectors.running.set({}, sum(self.scheduler.own_running().values()))
         collectors.config_age_s.set({}, self.config.age_s)
         collectors.quarantined.set({}, len(self.crashes.ledger.quarantined()))
+        suspects = self.crashes.parts.ledger.suspects()
+        collectors.suspected_parts.set({}, len(suspects))
         for service in {runner.service for runner in self.runners.all()}:
             usable = len(self.runners.usable(service))
             collectors.usable_runners.set({"service": service}, usable)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -9,6 +9,7 @@
 
 from ...state.direct.crash_ledger import LostAttempt, Verdict
 from ...state.direct.entry_peers import PeerUpdate
+from ...state.direct.part_ledger import PartLoss
 
 
 class _LostAttempt(msgspec.Struct, array_like=True):
@@ -18,6 +19,15 @@
     verdict: Verdict
 
 
+class _LostPart(msgspec.Struct, array_like=True):
+    part: str
+    runner_life: str
+    fingerprint: str
+    verdict: Verdict
+    answered_before: bool
+    trials: int
+
+
 class _Message(msgspec.Struct, array_like=True):
     entry_id: str
     incarnation: int
@@ -30,6 +40,7 @@
     waiting_by_service: dict[str, int]
     slowness_by_runner: dict[str, float]
     lost_attempts: list[_LostAttempt] = []
+    lost_parts: list[_LostPart] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -45,6 +56,10 @@
         _LostAttempt(lost.fingerprint, lost.runner_life, lost.round, lost.verdict)
         for lost in peer_update.lost_attempts
     ]
+    fields["lost_parts"] = [
+        _LostPart(*(getattr(lost, name) for name in _LostPart.__struct_fields__))
+        for lost in peer_update.lost_parts
+    ]
     return _ENCODER.encode(_Message(**fields))
 
 
@@ -58,6 +73,9 @@
     fields["lost_attempts"] = tuple(
         LostAttempt(*msgspec.structs.astuple(lost)) for lost in message.lost_attempts
     )
+    fields["lost_parts"] = tuple(
+        PartLoss(*msgspec.structs.astuple(lost)) for lost in message.lost_parts
+    )
     return Ok(PeerUpdate(**fields))
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
@@ -19,6 +19,8 @@
     :param max_wait_s: the caller's timeout in seconds; ``None`` if not given.
     :param prompt_tokens: length of the prompt in tokens; 0 for plain services.
     :param answer_tokens: maximum or estimated length of the response in tokens.
+    :param shared_parts: ids of the prompt's parts, in order, without the last one,
+        which belongs to this request or its session alone.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     max_wait_s: float | None = None
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from .crash_ledger import LostAttempt
+    from .part_ledger import PartLoss
 
 _MIN_LIVENESS_TIMEOUT_S = 1.5  # shorter than the TTL of callers' entry lists
 _LIVENESS_INTERVALS = 4  # tolerates the loss of a few datagrams
@@ -32,6 +33,7 @@
     :param slowness_by_runner: slow runners and the factor by which their passes take
         longer than usual.
     :param lost_attempts: attempts that may have ended their runners.
+    :param lost_parts: parts of prompts under which runners may have ended.
     """
 
     entry_id: str
@@ -45,6 +47,7 @@
     waiting_by_service: dict[str, int] = field(default_factory=dict)
     slowness_by_runner: dict[str, float] = field(default_factory=dict)
     lost_attempts: tuple[LostAttempt, ...] = ()
+    lost_parts: tuple[PartLoss, ...] = ()
 
 
 @dataclass(slots=True)
--- a/tests/features/steps/crash_watch_steps.py
+++ b/tests/features/steps/crash_watch_steps.py
@@ -31,6 +31,8 @@
     """The parts of an open request that the watch uses."""
 
     crash_round = 0
+    shared_parts = ()
+    attempt_events_count = 0
     sent_to: RegisteredRunner | None = None
 
     def __init__(self, fingerprint: str) -> None:
@@ -101,7 +103,7 @@
 @when("another entry reports a lost attempt of request {request:w} at runner B")
 def step_reported(context: Any, request: str) -> None:
     context.request, context.life = request, runner_life("B", 1)
-    context.watch.receive([LostAttempt(request, context.life, 1)])
+    context.watch.receive([LostAttempt(request, context.life, 1)], [])
     context.clock.advance(1.0)
     context.watch.tick()
 
