Find a group again whose new rank reports a new epoch first

Cause: a group that gets a new rank opens in a new epoch. Only runners without a known group were asked for their report, so if the new rank's first report was of the new epoch already, the stored ones of the others never matched it, and the group was not balanced any more. Class of fault: one part of a state is read again, the rest is not.

Ranks whose last report precedes the newest epoch of their group are asked, too, as soon as a report shows it; reports of runners that are gone are dropped.

Evidence: group_balancer.feature failed before for the new epoch and passed for the old one.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -181,17 +181,43 @@
         if not missing or now < self._next_discovery_at:
             return
         self._next_discovery_at = now + _DISCOVERY_PERIOD_S
-        for runner in missing:
+        self._reports_by_id = {
+            runner_id: report
+            for runner_id, report in self._reports_by_id.items()
+            if self._runners.get(runner_id) is not None
+        }
+        outdated = [
+            each
+            for each in usable
+            if each.runner_id in known and self._is_outdated(each.runner_id)
+        ]
+        for runner in missing + outdated:
             report = self._client.report(runner)
             report.addCallbacks(
                 self._on_discovery_report, self._log_unanswered, callbackArgs=(engine,)
             )
 
+    def _is_outdated(self, runner_id: str) -> bool:
+        """Whether a rank's last report precedes the newest epoch of its group.
+
+        A group that gets a new rank opens in a new epoch.
+        """
+        report = self._reports_by_id.get(runner_id)
+        return report is not None and report.epoch < self._newest_epoch(report.group)
+
+    def _newest_epoch(self, group: str) -> int:
+        epochs = (
+            each.epoch for each in self._reports_by_id.values() if each.group == group
+        )
+        return max(epochs, default=0)
+
     def _on_discovery_report(
         self, report: RankReport | None, engine: EngineModel
     ) -> None:
         if report is None or not report.group:
             return
+        if report.epoch > self._newest_epoch(report.group):
+            self._next_discovery_at = 0.0  # the reports of the other ranks are outdated
         self._reports_by_id[report.runner_id] = report
         ranks = {
             each.rank: each.runner_id
--- /dev/null
+++ b/tests/features/steps/group_balancer_steps.py
@@ -0,0 +1,134 @@
+"""Steps for a balancer whose group gets a new rank."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
+from corianderrelay_entry.coordination.direct.group_balancer import GroupBalancer
+from corianderrelay_entry.state.direct.catalog import EngineModel, ExpertModel
+from corianderrelay_entry.state.direct.rank_orders import (
+    ExpertSets,
+    OrderOutcome,
+    RankOrder,
+    RankReport,
+)
+from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
+
+_SERVICE = "s"
+_ENGINE = EngineModel(0.01, 4, 0.2, ExpertModel(1, 8, 4, 2, 0.01))
+_TICK_S = 0.05
+_NEW_RANK = "new"
+
+
+class _Ranks:
+    """Answers for all ranks of one group.
+
+    ``asked`` counts the report calls by runner.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        self.names = names
+        self.epoch_by_name = dict.fromkeys(names, 1)
+        self.asked = dict.fromkeys([*names, _NEW_RANK], 0)
+
+    def report(self, runner: RegisteredRunner) -> Deferred[RankReport | None]:
+        name = runner.runner_id
+        self.asked[name] += 1
+        return succeed(
+            RankReport(
+                name,
+                "g",
+                self.epoch_by_name[name],
+                self.names.index(name),
+                True,
+                len(self.names),
+                step=1,
+                map_version=0,
+            )
+        )
+
+    def counts(self, runner: RegisteredRunner) -> Deferred[list[int]]:
+        return succeed([1] * 8)
+
+    def experts(self, runner: RegisteredRunner) -> Deferred[ExpertSets]:
+        return succeed(((0, 1),))
+
+    def order(
+        self, runner: RegisteredRunner, order: RankOrder
+    ) -> Deferred[OrderOutcome]:
+        return succeed(OrderOutcome.DONE)
+
+
+def _runner(name: str) -> RegisteredRunner:
+    return RegisteredRunner(name, _SERVICE, "10.0.0.1", 1, "z", 6)
+
+
+def _run(context: Any, seconds: float, *, may_switch: bool = False) -> None:
+    for _ in range(round(seconds / _TICK_S)):
+        context.clock.advance(_TICK_S)
+        context.balancer.tick(_ENGINE, may_switch)
+
+
+def _members(context: Any) -> list[str]:
+    (group,) = context.balancer._groups_by_name.values()
+    return list(group.members)
+
+
+@given("a balancer that has found a group of {count:d} ranks")
+def step_found(context: Any, count: int) -> None:
+    context.clock, context.runners = Clock(), RunnerList()
+    names = [f"rank {number}" for number in range(count)]
+    for name in names:
+        context.runners.put(_runner(name))
+    context.ranks = _Ranks(names)
+    context.balancer = GroupBalancer(
+        "entry",
+        _SERVICE,
+        context.runners,
+        context.ranks,
+        context.clock,
+        Random(1),
+        DecisionLog(context.clock.seconds),
+        lambda: 0.0,
+        lambda: 0.0,
+        lambda runner_id: 0,
+    )
+    _run(context, 3.0)
+    assert _members(context) == names
+
+
+@when("rank {number:d} is replaced, and its first report is of the {epoch:w} epoch")
+def step_replaced(context: Any, number: int, epoch: str) -> None:
+    context.runners.remove(context.ranks.names[number], context.clock.seconds())
+    context.runners.put(_runner(_NEW_RANK))
+    context.ranks.names[number] = _NEW_RANK
+    context.ranks.epoch_by_name[_NEW_RANK] = 2 if epoch == "new" else 1
+    _run(context, _TICK_S)
+
+
+@when("all ranks report the new epoch")
+def step_new_epoch(context: Any) -> None:
+    context.ranks.epoch_by_name = dict.fromkeys(context.ranks.names, 2)
+
+
+@when("the balancer runs for {seconds:d} s")
+def step_run(context: Any, seconds: int) -> None:
+    _run(context, seconds)
+
+
+@then("it has found the group with the new rank")
+def step_found_again(context: Any) -> None:
+    assert _members(context) == context.ranks.names, _members(context)
+
+
+@then("it asks no rank that it knows for its group any more")
+def step_asks_none(context: Any) -> None:
+    before = dict(context.ranks.asked)
+    _run(context, 5.0)
+    assert context.ranks.asked == before, (before, context.ranks.asked)
