Test answers and streams that end with their connection

Two tests asked for by the users: a stream with neither a length nor chunks is passed on as complete, and one that ends inside an event, by a close or a reset, has been broken off: it is resumed at another runner, and cut if there is none. Both passed at once; mutations show that they guard: without the check for a pending event, two scenarios fail; without the parser's end at a close, two others.

--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -41,10 +41,24 @@
       | /stream/whole            | 200       | all events     | 1    |
       | /stream/torn-once        | 200       | all events     | 2    |
 
-  Scenario: A stream that is cut off at every runner does not end as complete
-    When a caller asks for /stream/torn
+    # Guards against streams without a length or chunks that are cut off, or that are
+    # passed on as complete although they ended inside an event.
+    Examples: a stream that ends with its connection
+      | path                        | status | body       | runs |
+      | /stream/unframed            | 200    | all events | 1    |
+      | /stream/unframed-torn-once  | 200    | all events | 2    |
+      | /stream/unframed-reset-once | 200    | all events | 2    |
+
+  Scenario Outline: A stream that is cut off at every runner does not end as complete
+    When a caller asks for <path>
     Then its connection is cut after event 3
 
+    Examples:
+      | path                   |
+      | /stream/torn           |
+      | /stream/unframed-torn  |
+      | /stream/unframed-reset |
+
   Scenario: A stray answer is not delivered to another request on the same connection
     When 20 callers ask for /stock/extra and /stock/stray-first alternately
     Then each gets the whole body
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -321,11 +321,10 @@
     ) -> bool:
         start = int(headers.get("last-event-id") or 0) + 1
         head = _answer_head(200, request_id, signed=True)
-        connection.sendall(
-            head
-            + b"Content-Type: text/event-stream\r\n"
-            + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        head += b"Content-Type: text/event-stream\r\n"
+        if behaviour.startswith("unframed"):
+            return self._stream_unframed(behaviour, start, head, connection)
+        connection.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
         if self._fleet.deadly_parts & _shared_parts(headers):
             return self._crash(path, silent=False)
         for number in range(start, EVENT_COUNT + 1):
@@ -349,6 +348,20 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def _stream_unframed(
+        self, behaviour: str, start: int, head: bytes, connection: socket.socket
+    ) -> bool:
+        """Send a stream that has neither a length nor chunks and ends by a close."""
+        connection.sendall(head + b"\r\n")
+        for number in range(start, EVENT_COUNT + 1):
+            event = b"id: %d\ndata: event-%d\n\n" % (number, number)
+            if behaviour != "unframed" and number == 4:
+                connection.sendall(event[:9])
+                return behaviour == "unframed-reset" and _reset(connection)
+            connection.sendall(event)
+            time.sleep(_EVENT_INTERVAL_S)
+        return False
+
 
 def whole_stream() -> bytes:
     """Return the events of a complete stream."""
