Reject a rank's report of another process at its address

Runners answer report calls whatever the expected id is. So the old coordinator of a group read the report of the rank that had replaced an ended one as that of the ended one, took the group for complete and ordered a map; the coordinator of the group that was found 0.15 s later ordered another, which the ranks refused (they were copying), and backed off for 2 s.

The start time in the report decides, as it does for probes; the stand-in's reports do not check the expected id any more either. Tests also for the parts of prompts and the new fields of peer updates.

--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -50,6 +50,33 @@
     Then the runner receives its own id, the entry's workspace and remaining time, and no key
     And malformed numbers count as absent
 
+  # Guards against orders to a group by the report of a rank that has taken the address of
+  # one that ended: runners answer reports whatever the expected id is.
+  Scenario Outline: The report of another process at the address is rejected
+    When a rank that started at 7 ms is asked and a report <report> comes
+    Then it <result>
+
+    Examples:
+      | report          | result      |
+      | with start 7    | is read     |
+      | with start 8    | is rejected |
+      | without a start | is read     |
+
+  Scenario Outline: The parts of a prompt that other requests may share
+    Then the shared parts of prompt <prompt> are: <parts>
+
+    Examples:
+      | prompt              | parts |
+      | a1:40,b2:600        | a1    |
+      | a1:40, b2:600 ,c3:7 | a1 b2 |
+      | a1:40               | none  |
+      | none                | none  |
+      | ,,a1                | none  |
+      | a1,b2,c3            | a1 b2 |
+
+  Scenario: A prompt with countless or endless parts
+    Then only 16 shared parts of a prompt are kept, each of at most 64 characters
+
   Scenario: Orders to ranks
     Then each order to a rank is encoded in the platform's format
 
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -16,16 +16,20 @@
 from behave import given, then, when
 from result import Err, Ok
 
+from corianderrelay.transport.http_client import HttpResponse
 from corianderrelay_entry.protocol.direct.peer_update_codec import (
     decode_peer_update,
     encode_peer_update,
 )
 from corianderrelay_entry.state.direct.catalog import RequestKind
+from corianderrelay_entry.state.direct.crash_ledger import LostAttempt, Verdict
 from corianderrelay_entry.state.direct.entry_peers import PeerUpdate
+from corianderrelay_entry.state.direct.part_ledger import PartLoss
 from corianderrelay_entry.state.direct.rank_orders import OrderKind, RankOrder
+from corianderrelay_entry.state.direct.runner_list import RegisteredRunner
 from corianderrelay_platform.configuration import decode_configuration
 from corianderrelay_platform.headers import PlatformDialect
-from corianderrelay_platform.ranks import encode_order
+from corianderrelay_platform.ranks import decode_report, encode_order
 from corianderrelay_platform.runners import decode_runner
 from corianderrelay_platform.settings import FILE_VARIABLE, read_platform_settings
 
@@ -248,9 +252,69 @@
         assert json.loads(encode_order(order)) == body | {"epoch": 2}
 
 
+@when("a rank that started at {started_ms:d} ms is asked and a report {start} comes")
+def step_report(context: Any, started_ms: int, start: str) -> None:
+    runner = RegisteredRunner("i-1", "s", "h", 1, "z", 6, started_ms=started_ms)
+    report: dict[str, Any] = {
+        "group": {"Name": "g", "epoch": 1, "rank": 0, "State": "open"}
+    }
+    if start.startswith("with start"):
+        report["born"] = int(start.split()[-1])
+    answer = HttpResponse(200, {}, json.dumps(report).encode())
+    try:
+        context.report = decode_report(answer, runner)
+    except ValueError as error:
+        context.report = error
+
+
+@then("it is read")
+def step_report_read(context: Any) -> None:
+    assert context.report.runner_id == "i-1", context.report
+
+
+@then("it is rejected")
+def step_report_rejected(context: Any) -> None:
+    assert "another process" in str(context.report), context.report
+
+
+def _shared_parts(prompt: str) -> tuple[str, ...]:
+    headers = [(b"Corianderrelay-Prefix-Hash", prompt.encode())]
+    return PlatformDialect().decode_call(b"POST", b"/", headers, b"", 0.0).shared_parts
+
+
+@then("the shared parts of prompt {prompt} are: {parts}")
+def step_shared_parts(context: Any, prompt: str, parts: str) -> None:
+    expected = () if parts == "none" else tuple(parts.split())
+    shared = _shared_parts("" if prompt == "none" else prompt)
+    assert shared == expected, shared
+
+
+@then(
+    "only {count:d} shared parts of a prompt are kept, each of at most {length:d} "
+    "characters"
+)
+def step_bounded_parts(context: Any, count: int, length: int) -> None:
+    many = _shared_parts(",".join(f"{n}:1" for n in range(500)))
+    assert many == tuple(str(n) for n in range(count)), many
+    assert _shared_parts("x" * 500 + ":1,own") == ("x" * length,)
+
+
 def _peer_update() -> PeerUpdate:
     running = {"i-1": 2, "i-2": 1}
-    return PeerUpdate("a", 5, 9, "h:1", "h", 2, True, running, {"s": 3}, {"i-2": 1.5})
+    return PeerUpdate(
+        "a",
+        5,
+        9,
+        "h:1",
+        "h",
+        2,
+        True,
+        running,
+        {"s": 3},
+        {"i-2": 1.5},
+        (LostAttempt("f", "i-1/7", 2, Verdict.ENDED),),
+        (PartLoss("p", "i-1/7", "f", Verdict.ALIVE, True, 3),),
+    )
 
 
 @then("a peer update is unchanged by encoding and decoding")
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -170,7 +170,7 @@
             time.sleep(_HANG_S)
             return False
         if path == _REPORT_PATH:
-            return self._report(headers, connection)
+            return self._report(connection)
         request_id = headers.get("corianderrelay-request-id", "")
         behaviour = path.rsplit("/", 1)[-1]
         with self._fleet.lock:
@@ -184,11 +184,8 @@
             behaviour = "misdirected"
         return self._respond(behaviour, path, request_id, headers, connection)
 
-    def _report(self, headers: dict[str, str], connection: socket.socket) -> bool:
-        if headers.get("corianderrelay-expect-instance") not in (None, self.runner_id):
-            return _send(
-                connection, _answer_head(421, "") + _body_with_length(b""), True
-            )
+    def _report(self, connection: socket.socket) -> bool:
+        """Report the start time, whatever runner the request expects."""
         report = b'{"born": %d}' % self.started_ms
         return _send(
             connection, b"HTTP/1.1 200 X\r\n" + _body_with_length(report), True
