Accept callers only once the other entries and the quarantines are known

Cause, two places: an entry was ready as soon as it had read the configuration and the runners. Now it is ready when it has read all of them.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -22,6 +22,7 @@
     from .ports import EntryRegistry
 
 _REGISTRY_RETRY_S = 2.0  # entries that know each other do not need the registry
+_FIRST_READ_RETRY_S = 0.5  # this entry is not ready before the first read
 _REGISTRY_POLL_S = 15.0  # finds entries that registered after the last read
 
 
@@ -30,6 +31,8 @@
 
     :param send_update: sends an update to addresses.
     :param on_peers_changed: called after each update of another entry.
+    :ivar discovered: whether the registry has been read. Two entries that have read it
+        know each other, as the one that registered later has read the other's address.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self._send_update = send_update
         self._on_peers_changed = on_peers_changed
         self._sequence = 0
+        self.discovered = False
         self._dependency = Dependency("entry registry", log)
         self.peers = EntryPeers(settings.entry_id)
 
@@ -109,6 +113,7 @@
 
     def _on_registered_entries(self, known: dict[str, tuple[str, int]]) -> None:
         now = self._clock.seconds()
+        self.discovered = True
         self._dependency.mark_available()
         for entry_id, (host, port) in known.items():
             self.peers.add_peer(entry_id, host, port, now)
@@ -116,7 +121,8 @@
 
     def _on_failure(self, failure: Failure) -> None:
         self._dependency.mark_unavailable(reason=failure.getErrorMessage())
-        self._clock.callLater(_REGISTRY_RETRY_S, self.start)
+        retry_s = _REGISTRY_RETRY_S if self.discovered else _FIRST_READ_RETRY_S
+        self._clock.callLater(retry_s, self.start)
 
 
 __all__ = ["PeerExchange"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -42,6 +42,7 @@
     """Long-polls the stored quarantines, and stores or removes what differs here.
 
     :param wall_seconds: returns the time of day in Unix seconds.
+    :ivar loaded: whether the stored quarantines have been read.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self._log = log
         self._metrics = metrics
         self._offset: int | None = None
+        self.loaded = False
         self._dependency = Dependency("quarantine records", log)
         self._stored_ends_at_by_key: dict[str, float] = {}
         self._write_at_by_key: dict[str, float] = {}
@@ -115,6 +117,7 @@
     def _apply(self, answer: tuple[Mapping[str, float | None], int]) -> None:
         ends_at_by_key, self._offset = answer
         self._dependency.mark_available()
+        self.loaded = True
         for key, ends_at in ends_at_by_key.items():
             if ends_at is None:
                 self._on_removed(key)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -185,6 +185,8 @@
         return (
             not self.draining
             and self.runner_watch.loaded
+            and self.exchange.discovered
+            and self.quarantine_watch.loaded
             and self.config.catalog is not None
             and self.config.keys_trusted()
         )
--- a/tests/features/platform/crashing_requests.feature
+++ b/tests/features/platform/crashing_requests.feature
@@ -43,6 +43,20 @@
     And /open/crash is requested 6 times, at each entry in turn
     Then it has crashed at most 2 runners
 
+  # Guards against an entry that serves before it knows the other entries, or what they
+  # have quarantined: it was started, or the log became unavailable, just then.
+  Scenario Outline: An entry that has not read part of the log is not ready
+    Given the platform's log refuses calls for the <part>
+    When another entry is started
+    Then it is not ready within 2 s
+    When the platform's log accepts calls for the <part>
+    Then it becomes ready
+
+    Examples:
+      | part        |
+      | entries     |
+      | quarantines |
+
   # Guards against an entry that other entries cannot reach and that knows nothing.
   Scenario: A quarantine in the platform's log holds the request at every entry
     When the platform's log quarantines /stock/whole
--- a/tests/features/steps/crashing_requests_steps.py
+++ b/tests/features/steps/crashing_requests_steps.py
@@ -23,6 +23,8 @@
 from tests.waiting import wait_until
 
 _QUARANTINE_TOPIC = "keyed.quarantine"
+_TOPICS = {"entries": "keyed.entries", "quarantines": _QUARANTINE_TOPIC}
+_READY_POLL_S = 0.1
 _OTHER_STREAMS = 6
 _OTHERS_PAUSE_S = 0.1  # a refused caller comes back after it
 _RECOVERY_S = 6.0  # new runners are registered, and a stream takes two seconds
@@ -147,6 +149,36 @@
     )
 
 
+@given("the platform's log refuses calls for the {part:w}")
+def step_part_refused(context: Any, part: str) -> None:
+    context.system.store.refused_topics.add(_TOPICS[part])
+
+
+@when("the platform's log accepts calls for the {part:w}")
+def step_part_accepted(context: Any, part: str) -> None:
+    context.system.store.refused_topics.remove(_TOPICS[part])
+
+
+@when("another entry is started")
+def step_start_another(context: Any) -> None:
+    host = context.system.add_host()
+    context.system.start_entry(host)
+
+
+@then("it is not ready within {seconds:d} s")
+def step_not_ready(context: Any, seconds: int) -> None:
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        assert not context.system.ready(context.system.hosts[-1])
+        time.sleep(_READY_POLL_S)
+
+
+@then("it becomes ready")
+def step_ready(context: Any) -> None:
+    system = context.system
+    wait_until(lambda: system.ready(system.hosts[-1]), "the new entry is ready")
+
+
 @given("runners that restart in place")
 def step_restart_in_place(context: Any) -> None:
     context.system.restart_in_place = True
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -64,10 +64,17 @@
         self._start_count = 0
         # All entries use the same ports, so each system needs loopback addresses of
         # its own: several test processes run at the same time.
-        network = (
+        self._network = (
             f"127.{_MIN_OCTET + os.getpid() % _OCTET_COUNT}.{next(_system_numbers)}"
         )
-        self.hosts = [f"{network}.{2 + number}" for number in range(entries)]
+        self.hosts: list[str] = []
+        for _ in range(entries):
+            self.add_host()
+
+    def add_host(self) -> str:
+        """Return the address of a further entry."""
+        self.hosts.append(f"{self._network}.{2 + len(self.hosts)}")
+        return self.hosts[-1]
 
     def start(self) -> None:
         """Configure the store, start the entries and wait until they are ready."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -26,11 +26,13 @@
 
     ``mode`` is ``ok``, ``busy`` (every call gets 503), ``silent`` (calls get no answer
     and the connection is closed after 5 s) or ``reset`` (every connection is closed).
+    Calls for a topic in ``refused_topics`` get 503 in any mode.
     """
 
     def __init__(self) -> None:
         self.mode = "ok"
         self.calls = 0
+        self.refused_topics: set[str] = set()
         self._lock = threading.Lock()
         self._records_by_topic: dict[str, list[tuple[str, bytes]]] = {}
         self._first_offset_by_topic: dict[str, int] = {}
@@ -87,7 +89,7 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         length = int(handler.headers.get("Content-Length") or 0)
         body = handler.rfile.read(length)
-        if self.mode == "busy":
+        if self.mode == "busy" or query.get("Topic") in self.refused_topics:
             self._send(handler, 503, b"")
         elif url.path == "/api/log-newest":
             self._send(handler, 200, self._newest(query["Topic"]))
