Leave ranks that are blocked by another one, also before their first chunk

Known red: two scenarios of whole_answers.feature, callers without a response head within 60 s, after an engine of a lock-step group was killed.

Only runners with an earlier chunk are checked for a stall. The entries could not know better: engine_up in the heartbeats was read by the entries but never set by an agent.

An agent now checks its engine after each failed call, and reports it as down until it is reachable again. Entries avoid the other ranks of its group, and treat requests that wait there as stalled after the usual 5 s.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
@@ -35,6 +35,7 @@
     :param seconds: returns the monotonic time in seconds.
     :param keyed_attempts: handles attempts with an idempotency key, which run at most
         once.
+    :param on_call_failed: called when the engine has failed an attempt.
     """
 
     def __init__(
@@ -43,11 +44,13 @@
         endpoint: EndpointSettings,
         seconds: Callable[[], float],
         keyed_attempts: KeyedAttempts,
+        on_call_failed: Callable[[], None],
     ) -> None:
         self._engine = engine
         self._endpoint = endpoint
         self._seconds = seconds
         self.keyed_attempts = keyed_attempts
+        self._on_call_failed = on_call_failed
         self._queue: deque[Attempt] = deque()
         self._call_by_attempt_id: dict[str, RunningCall] = {}
         self.attempts_by_id: dict[str, Attempt] = {}
@@ -210,6 +213,7 @@
         if attempt.order.key:
             self.keyed_attempts.on_failure(attempt, error)
         attempt.failure = error
+        self._on_call_failed()
         entry = self._record_end(attempt)
         if entry is not None:
             entry.send_failed(attempt, error)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
@@ -94,6 +94,9 @@
         The sink receives no callback before this method has returned.
         """
 
+    def check_reachable(self) -> Deferred[bool]:
+        """Return whether the engine accepts connections; never fails."""
+
     def fetch_load(self) -> Deferred[EngineLoad]:
         """Fetch the load report.
 
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -19,6 +19,7 @@
 from corianderrelay.transport.json_log import start_logging
 
 from .coordination.attempt_scheduler import AttemptScheduler
+from .coordination.engine_watch import EngineWatch
 from .coordination.keyed_attempts import KeyedAttempts
 from .group_service import GroupService
 from .state.key_guard import KeyGuard, KeyGuardLimits
@@ -63,11 +64,13 @@
         self._incarnation = new_incarnation(time.time(), SystemRandom())
         limits = KeyGuardLimits(ticket_lifetime_s=settings.timing.ticket_s)
         guard = KeyGuard(self._incarnation, limits)
+        engine_watch = EngineWatch(engine, reactor)
         self._scheduler = AttemptScheduler(
             engine,
             settings.endpoint,
             reactor.seconds,
             KeyedAttempts(guard, reactor.seconds),
+            engine_watch.on_call_failed,
         )
         self._group: GroupService | None = None
         if settings.group is not None:
@@ -76,6 +79,7 @@
             )
         self._listener = EntryListener(
             self._scheduler,
+            engine_watch,
             self._build_hello(),
             ConfigExchange(ReceivedConfig(_log_active_version)),
             settings.timing,
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -73,6 +73,13 @@
         )
         return running
 
+    def check_reachable(self) -> Deferred[bool]:
+        """Return whether the engine accepts connections; see ``Engine``."""
+        answer = self._client.fetch("GET", "/load", timeout_s=_CONTROL_TIMEOUT_S)
+        return answer.addCallbacks(
+            lambda _: True, lambda failure: not failure.check(HttpNotSentError)
+        )
+
     def fetch_load(self) -> Deferred[EngineLoad]:
         """Fetch the load report; see ``Engine``."""
         answer = self._client.fetch("GET", "/load", timeout_s=_CONTROL_TIMEOUT_S)
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/entry_listener.py
@@ -24,6 +24,7 @@
     from corianderrelay.protocol.messages import AnyMessage, Hello
 
     from ..coordination.attempt_scheduler import AttemptScheduler
+    from ..coordination.engine_watch import EngineWatch
     from ..protocol.group_routes import GroupRoutes
     from ..state.settings import TimingSettings
 
@@ -33,6 +34,7 @@
 class EntryListener(protocol.Factory):
     """Creates a session for each stream from an entry or another agent of the group.
 
+    :param engine_watch: tells whether the engine is down.
     :param hello: the first message on each stream.
     :param routes: handles frames from the group's other agents; ``None`` if this agent
         belongs to no group.
@@ -43,6 +45,7 @@
     def __init__(
         self,
         scheduler: AttemptScheduler,
+        engine_watch: EngineWatch,
         hello: Hello,
         config: ConfigExchange,
         timing: TimingSettings,
@@ -50,6 +53,7 @@
         routes: GroupRoutes | None = None,
     ) -> None:
         self._scheduler = scheduler
+        self._engine_watch = engine_watch
         self._routes = routes
         self._hello = hello
         self._config = config
@@ -137,6 +141,7 @@
             queued=self._scheduler.queued,
             queued_tokens=self._scheduler.queued_tokens,
             leaving=self._scheduler.leaving,
+            engine_up=self._engine_watch.up,
             echo=echo,
             leaving_entries=self._leaving_entries.marked(self._clock.seconds()),
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -210,7 +210,9 @@
             if opened.attempts.has_current_chunks
         )
         occupied = (opened.attempts.runner_id for opened in self._open_by_id.values())
-        for runner_id in self._progress.find_stalled(answering, occupied, now):
+        blocked = self.routers.blocked_runners()
+        stalled = self._progress.find_stalled(answering, occupied, blocked, now)
+        for runner_id in stalled:
             for opened in self._calls_at(runner_id):
                 orders = opened.attempts.on_runner_stalled(runner_id, now)
                 if orders:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -91,7 +91,24 @@
             and runner_id not in excluded
         ]
         in_other_groups = self._outside_groups_of_excluded(excluded, usable)
-        return router.pick(route, in_other_groups or usable, now, self._random)
+        blocked = self.blocked_runners()
+        candidates = in_other_groups or usable
+        free = [runner_id for runner_id in candidates if runner_id not in blocked]
+        return router.pick(route, free or candidates, now, self._random)
+
+    def blocked_runners(self) -> set[str]:
+        """Return the runners of lock-step groups in which a rank is down."""
+        down_groups = {
+            group
+            for runner_id, group in self._groups_by_runner.items()
+            if (agent := self._agents_by_id.get(runner_id)) is None
+            or not agent.runner.engine_up
+        }
+        return {
+            runner_id
+            for runner_id, group in self._groups_by_runner.items()
+            if group and group in down_groups
+        }
 
     def _outside_groups_of_excluded(
         self, excluded: frozenset[str], usable: list[str]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner_progress.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/runner_progress.py
@@ -15,7 +15,8 @@
 
     A single attempt may wait in the runner's queue, so a runner is stalled only if none
     of its attempts makes progress. Only runners with an attempt that has already
-    received a chunk are checked; a stalled one remains so until its next chunk.
+    received a chunk are checked, and ranks that are blocked by another one of their
+    group; a stalled one remains so until its next chunk.
     """
 
     __slots__ = ("_last_chunk_s_by_runner",)
@@ -28,14 +29,23 @@
         self._last_chunk_s_by_runner[runner_id] = now
 
     def find_stalled(
-        self, answering: Iterable[str], occupied: Iterable[str], now: float
+        self,
+        answering: Iterable[str],
+        occupied: Iterable[str],
+        blocked: Iterable[str],
+        now: float,
     ) -> list[str]:
         """Return the stalled runners, and discard those that are not checked any more.
 
         :param answering: runners with an attempt that has already received a chunk.
         :param occupied: runners with any attempt.
+        :param blocked: runners that cannot send a chunk, as their group lacks a rank.
         """
-        checked, remaining = set(answering), set(occupied)
+        remaining = set(occupied)
+        waiting = remaining.intersection(blocked)
+        checked = waiting.union(answering)
+        for runner_id in waiting:
+            self._last_chunk_s_by_runner.setdefault(runner_id, now)
         self._last_chunk_s_by_runner = {
             runner_id: last_chunk_s
             for runner_id, last_chunk_s in self._last_chunk_s_by_runner.items()
--- a/tests/features/entry/state/runner_progress.feature
+++ b/tests/features/entry/state/runner_progress.feature
@@ -28,3 +28,21 @@
     Then no runner is stalled at 6 s
     When a request without a chunk runs at runner A
     Then no runner is stalled at 7 s
+
+  # Guards against requests that wait for good at a rank that had sent this entry nothing
+  # before another rank of its group went down.
+  Scenario: A rank that is blocked before its first chunk is stalled
+    Given a request without a chunk runs at runner A
+    Then no runner is stalled at 9 s
+    When another rank of the group of runner A is down
+    Then no runner is stalled at 10 s
+    And no runner is stalled at 14.9 s
+    And runner A is stalled at 15 s
+
+  Scenario: A rank that is blocked for a short time only is not stalled
+    Given a request without a chunk runs at runner A
+    When another rank of the group of runner A is down
+    Then no runner is stalled at 10 s
+    When the rank is back
+    Then no runner is stalled at 14 s
+    And no runner is stalled at 20 s
--- a/tests/features/steps/runner_progress_steps.py
+++ b/tests/features/steps/runner_progress_steps.py
@@ -16,6 +16,23 @@
     context.progress = RunnerProgress()
     context.progress.record_chunk(_RUNNER, float(seconds))
     context.answering, context.occupied = {_RUNNER}, {_RUNNER}
+    context.blocked = set()
+
+
+@given("a request without a chunk runs at runner A")
+def step_without_chunk(context: Any) -> None:
+    context.progress = RunnerProgress()
+    context.answering, context.occupied, context.blocked = set(), {_RUNNER}, set()
+
+
+@when("another rank of the group of runner A is down")
+def step_blocked(context: Any) -> None:
+    context.blocked = {_RUNNER}
+
+
+@when("the rank is back")
+def step_unblocked(context: Any) -> None:
+    context.blocked = set()
 
 
 @when("all requests that have received a chunk have left runner A")
@@ -41,7 +58,7 @@
 
 def _stalled(context: Any, now: float) -> list[str]:
     stalled: list[str] = context.progress.find_stalled(
-        context.answering, context.occupied, now
+        context.answering, context.occupied, context.blocked, now
     )
     return stalled
 
