Try one suspect of a crash at a time, at one entry

Two entries sent a trial of each within 28 ms, when the same wait was over everywhere; both requests were lost in the second crash, so both stayed suspects, and the same happened 8 s later.

A trial of one suspect now holds the others of the same crash for its 2 s, and each entry adds a delay of up to a second of its own to the waits, many times an update between entries. Both have a scenario that failed before: the other suspect did not wait, and there was no delay.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
+    from random import Random
 
     from corianderrelay.coordination.clock import Clock
 
@@ -50,6 +51,7 @@
         runners: RunnerList,
         probe: RunnerProbe,
         clock: Clock,
+        random: Random,
         log: DecisionLog,
         on_changed: Callable[[], None],
     ) -> None:
@@ -64,7 +66,7 @@
         self._probed_at_by_life: dict[str, float] = {}
         self._waiting_by_life: dict[str, list[Callable[[], None]]] = {}
         self.ledger = CrashLedger()
-        self.parts = PartWatch(clock, log, on_changed)
+        self.parts = PartWatch(clock, random, log, on_changed)
 
     def held_s(self, opened: OpenDirectCall) -> float | None:
         """Return the seconds until a request may run; ``None`` if it may run now."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/part_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/part_watch.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
+    from random import Random
 
     from corianderrelay.coordination.clock import Clock
 
@@ -16,6 +17,7 @@
     from .decision_log import DecisionLog
     from .open_direct_call import OpenDirectCall
 
+_TRIAL_SPREAD_S = 1.0  # many times an update between entries
 _BEGINNING_EVENTS = 3  # with as many events, a runner is well past the beginning
 
 
@@ -26,12 +28,16 @@
     """
 
     def __init__(
-        self, clock: Clock, log: DecisionLog, on_changed: Callable[[], None]
+        self,
+        clock: Clock,
+        random: Random,
+        log: DecisionLog,
+        on_changed: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._log = log
         self._on_changed = on_changed
-        self.ledger = PartLedger()
+        self.ledger = PartLedger(random.uniform(0.0, _TRIAL_SPREAD_S))
 
     def hold(self, opened: OpenDirectCall) -> PartHold | None:
         """Return why a request is held; ``None`` if it may run now."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -135,6 +135,7 @@
             self.runners,
             sources.probe,
             reactor,
+            random,
             self.log,
             self._send_update_soon,
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/part_ledger.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/part_ledger.py
@@ -87,9 +87,14 @@
 
 
 class PartLedger:
-    """The suspected parts of all entries, and the parts that were answered here."""
+    """The suspected parts of all entries, and the parts that were answered here.
+
+    :param own_delay_s: added to the waits of this entry, so that not all entries start
+        a trial when the same wait is over.
+    """
 
     __slots__ = (
+        "_own_delay_s",
         "_records_by_part",
         "_parts_by_life",
         "_answered",
@@ -98,7 +103,8 @@
         "_sharing",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, own_delay_s: float = 0.0) -> None:
+        self._own_delay_s = own_delay_s
         self._records_by_part: dict[str, dict[str, _Record]] = {}
         self._parts_by_life: dict[str, set[str]] = {}
         # Ordered by the last answer, the oldest first.
@@ -289,10 +295,12 @@
                 wait_s = _CULPRIT_WAIT_S * _CULPRIT_WAIT_GROWTH ** (crashes - 1)
             else:
                 wait_s = _NEIGHBOUR_WAIT_S * crashes
+            # Two trials at once would leave open which of them crashed a runner.
+            tried_at = max(self._trial_at_by_part.get(each, lost_at) for each in blamed)
             ends_at = max(
                 ends_at,
-                lost_at + min(wait_s, QUARANTINE_S),
-                self._trial_at_by_part.get(part, lost_at) + _TRIAL_S,
+                lost_at + min(wait_s, QUARANTINE_S) + self._own_delay_s,
+                tried_at + _TRIAL_S,
             )
         return max(ends_at - now, 0.0)
 
--- a/tests/features/entry/state/direct/part_ledger.feature
+++ b/tests/features/entry/state/direct/part_ledger.feature
@@ -54,6 +54,19 @@
     And a request with parts Y may run at every entry
     And a request with parts D waits 120 s at every entry
 
+  # Guards against trials of two suspects of one crash at the same time: if a runner ends
+  # again, both stay suspects.
+  Scenario: One suspect of a crash is tried at a time
+    Given runners ended under requests with these parts: a: X D
+    When the entries run for 4 s
+    And a trial with parts X starts at entry 2
+    Then a request with parts Y D waits 2 s at every entry
+
+  Scenario: Each entry adds a delay of its own
+    Given an entry that delays trials by 0.5 s
+    When a runner ends there under a request with part D
+    Then a request with part D waits 30.5 s there
+
   Scenario: A trial without an outcome is followed by another
     Given runners ended under requests with these parts: a: D
     When the entries run for 30 s
--- a/tests/features/steps/crash_watch_steps.py
+++ b/tests/features/steps/crash_watch_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 from behave import given, then, when
@@ -48,6 +49,7 @@
         context.runners,
         context.probe,
         context.clock,
+        Random(1),
         DecisionLog(context.clock.seconds),
         lambda: context.shared.append(True),
     )
--- a/tests/features/steps/part_ledger_steps.py
+++ b/tests/features/steps/part_ledger_steps.py
@@ -165,3 +165,18 @@
 def step_updates(context: Any, count: int) -> None:
     shared = context.entries[0].next_shared(context.now)
     assert 0 < len(shared) <= count, len(shared)
+
+
+@given("an entry that delays trials by {delay_s:g} s")
+def step_delayed_entry(context: Any, delay_s: float) -> None:
+    context.delayed = PartLedger(delay_s)
+
+
+@when("a runner ends there under a request with part {part:w}")
+def step_ends_there(context: Any, part: str) -> None:
+    context.delayed.merge(PartLoss(part, "a", "r", Verdict.ENDED), 0.0)
+
+
+@then("a request with part {part:w} waits {seconds:g} s there")
+def step_waits_there(context: Any, part: str, seconds: float) -> None:
+    assert _wait_s(context.delayed, part, 0.0) == seconds
