--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -115,6 +115,16 @@
         "entry:datagram_malformed",
         "a datagram could not be decoded or sent",
     )
+    RUNNER_LIMIT = (
+        "runner:limit",
+        "the limit on requests to a runner was learned, changed or ended; the limit "
+        "before and now, who received the runner's answer, and its age",
+    )
+    LIMIT_UNREADABLE = (
+        "runner:limit_unreadable",
+        "a runner stated a limit that is not a number of requests per second; it is "
+        "ignored",
+    )
     GROUP_FOUND = ("group:found", "all ranks of a lock-step group were discovered")
     POPULARITY_READ = (
         "popularity:read",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -36,6 +36,7 @@
     from .direct_metrics import DirectMetrics
     from .ports import AnswerSink, Dialect, RunnerConnections
     from .service_scheduler import ServiceScheduler
+    from .statement_watch import StatementWatch
 
 _STUCK_STREAM_S = 0.8  # far above the time of a pass; callers time out after 2 s
 _STUCK_START_S = 1.2  # longer, as prompts queue at a runner before the first event
@@ -52,6 +53,7 @@
     :param connections: sends requests to runners.
     :param scheduler: admits requests and picks their runners.
     :param crashes: holds back requests that end their runners.
+    :param statements: records what runners state in their answers.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         config: ConfigWatch,
         scheduler: ServiceScheduler,
         crashes: CrashWatch,
+        statements: StatementWatch,
         clock: Clock,
         log: DecisionLog,
         metrics: DirectMetrics,
@@ -70,6 +73,7 @@
         self._config = config
         self._scheduler = scheduler
         self._crashes = crashes
+        self._statements = statements
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -412,6 +416,7 @@
         """The head of the current attempt's answer was received."""
         now = self._clock.seconds()
         runner_id = opened.runner_id
+        self._statements.on_head(opened, head, now)
         if head.not_run:
             # The runner at fault may differ from the one that sent the rejection.
             self._scheduler.on_failed(head.faulty_runner_id, now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -20,6 +20,7 @@
 from .coordination.direct.runner_watch import RunnerWatch
 from .coordination.direct.service_balancers import ServiceBalancers
 from .coordination.direct.service_scheduler import ServiceScheduler
+from .coordination.direct.statement_watch import StatementWatch
 from .state.direct.catalog import CallerLimits
 from .state.direct.quarantines import Quarantines
 from .state.direct.runner_list import RunnerList
@@ -148,12 +149,14 @@
             self.log,
             self.collectors,
         )
+        self.statements = StatementWatch(self.log)
         self.relay = DirectRelay(
             sources.dialect,
             self.connections,
             self.config,
             self.scheduler,
             self.crashes,
+            self.statements,
             reactor,
             self.log,
             self.collectors,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
@@ -52,6 +52,10 @@
     :param signed: whether the response carries the runner's receipt.
     :param encoded: whether the body was re-encoded and is not the runner's own bytes.
     :param faulty_runner_id: runner that a rejection reports as faulty; empty if none.
+    :param limit_per_s: requests per second that the runner takes from all entries
+        together; ``None`` if it states no readable limit.
+    :param unreadable_limit: beginning of a stated limit that is not a number; empty if
+        there is none.
     """
 
     status: int
@@ -60,6 +64,8 @@
     signed: bool = False
     encoded: bool = False
     faulty_runner_id: str = ""
+    limit_per_s: float | None = None
+    unreadable_limit: str = ""
 
     @property
     def success(self) -> bool:
--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -87,3 +87,21 @@
   Scenario: The platform's names appear only in the adapter
     Then no name of the platform appears in the packages
     And the deployed libraries have the pinned versions
+
+  Scenario Outline: A runner's stated limit of requests per second: <stated>
+    When an answer of a runner states the limit <stated>
+    Then its limit is <limit> and the unreadable text is <unreadable>
+
+    Examples:
+      | stated            | limit | unreadable               |
+      | nothing           | none  | none                     |
+      | 1.2               | 1.2   | none                     |
+      | 0                 | 0     | none                     |
+      | 3; 3              | 3     | none                     |
+      | 3; 4              | none  | 3, 4                     |
+      | -1                | none  | -1                       |
+      | nan               | none  | nan                      |
+      | inf               | none  | inf                      |
+      | fast              | none  | fast                     |
+      | empty             | none  | an empty value           |
+      | 1.000000000000000000000000000000001 | none | 1.0000000000000000000000 |
