--- a/tests/features/steps/adapter_statement_steps.py
+++ b/tests/features/steps/adapter_statement_steps.py
@@ -23,4 +23,3 @@
     assert context.head.limit_per_s == expected, context.head.limit_per_s
     text = "" if unreadable == "none" else unreadable
     assert context.head.unreadable_limit == text, context.head.unreadable_limit
-
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from demo.processes import Process, fetch
+from tests.harness.peer_relay import PeerRelay
 from tests.standins.platform_runner import PlatformRunner, RunnerFleet
 from tests.standins.platform_store import PlatformStore
 from tests.waiting import wait_until
@@ -51,6 +52,8 @@
         self._closed = False
         self.folder = folder
         self.store = PlatformStore()
+        self.peer_relay = PeerRelay()
+        self.store.rewrite_value = self.peer_relay.rewrite_value
         self.fleet = RunnerFleet()
         self._runner_numbers = itertools.count(3)
         self._start_times_ms = itertools.count(2)
@@ -299,6 +302,7 @@
         for runner in self.runners:
             runner.close()
         self.store.close()
+        self.peer_relay.close()
 
 
 __all__ = ["HOST", "API_KEY", "WORKSPACE", "PlatformSystem"]
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -15,6 +15,7 @@
 import struct
 import threading
 import time
+from collections import defaultdict
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -50,7 +51,8 @@
     ``crashes`` lists the runners that ended because of a request, and ``arrivals`` the
     path and monotonic time of each request. ``endless`` has the ids of the requests
     that get bytes without end now. ``deadly_parts`` has the prompt parts that crash
-    runners.
+    runners. ``stated_headers`` has the headers that a runner adds to its answers, and
+    ``arrivals_by_runner`` the monotonic times of the requests that reached it.
     """
 
     def __init__(self) -> None:
@@ -63,6 +65,8 @@
         self.arrivals: list[tuple[str, float]] = []
         self.endless: set[str] = set()
         self.deadly_parts: set[str] = set()
+        self.stated_headers: dict[str, dict[str, str]] = {}
+        self.arrivals_by_runner: defaultdict[str, list[float]] = defaultdict(list)
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -176,6 +180,7 @@
         with self._fleet.lock:
             self._fleet.received.append((self.runner_id, request_id))
             self._fleet.arrivals.append((path, time.monotonic()))
+            self._fleet.arrivals_by_runner[self.runner_id].append(time.monotonic())
             if "-once" in behaviour:
                 first = behaviour not in self._fleet.used_behaviours
                 self._fleet.used_behaviours.add(behaviour)
@@ -184,6 +189,29 @@
             behaviour = "misdirected"
         return self._respond(behaviour, path, request_id, headers, connection)
 
+    def _answer_head(
+        self,
+        status: int,
+        request_id: str,
+        *,
+        signed: bool = False,
+        not_run: bool = False,
+    ) -> bytes:
+        """Return the head of an answer, with what this runner states of itself."""
+        lines = [f"HTTP/1.1 {status} X", f"Corianderrelay-Request-Id: {request_id}"]
+        if signed:
+            lines.append("Corianderrelay-Server-Stamp: a.b.c")
+        if not_run:
+            lines.append("Corianderrelay-Not-Run: 1")
+        with self._fleet.lock:
+            stated = self._fleet.stated_headers.get(self.runner_id, {})
+            lines += [f"{name}: {value}" for name, value in stated.items()]
+        return "".join(f"{line}\r\n" for line in lines).encode()
+
+    def _signed_answer(self, request_id: str, body: bytes) -> bytes:
+        head = self._answer_head(200, request_id, signed=True)
+        return head + _body_with_length(body)
+
     def _report(self, connection: socket.socket) -> bool:
         """Report the start time, whatever runner the request expects."""
         report = b'{"born": %d}' % self.started_ms
@@ -201,11 +229,14 @@
     ) -> bool:
         if behaviour == "reject":
             connection.sendall(
-                _answer_head(503, request_id, not_run=True) + _body_with_length(b"")
+                self._answer_head(503, request_id, not_run=True)
+                + _body_with_length(b"")
             )
             return True
         if behaviour == "misdirected":
-            connection.sendall(_answer_head(421, request_id) + _body_with_length(b""))
+            connection.sendall(
+                self._answer_head(421, request_id) + _body_with_length(b"")
+            )
             return True
         with self._fleet.lock:
             self._fleet.runs.append((self.runner_id, request_id, headers))
@@ -222,70 +253,77 @@
             "hang": lambda: _hang(connection),
             "error": lambda: _send(
                 connection,
-                _answer_head(500, request_id, signed=True) + _body_with_length(b"no"),
+                self._answer_head(500, request_id, signed=True)
+                + _body_with_length(b"no"),
                 True,
             ),
             "busy": lambda: _send(
-                connection, _answer_head(503, request_id) + _body_with_length(b""), True
+                connection,
+                self._answer_head(503, request_id) + _body_with_length(b""),
+                True,
             ),
             "unsigned": lambda: _send(
                 connection,
-                _answer_head(200, request_id) + _body_with_length(b"bytes"),
+                self._answer_head(200, request_id) + _body_with_length(b"bytes"),
                 True,
             ),
             "encoded": lambda: _send(
                 connection,
-                _answer_head(200, request_id, signed=True)
+                self._answer_head(200, request_id, signed=True)
                 + b"Content-Encoding: x\r\n"
                 + _body_with_length(b"bytes"),
                 True,
             ),
             "cut": lambda: _send(
                 connection,
-                _answer_head(200, request_id, signed=True)
+                self._answer_head(200, request_id, signed=True)
                 + b"Content-Length: 99\r\n\r\nab",
                 False,
             ),
             "large": lambda: _send(
-                connection, _signed_answer(request_id, b"x" * 1_000_000), True
+                connection, self._signed_answer(request_id, b"x" * 1_000_000), True
             ),
             "extra": lambda: _send(
                 connection,
-                _signed_answer(request_id, b"body") + _signed_answer("other", b"stray"),
+                self._signed_answer(request_id, b"body")
+                + self._signed_answer("other", b"stray"),
                 True,
             ),
             "stray-first": lambda: _send(
                 connection,
-                _signed_answer("other", b"stray") + _signed_answer(request_id, b"body"),
+                self._signed_answer("other", b"stray")
+                + self._signed_answer(request_id, b"body"),
                 True,
             ),
             "unframed": lambda: _send(
                 connection,
-                _answer_head(200, request_id, signed=True) + b"\r\nbody",
+                self._answer_head(200, request_id, signed=True) + b"\r\nbody",
                 False,
             ),
             "unframed-reset": lambda: _send(
-                connection, _answer_head(200, request_id, signed=True) + b"\r\nbo", True
+                connection,
+                self._answer_head(200, request_id, signed=True) + b"\r\nbo",
+                True,
             )
             and _reset(connection),
         }
         answer = answers.get(behaviour)
         if answer is not None:
             return answer()
-        return _send(connection, _signed_answer(request_id, b"body"), True)
+        return _send(connection, self._signed_answer(request_id, b"body"), True)
 
     def _send_endlessly(
         self, behaviour: str, request_id: str, connection: socket.socket
     ) -> bool:
-        own_head = _answer_head(200, request_id, signed=True)
+        own_head = self._answer_head(200, request_id, signed=True)
         beginnings = {
             "endless-head": own_head,
             "endless-noise": b"",
             "endless-interim": b"",
-            "endless-other": _answer_head(200, "other", signed=True) + b"\r\n",
+            "endless-other": self._answer_head(200, "other", signed=True) + b"\r\n",
             "endless-body": own_head + b"\r\n",
             "endless-chunks": own_head + b"Transfer-Encoding: chunked\r\n\r\n",
-            "endless-error": _answer_head(500, request_id, signed=True) + b"\r\n",
+            "endless-error": self._answer_head(500, request_id, signed=True) + b"\r\n",
         }
         units = {
             "endless-head": b"X-Field: %s\r\n" % (b"x" * 1000),
@@ -317,7 +355,7 @@
         connection: socket.socket,
     ) -> bool:
         start = int(headers.get("last-event-id") or 0) + 1
-        head = _answer_head(200, request_id, signed=True)
+        head = self._answer_head(200, request_id, signed=True)
         head += b"Content-Type: text/event-stream\r\n"
         if behaviour.startswith("unframed"):
             return self._stream_unframed(behaviour, start, head, connection)
@@ -388,25 +426,10 @@
     return {part.partition(":")[0] for part in parts[:-1]}
 
 
-def _answer_head(
-    status: int, request_id: str, *, signed: bool = False, not_run: bool = False
-) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Corianderrelay-Request-Id: {request_id}"]
-    if signed:
-        lines.append("Corianderrelay-Server-Stamp: a.b.c")
-    if not_run:
-        lines.append("Corianderrelay-Not-Run: 1")
-    return "".join(f"{line}\r\n" for line in lines).encode()
-
-
 def _body_with_length(body: bytes) -> bytes:
     return b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-def _signed_answer(request_id: str, body: bytes) -> bytes:
-    return _answer_head(200, request_id, signed=True) + _body_with_length(body)
-
-
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data)
 
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -7,6 +7,7 @@
 import struct
 import threading
 import time
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -26,13 +27,15 @@
 
     ``mode`` is ``ok``, ``busy`` (every call gets 503), ``silent`` (calls get no answer
     and the connection is closed after 5 s) or ``reset`` (every connection is closed).
-    Calls for a topic in ``refused_topics`` get 503 in any mode.
+    Calls for a topic in ``refused_topics`` get 503 in any mode. ``rewrite_value`` maps
+    topic, key and value of each append to the value that is stored.
     """
 
     def __init__(self) -> None:
         self.mode = "ok"
         self.calls = 0
         self.refused_topics: set[str] = set()
+        self.rewrite_value: Callable[[str, str, bytes], bytes] | None = None
         self._lock = threading.Lock()
         self._records_by_topic: dict[str, list[tuple[str, bytes]]] = {}
         self._first_offset_by_topic: dict[str, int] = {}
@@ -98,7 +101,10 @@
         elif url.path == "/api/log-append":
             key_bytes = body[4]
             key = body[5 : 5 + key_bytes].decode()
-            self.put(query["Topic"], key, body[5 + key_bytes :])
+            value = body[5 + key_bytes :]
+            if self.rewrite_value is not None:
+                value = self.rewrite_value(query["Topic"], key, value)
+            self.put(query["Topic"], key, value)
             self._send(handler, 200, b'{"Offset":0,"End":1}')
         else:
             self._send(handler, 404, b"")
