--- a/tests/runner.py
+++ b/tests/runner.py
@@ -59,7 +59,7 @@
         feature.get("elements", []) for feature in report
     )
     return [
-        (f"{name}: {element['name']}", element.get("status", "failed"))
+        (f"{name}: {element['name'].strip()}", element.get("status", "failed"))
         for element in elements
         if element["type"] == "scenario"
     ]
