Respect the limits that runners state, as one sum over all entries

Ruled out: repeats (none reached the runner) and entries that each respect the limit (no code did).

Every entry counts the requests of all entries against one bucket, entries with requests take turns, and the part of silent entries stays unused.

The pace of streaming services moves out of the scheduler.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -226,5 +226,9 @@
             return False
         return self._picker.spend_retry(now)
 
+    def retry_after_s(self, now: float) -> float:
+        """Return the seconds after which a refused caller may find a runner."""
+        return self._picker.retry_after_s(now)
+
 
 __all__ = ["CrashWatch", "GuardedPicker"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -16,6 +16,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.crash_ledger import LostAttempt
+    from ...state.direct.limit_shares import SharedLimit
     from ...state.direct.part_ledger import PartLoss
     from ...state.direct.settings import DirectSettings
     from .decision_log import DecisionLog
@@ -84,6 +85,7 @@
         slowness: dict[str, float],
         lost_attempts: tuple[LostAttempt, ...],
         lost_parts: tuple[PartLoss, ...],
+        limits: tuple[SharedLimit, ...],
     ) -> None:
         """Send this entry's state to all others, and evict silent ones."""
         self._sequence += 1
@@ -101,6 +103,7 @@
             slowness,
             lost_attempts,
             lost_parts,
+            limits,
         )
         self._send_update(peer_update, self.peers.addresses())
         for entry_id in self.peers.evict_silent(self._clock.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_balancers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_balancers.py
@@ -83,7 +83,7 @@
         return self._election.is_elected(ready, others, now)
 
     def _stream_cost_s(self, service: str) -> float:
-        return self._scheduler.stream_cost_s(service, self._clock.seconds())
+        return self._scheduler.pacing.stream_cost_s(service, self._clock.seconds())
 
     def _add_balancer(self, service: str) -> GroupBalancer:
         balancer = GroupBalancer(
@@ -94,7 +94,7 @@
             self._clock,
             self._random,
             self._log,
-            partial(self._scheduler.pass_s, service),
+            partial(self._scheduler.pacing.pass_s, service),
             partial(self._stream_cost_s, service),
             self._scheduler.running,
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -119,8 +119,16 @@
             self.peer_socket.send_update,
             self._on_peers_changed,
         )
+        self.statements = StatementWatch(
+            self.exchange.peers, self.log, self._send_update_soon
+        )
         self.scheduler = ServiceScheduler(
-            self.runners, self.exchange.peers, settings.bounds, random, self.config
+            self.runners,
+            self.exchange.peers,
+            settings.bounds,
+            random,
+            self.config,
+            self.statements,
         )
         self.connections = RunnerPool(reactor, reactor, sources.dialect)
         self.runner_watch = RunnerWatch(
@@ -149,7 +157,6 @@
             self.log,
             self.collectors,
         )
-        self.statements = StatementWatch(self.log)
         self.relay = DirectRelay(
             sources.dialect,
             self.connections,
@@ -256,6 +263,7 @@
         now = self._reactor.seconds()
         slowness = self.balancers.slow_runners()
         self.scheduler.set_own_slowness(slowness)
+        self.statements.update_entries(now)
         self.exchange.send_update(
             self.ready,
             self.scheduler.own_running(),
@@ -263,10 +271,12 @@
             slowness,
             self.crashes.ledger.next_shared(now),
             self.crashes.parts.ledger.next_shared(now),
+            self.statements.limits.shared(now),
         )
 
     def _on_peer_update(self, peer_update: PeerUpdate) -> None:
         self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
+        self.statements.receive(peer_update, self._reactor.seconds())
         self.exchange.receive(peer_update)
 
     def _on_peers_changed(self) -> None:
@@ -293,6 +303,8 @@
         self.quarantine_watch.tick()
         self.connections.close_expired()
         now = self._reactor.seconds()
+        if self.runner_watch.loaded:
+            self.statements.forget_ended(self.runners.all(), now)
         collectors = self.collectors
         collectors.peers.set({}, len(self.exchange.peers.alive(now)))
         collectors.running.set({}, sum(self.scheduler.own_running().values()))
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
 
 from ...state.direct.crash_ledger import LostAttempt, Verdict
 from ...state.direct.entry_peers import PeerUpdate
+from ...state.direct.limit_shares import SharedLimit
 from ...state.direct.part_ledger import PartLoss
 
 
@@ -28,6 +29,14 @@
     trials: int
 
 
+class _SharedLimit(msgspec.Struct, array_like=True):
+    runner_life: str
+    per_s: Annotated[float, msgspec.Meta(ge=0.0)] | None
+    age_s: Annotated[float, msgspec.Meta(ge=0.0)]
+    sent: int
+    wanted: bool
+
+
 class _Message(msgspec.Struct, array_like=True):
     entry_id: str
     incarnation: int
@@ -41,6 +50,7 @@
     slowness_by_runner: dict[str, float]
     lost_attempts: list[_LostAttempt] = []
     lost_parts: list[_LostPart] = []
+    limits: list[_SharedLimit] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -60,6 +70,10 @@
         _LostPart(*(getattr(lost, name) for name in _LostPart.__struct_fields__))
         for lost in peer_update.lost_parts
     ]
+    fields["limits"] = [
+        _SharedLimit(*(getattr(each, name) for name in _SharedLimit.__struct_fields__))
+        for each in peer_update.limits
+    ]
     return _ENCODER.encode(_Message(**fields))
 
 
@@ -76,6 +90,9 @@
     fields["lost_parts"] = tuple(
         PartLoss(*msgspec.structs.astuple(lost)) for lost in message.lost_parts
     )
+    fields["limits"] = tuple(
+        SharedLimit(*msgspec.structs.astuple(each)) for each in message.limits
+    )
     return Ok(PeerUpdate(**fields))
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/admission_queue.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/admission_queue.py
@@ -85,10 +85,14 @@
         interval_s = self._interval_s / (peer_load.entries + 1)
         return (ahead + peer_load.waiting + 1) * interval_s
 
-    def retry_after_s(self, peer_load: PeerLoad) -> float:
-        """Return the seconds after which a refused caller should retry."""
+    def retry_after_s(self, peer_load: PeerLoad, min_wait_s: float = 0.0) -> float:
+        """Return the seconds after which a refused caller should retry.
+
+        :param min_wait_s: seconds until the runners take a request.
+        """
         wait_s = self.expected_wait_s(len(self._queue), peer_load)
-        return min(max(wait_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
+        wait_s = min(max(wait_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
+        return max(wait_s, min_wait_s)
 
     def enqueue(
         self,
@@ -99,13 +103,18 @@
         queue_deadline_s: float,
         peer_load: PeerLoad,
         now: float,
+        min_wait_s: float = 0.0,
     ) -> bool:
-        """Queue a request; return false if its slot is expected too late."""
+        """Queue a request; return false if its slot is expected too late.
+
+        :param min_wait_s: seconds until the runners take a request.
+        """
         new = QueuedRequest(
             item, returned, priority, queue_deadline_s, next(self._counter)
         )
         ahead = sum(1 for each in self._queue if _sort_key(each) < _sort_key(new))
-        if now + self.expected_wait_s(ahead, peer_load) > queue_deadline_s:
+        wait_s = max(self.expected_wait_s(ahead, peer_load), min_wait_s)
+        if now + wait_s > queue_deadline_s:
             return False
         self._queue.append(new)
         self._queue.sort(key=_sort_key)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
@@ -23,7 +23,6 @@
 # Bodies that are not streamed are kept in memory until they are complete.
 _MAX_BODY_BYTES = 4_194_304
 _MAX_CONNECT_FAILURES = 3  # failed connections after which the request fails
-_RETRY_AFTER_S = 0.1  # a rejected request finds a free runner in about one pass
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # callers read them as "not run"
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -112,6 +111,9 @@
     def spend_retry(self, now: float) -> bool:
         """Spend one retry; return false if the budget is exhausted."""
 
+    def retry_after_s(self, now: float) -> float:
+        """Return the seconds after which a refused caller may find a runner."""
+
 
 class DirectAttempts:
     """The attempts of one request.
@@ -189,7 +191,7 @@
         self._connect_failures += 1
         self._release_runner()
         if self._connect_failures >= _MAX_CONNECT_FAILURES:
-            return self._fail(reason)
+            return self._fail(reason, now)
         return self._start_attempt(now, reason)
 
     def head(self, head: RunnerHead, now: float) -> list[AttemptAction]:
@@ -290,7 +292,7 @@
             return [*cancel, *self._finish([timeout])]
         return [
             *cancel,
-            *self._fail("no runner accepted the request before the deadline"),
+            *self._fail("no runner accepted the request before the deadline", now),
         ]
 
     def client_disconnected(self) -> list[AttemptAction]:
@@ -318,7 +320,7 @@
         self._release_runner()
         if self._has_attempts_left() and self._picker.spend_retry(now):
             return [cancel, *self._start_attempt(now, reason)]
-        return [cancel, *self._fail(reason)]
+        return [cancel, *self._fail(reason, now)]
 
     def _on_error_response(self, head: RunnerHead, now: float) -> list[AttemptAction]:
         if head.status >= _SERVER_ERROR and self._may_retry():
@@ -338,7 +340,7 @@
         self._release_runner()
         if self._may_retry() and self._picker.spend_retry(now):
             return [*cancel, *self._start_attempt(now, reason)]
-        return [*cancel, *self._fail(reason)]
+        return [*cancel, *self._fail(reason, now)]
 
     def _has_attempts_left(self) -> bool:
         return self.sends < self._route.attempts
@@ -355,10 +357,10 @@
 
     def _start_attempt(self, now: float, reason: str) -> list[AttemptAction]:
         if now >= self.deadline_s:
-            return self._fail(reason)
+            return self._fail(reason, now)
         runner_id = self._picker.pick(self._excluded, now)
         if runner_id is None:
-            return self._fail(reason)
+            return self._fail(reason, now)
         return [self._start_attempt_at(runner_id, now)]
 
     def _start_attempt_at(self, runner_id: str, now: float) -> StartAttempt:
@@ -367,12 +369,13 @@
         self.sent_at = self.last_received_at = now
         return StartAttempt(runner_id, self._buffer.last_event_id)
 
-    def _fail(self, reason: str) -> list[AttemptAction]:
+    def _fail(self, reason: str, now: float) -> list[AttemptAction]:
         if self.started:
             return self._finish([AbortResponse(reason)])
         if self.may_have_run:
             return self._finish([RefuseRequest(_BAD_GATEWAY, reason)])
-        return self._finish([RefuseRequest(_UNAVAILABLE, reason, _RETRY_AFTER_S)])
+        retry_after_s = self._picker.retry_after_s(now)
+        return self._finish([RefuseRequest(_UNAVAILABLE, reason, retry_after_s)])
 
     def _finish(self, actions: list[AttemptAction]) -> list[AttemptAction]:
         self.finished = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -11,10 +11,13 @@
 
 if TYPE_CHECKING:
     from .crash_ledger import LostAttempt
+    from .limit_shares import SharedLimit
     from .part_ledger import PartLoss
 
 _MIN_LIVENESS_TIMEOUT_S = 1.5  # shorter than the TTL of callers' entry lists
 _LIVENESS_INTERVALS = 4  # tolerates the loss of a few datagrams
+_MIN_HEARD_S = 0.25
+_HEARD_INTERVALS = 1.3
 _EVICT_AFTER_S = 20.0  # a replaced entry comes back at another address
 _SHARE_KEPT_S = 600.0  # longer than usual partitions between entries
 _DATAGRAMS_PER_S = 125.0  # bounds CPU time and bandwidth for any number of entries
@@ -34,6 +37,7 @@
         longer than usual.
     :param lost_attempts: attempts that may have ended their runners.
     :param lost_parts: parts of prompts under which runners may have ended.
+    :param limits: limits that runners state, and this entry's requests under them.
     """
 
     entry_id: str
@@ -48,6 +52,7 @@
     slowness_by_runner: dict[str, float] = field(default_factory=dict)
     lost_attempts: tuple[LostAttempt, ...] = ()
     lost_parts: tuple[PartLoss, ...] = ()
+    limits: tuple[SharedLimit, ...] = ()
 
 
 @dataclass(slots=True)
@@ -140,6 +145,17 @@
             if peer.update is not None and now - peer.last_seen_at <= timeout_s
         ]
 
+    def heard(self, now: float) -> int:
+        """Return how many peers have sent an update just now.
+
+        Unlike ``alive``, this does not tolerate a lost datagram: a peer that is cut off
+        must be missed soon.
+        """
+        max_age_s = max(_MIN_HEARD_S, _HEARD_INTERVALS * self.send_interval_s)
+        return sum(
+            now - peer.last_seen_at <= max_age_s for peer in self._peers_by_id.values()
+        )
+
     def addresses(self) -> list[tuple[str, int]]:
         """Return the host and port of each peer."""
         return [(peer.host, peer.port) for peer in self._peers_by_id.values()]
@@ -153,7 +169,10 @@
             if now - max(peer.last_seen_at, peer.added_at) > _EVICT_AFTER_S
         ]
         for entry_id in evicted:
-            del self._peers_by_id[entry_id]
+            last = self._peers_by_id.pop(entry_id).update
+            if last is not None and not last.ready:
+                # It has left in an orderly way, and needs no part of the limits.
+                self._most_peers = max(self._most_peers - 1, len(self._peers_by_id))
         return evicted
 
     def _update_most_peers(self, now: float) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_placement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_placement.py
@@ -22,8 +22,13 @@
 
 _SLOW_RATIO = 1.5  # from this factor on, a rank's own streams are the slowest of all
 _EQUAL_COST_RATIO = 1.1  # costs within 10 % count as equal, to spread requests
+_LIMITED_COST_RATIO = 0.25  # not 0: a limited runner can also be slow or full
 _MIN_SUCCESS_RATE = 0.7  # below it, a rank is avoided like a slow or full one
 
+# Whether the runner is avoided, whether its free slot is assigned to another entry, and
+# its cost; compared in this order.
+_Cost = tuple[bool, bool, float]
+
 
 class RunnerPlacement:
     """One entry's view of the load of all runners."""
@@ -112,16 +117,25 @@
         }
 
     def pick(
-        self, candidates: list[RegisteredRunner], lockstep: bool, now: float
+        self,
+        candidates: list[RegisteredRunner],
+        lockstep: bool,
+        now: float,
+        limited_ids: frozenset[str] = frozenset(),
     ) -> str | None:
         """Return the id of a random one among the best; ``None`` without candidates.
 
         :param lockstep: whether the candidates are ranks of a lock-step group.
+        :param limited_ids: candidates whose limit leaves them idle for the most part;
+            they are preferred when they take a request.
         """
         if not candidates:
             return None
         cost = self._rank_cost if lockstep else self._plain_cost
-        costs = [(*cost(each, now), each.runner_id) for each in candidates]
+        costs = [
+            (*_prefer(cost(each, now), each.runner_id in limited_ids), each.runner_id)
+            for each in candidates
+        ]
         avoid, uses_peer_slot, min_cost, _ = min(costs)
         equal_cost_ids = [
             runner_id
@@ -153,4 +167,11 @@
         return full, False, health.cost(self.running(runner.runner_id), now)
 
 
+def _prefer(cost: _Cost, limited: bool) -> _Cost:
+    avoid, uses_peer_slot, runner_cost = cost
+    if not limited:
+        return cost
+    return avoid, False, runner_cost * _LIMITED_COST_RATIO
+
+
 __all__ = ["RunnerPlacement"]
--- a/tests/features/steps/direct_attempts_steps.py
+++ b/tests/features/steps/direct_attempts_steps.py
@@ -34,6 +34,10 @@
     def spend_retry(self, now: float) -> bool:
         return True
 
+    def retry_after_s(self, now: float) -> float:
+        """Return a fixed delay."""
+        return 0.1
+
 
 class DirectCaller:
     """Records what the caller and the runners receive by the actions of a request."""
--- a/tests/features/steps/stated_limits_steps.py
+++ b/tests/features/steps/stated_limits_steps.py
@@ -18,7 +18,7 @@
 from tests.harness.platform_system import PlatformSystem
 from tests.waiting import wait_until
 
-_PATH = "/stock/whole"
+_PATH = "/stream/whole"
 _CALLERS_PER_ENTRY = 2
 _PAUSE_S = 0.02  # between two requests of a caller
 _LEARNING_S = 1.0  # entries learn the limit with the first answers
