--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_answer_sink.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_answer_sink.py
@@ -15,6 +15,7 @@
     from corianderrelay.state.errors import RelayError
 
     from ..state.attempt import Attempt
+    from ..state.engine_pace import EngineStatement
 
 _EVENT_STREAM = "text/event-stream"
 
@@ -22,6 +23,9 @@
 class AttemptListener(Protocol):
     """Receives the progress of attempts on the engine."""
 
+    def on_statement(self, attempt: Attempt, statement: EngineStatement) -> None:
+        """Called with what the engine states of itself, before ``on_head``."""
+
     def on_head(self, attempt: Attempt, status: int, content_type: str) -> None:
         """Called with the HTTP status and content type of the answer."""
 
@@ -49,6 +53,10 @@
         self._attempt = attempt
         self._splitter: EventSplitter | None = None
 
+    def on_statement(self, statement: EngineStatement) -> None:
+        """Pass on what the engine states of itself."""
+        self._listener.on_statement(self._attempt, statement)
+
     def on_head(self, status: int, content_type: str) -> None:
         """Pass on the status; split the body if it is an event stream."""
         if content_type.startswith(_EVENT_STREAM):
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import eliot
+
 from corianderrelay.state.errors import (
     DeadlineExceededError,
     OverloadedError,
@@ -13,26 +15,31 @@
 )
 
 from ..state.attempt import Attempt, AttemptPhase
+from ..state.engine_pace import EnginePace
 from .attempt_answer_sink import AttemptAnswerSink
 from .engine_call import build_engine_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from corianderrelay.coordination.clock import Clock, DelayedCall
+
     from ..state.attempt import AttemptOrder
+    from ..state.engine_pace import EngineStatement
     from ..state.settings import EndpointSettings
     from .engine import Engine, RunningCall
     from .entry_channel import EntryChannel
     from .keyed_attempts import KeyedAttempts
 
 _LEAVING_RETRY_AFTER_S = 0.0
+_MIN_RUN_S = 0.1  # an attempt that starts just before its deadline is of no use
 
 
 class AttemptScheduler:
     """Holds this agent's queued and running attempts and unacknowledged answers.
 
     :param endpoint: service name, slots and queue length of the endpoint.
-    :param seconds: returns the monotonic time in seconds.
+    :param clock: monotonic time and delayed calls.
     :param keyed_attempts: handles attempts with an idempotency key, which run at most
         once.
     :param on_call_failed: called when the engine has failed an attempt.
@@ -42,13 +49,16 @@
         self,
         engine: Engine,
         endpoint: EndpointSettings,
-        seconds: Callable[[], float],
+        clock: Clock,
         keyed_attempts: KeyedAttempts,
         on_call_failed: Callable[[], None],
     ) -> None:
         self._engine = engine
         self._endpoint = endpoint
-        self._seconds = seconds
+        self._seconds = clock.seconds
+        self._clock = clock
+        self._pace = EnginePace(endpoint.requests_per_s, clock.seconds())
+        self._next_start: DelayedCall | None = None
         self.keyed_attempts = keyed_attempts
         self._on_call_failed = on_call_failed
         self._queue: deque[Attempt] = deque()
@@ -184,6 +194,17 @@
             if attempt.entry_id == entry_id
         ]
 
+    def on_statement(self, attempt: Attempt, statement: EngineStatement) -> None:
+        """Record what the engine states of itself."""
+        now = self._seconds()
+        if self._pace.on_statement(statement, attempt.started_at_s, now):
+            eliot.log_message(
+                message_type="agent:limit",
+                per_s=self._pace.limit_per_s,
+                attempt=attempt.order.attempt_id,
+            )
+            self._start_queued()
+
     def on_head(self, attempt: Attempt, status: int, content_type: str) -> None:
         """Record the HTTP status and content type of the engine's answer."""
         attempt.status = status
@@ -237,6 +258,13 @@
                 "retry the request later",
                 retry_after_s=1.0,
             )
+        wait_s = self._pace.wait_s(len(self._queue), self._seconds())
+        if wait_s and self._seconds() + wait_s + _MIN_RUN_S > order.deadline_s:
+            return OverloadedError(
+                f"the endpoint takes {self._pace.limit_per_s} requests a second",
+                "retry the request later, or raise `endpoint.requests_per_s`",
+                retry_after_s=wait_s,
+            )
         return None
 
     def _free_slots(self) -> int:
@@ -244,12 +272,21 @@
 
     def _start_queued(self) -> None:
         while self._queue and self._free_slots() > 0:
+            wait_s = self._pace.wait_s(0, self._seconds())
+            if wait_s > 0.0:
+                self._start_queued_after(wait_s)
+                return
             attempt = self._queue.popleft()
             if attempt.order.deadline_s <= self._seconds():
                 self._refuse_expired(attempt)
             else:
                 self._start(attempt)
 
+    def _start_queued_after(self, wait_s: float) -> None:
+        if self._next_start is not None and self._next_start.active():
+            self._next_start.cancel()
+        self._next_start = self._clock.callLater(wait_s, self._start_queued)
+
     def _refuse_expired(self, attempt: Attempt) -> None:
         del self.attempts_by_id[attempt.order.attempt_id]
         if attempt.order.key:
@@ -264,6 +301,8 @@
     def _start(self, attempt: Attempt) -> None:
         order = attempt.order
         attempt.phase = AttemptPhase.RUNNING
+        attempt.started_at_s = self._seconds()
+        self._pace.on_started(attempt.started_at_s)
         sink = AttemptAnswerSink(self, attempt)
         call = self._engine.start_call(build_engine_call(order), sink)
         self._call_by_attempt_id[order.attempt_id] = call
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
@@ -14,6 +14,8 @@
 
     from corianderrelay.state.errors import RelayError
 
+    from ..state.engine_pace import EngineStatement
+
 
 @dataclass(slots=True, frozen=True)
 class EngineCall:
@@ -33,10 +35,15 @@
 class AnswerSink(Protocol):
     """Receives one answer: ``on_head``, then ``on_data`` for each part of the body.
 
+    ``on_statement`` comes before ``on_head``.
+
     The last callback is ``on_end``, or ``on_failure``, which may come at any point. A
     cancelled call receives neither.
     """
 
+    def on_statement(self, statement: EngineStatement) -> None:
+        """Receive what the engine states of itself."""
+
     def on_head(self, status: int, content_type: str) -> None:
         """Receive the HTTP status and the content type."""
 
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/serve.py
@@ -68,7 +68,7 @@
         self._scheduler = AttemptScheduler(
             engine,
             settings.endpoint,
-            reactor.seconds,
+            reactor,
             KeyedAttempts(guard, reactor.seconds),
             engine_watch.on_call_failed,
         )
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
@@ -77,6 +77,7 @@
         "next_sequence",
         "tokens",
         "unacknowledged",
+        "started_at_s",
         "ended_at_s",
         "failure",
         "_digest",
@@ -91,6 +92,7 @@
         self.next_sequence = 0
         self.tokens = 0
         self.unacknowledged: deque[AnswerChunk] = deque()
+        self.started_at_s = 0.0
         self.ended_at_s: float | None = None
         self.failure: RelayError | None = None
         self._digest = xxhash.xxh3_64()
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/settings.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/settings.py
@@ -24,7 +24,8 @@
     """The engine rank or plain service beside this agent.
 
     ``slots`` is the number of attempts that it runs concurrently, ``queue`` the number
-    of further attempts that may wait for a slot.
+    of further attempts that may wait for a slot. ``requests_per_s`` limits the attempts
+    that start in a second; the endpoint may state a lower limit itself.
     """
 
     url: Url
@@ -34,6 +35,7 @@
     rank: Annotated[int, Meta(ge=0)] = 0
     slots: Count = 32
     queue: Annotated[int, Meta(ge=0)] = 128
+    requests_per_s: Annotated[float, Meta(gt=0.0)] | None = None
 
 
 class GroupSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import eliot
 import msgspec
 from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
 from twisted.web.client import ResponseDone
@@ -23,6 +24,7 @@
 )
 
 from ..coordination.engine import EngineLoad
+from ..state.engine_pace import EngineStatement, parse_limit
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
@@ -36,6 +38,8 @@
 
 _CONTROL_TIMEOUT_S = 5.0
 _RETRY_AFTER_S = 1.0
+_LIMIT_HEADER = b"x-max-requests-per-second"
+_MAX_LOGGED_BYTES = 24
 _OK = 200
 _CONFLICT = 409
 _NO_EFFECT_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
@@ -148,6 +152,8 @@
 
     def _on_head(self, response: ResponseHead) -> None:
         self._body = _BodyRelay(self)
+        if not self._ended:
+            self._sink.on_statement(_read_statement(response))
         if not self._ended:
             self._sink.on_head(response.code, content_type_of(response))
         response.deliverBody(self._body)
@@ -174,6 +180,20 @@
         self._running.on_body_ended(reason)
 
 
+def _read_statement(response: ResponseHead) -> EngineStatement:
+    values = response.headers.getRawHeaders(_LIMIT_HEADER) or []
+    if not values:
+        return EngineStatement()
+    limit_per_s = parse_limit(str(values[0], "latin-1"))
+    if limit_per_s is None or len(set(values)) > 1:
+        eliot.log_message(
+            message_type="agent:limit_unreadable",
+            stated=str(b", ".join(values)[:_MAX_LOGGED_BYTES], "latin-1"),
+        )
+        return EngineStatement()
+    return EngineStatement(limit_per_s)
+
+
 def _request_error(failure: Failure) -> RelayError:
     if failure.check(HttpNotSentError):
         return _unavailable(failure.getErrorMessage())
--- a/tests/features/steps/engine_http_steps.py
+++ b/tests/features/steps/engine_http_steps.py
@@ -9,6 +9,7 @@
 
 from corianderrelay.state.errors import RelayError
 from corianderrelay_agent.coordination.engine import EngineCall, EngineOrder
+from corianderrelay_agent.state.engine_pace import EngineStatement
 from corianderrelay_agent.transport.engine_http import HttpEngine
 
 from tests.harness.reactor_loop import reactor, result_of, run_until, serve_stand_in
@@ -29,6 +30,9 @@
         self.ends = 0
         self.errors: list[RelayError] = []
 
+    def on_statement(self, statement: EngineStatement) -> None:
+        self.statement = statement
+
     def on_head(self, status: int, content_type: str) -> None:
         self.status = status
 
