--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -125,6 +125,20 @@
         "a runner stated a limit that is not a number of requests per second; it is "
         "ignored",
     )
+    RUNNER_RESTS = (
+        "runner:rests",
+        "a runner rejected a request and asked this entry for rest; its seconds, and "
+        "those that were left of an earlier rest",
+    )
+    REST_UNREADABLE = (
+        "runner:rest_unreadable",
+        "a runner asked for rest with a value that is neither seconds nor a date; it "
+        "is ignored",
+    )
+    RUNNER_STATES_LEAVING = (
+        "runner:states_leaving",
+        "a runner's answer states that it is shutting down; who received it",
+    )
     GROUP_FOUND = ("group:found", "all ranks of a lock-step group were discovered")
     POPULARITY_READ = (
         "popularity:read",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
@@ -68,6 +68,19 @@
         if runner is None:
             return
         life = _life(runner)
+        self._on_limit(opened, life, head, now)
+        if head.leaving:
+            self._log.note(Decision.RUNNER_STATES_LEAVING, runner=life)
+        if head.unreadable_rest:
+            self._log.note(
+                Decision.REST_UNREADABLE, runner=life, stated=head.unreadable_rest
+            )
+        if head.rest_s:
+            self._log.note(Decision.RUNNER_RESTS, runner=life, rest_s=head.rest_s)
+
+    def _on_limit(
+        self, opened: OpenDirectCall, life: str, head: RunnerHead, now: float
+    ) -> None:
         if head.unreadable_limit:
             self._log.note(
                 Decision.LIMIT_UNREADABLE, runner=life, stated=head.unreadable_limit
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/call.py
@@ -56,6 +56,11 @@
         together; ``None`` if it states no readable limit.
     :param unreadable_limit: beginning of a stated limit that is not a number; empty if
         there is none.
+    :param rest_s: seconds for which the runner wants no requests from this entry; 0 if
+        it asks for no rest.
+    :param unreadable_rest: beginning of a requested rest that cannot be read; empty if
+        there is none.
+    :param leaving: whether the runner states that it is shutting down.
     """
 
     status: int
@@ -66,6 +71,9 @@
     faulty_runner_id: str = ""
     limit_per_s: float | None = None
     unreadable_limit: str = ""
+    rest_s: float = 0.0
+    unreadable_rest: str = ""
+    leaving: bool = False
 
     @property
     def success(self) -> bool:
--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -105,3 +105,32 @@
       | fast              | none  | fast                     |
       | empty             | none  | an empty value           |
       | 1.000000000000000000000000000000001 | none | 1.0000000000000000000000 |
+
+  Scenario Outline: A rest that a runner asks for: status <status>, <headers>
+    When a runner answers with status <status> and <headers>
+    Then it asks for <rest> s of rest, and the unreadable text is <unreadable>
+
+    Examples:
+      | status | headers                                                                                  | rest | unreadable |
+      | 503    | Retry-After: 3                                                                           | 3    | none       |
+      | 503    | Retry-After: 0.25                                                                        | 0.25 | none       |
+      | 503    | Retry-After: Fri, 04 Dec 2026 10:00:09 GMT; Date: Fri, 04 Dec 2026 10:00:05 GMT          | 4    | none       |
+      | 503    | Retry-After: Fri, 04 Dec 2026 10:00:01 GMT; Date: Fri, 04 Dec 2026 10:00:05 GMT          | 0    | none       |
+      | 503    | Retry-After: -2                                                                          | 0    | none       |
+      | 503    | Retry-After: soon                                                                        | 0    | soon       |
+      | 503    | Retry-After: inf                                                                         | 0    | inf        |
+      | 503    | At-Server: i-2; Retry-After: 3                                                           | 0    | none       |
+      | 503    | Corianderrelay-Not-Run: 1                                                                | 0    | none       |
+      | 429    | Retry-After: 3                                                                           | 0    | none       |
+      | 200    | Retry-After: 3                                                                           | 0    | none       |
+
+  Scenario Outline: A runner states that it is leaving: status <status>, <headers>
+    When a runner answers with status <status> and <headers>
+    Then it <states> that it is leaving
+
+    Examples:
+      | status | headers           | states        |
+      | 200    | Server-Leaving: 1 | states        |
+      | 503    | Server-Leaving: 1 | states        |
+      | 200    | Server-Leaving: 0 | does not state |
+      | 200    | X: 1              | does not state |
--- a/tests/features/steps/stated_limits_steps.py
+++ b/tests/features/steps/stated_limits_steps.py
@@ -35,7 +35,10 @@
     context.system = PlatformSystem(Path(folder), entries=entries)
     context.cleanup.callback(context.system.close)
     context.limit = limit
+    context.path = _PATH
     context.statuses = []
+    context.host_by_request = {}
+    context.retry_after_s = []
     context.system.fleet.stated_headers["i-0"] = {"Server-Limit": str(limit)}
     context.system.start()
     wait_until(
@@ -53,16 +56,20 @@
 def _ask_until(context: Any, host: str, ends_at: float) -> None:
     while time.monotonic() < ends_at:
         try:
-            answer = context.system.send_request(_PATH, host=host)
+            answer = context.system.send_request(context.path, host=host)
             context.statuses.append(answer[1])
+            context.host_by_request[answer[0]] = host
+            if "retry-after" in answer[2]:
+                context.retry_after_s.append(float(answer[2]["retry-after"]))
         except _TRANSPORT_ERRORS:
             context.statuses.append(0)  # the entry was killed or is frozen
         time.sleep(_PAUSE_S)
 
 
-def _ask(
+def ask(
     context: Any, hosts: list[str], length_s: float, beside: Callable[[], None]
 ) -> None:
+    """Have callers ask at entries for ``length_s`` while ``beside`` runs."""
     context.asked_from = time.monotonic()
     ends_at = context.asked_from + length_s
     with ThreadPoolExecutor(_CALLERS_PER_ENTRY * len(hosts)) as pool:
@@ -78,7 +85,7 @@
 @when("callers ask at {where} for {length_s:g} s")
 def step_ask(context: Any, where: str, length_s: float) -> None:
     hosts = context.system.hosts[: 1 if where == "one entry" else None]
-    _ask(context, hosts, length_s, lambda: None)
+    ask(context, hosts, length_s, lambda: None)
 
 
 @when("callers ask at all entries for {length_s:g} s while entries fail in turn")
@@ -106,7 +113,7 @@
         system.peer_relay.cut_off.clear()
         resume.join()
 
-    _ask(context, list(system.hosts), length_s, fail_entries)
+    ask(context, list(system.hosts), length_s, fail_entries)
 
 
 @when("the runner states no limit any more")
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -53,6 +53,8 @@
     that get bytes without end now. ``deadly_parts`` has the prompt parts that crash
     runners. ``stated_headers`` has the headers that a runner adds to its answers, and
     ``arrivals_by_runner`` the monotonic times of the requests that reached it.
+    ``rejecting`` has the ids of runners that reject all requests. ``sent`` and
+    ``answered`` list the runner's id, request id and time of requests and answers.
     """
 
     def __init__(self) -> None:
@@ -67,6 +69,9 @@
         self.deadly_parts: set[str] = set()
         self.stated_headers: dict[str, dict[str, str]] = {}
         self.arrivals_by_runner: defaultdict[str, list[float]] = defaultdict(list)
+        self.rejecting: set[str] = set()
+        self.sent: list[tuple[str, str, float]] = []
+        self.answered: list[tuple[str, str, float]] = []
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -181,6 +186,9 @@
             self._fleet.received.append((self.runner_id, request_id))
             self._fleet.arrivals.append((path, time.monotonic()))
             self._fleet.arrivals_by_runner[self.runner_id].append(time.monotonic())
+            self._fleet.sent.append((self.runner_id, request_id, time.monotonic()))
+            if self.runner_id in self._fleet.rejecting:
+                behaviour = "reject"
             if "-once" in behaviour:
                 first = behaviour not in self._fleet.used_behaviours
                 self._fleet.used_behaviours.add(behaviour)
@@ -204,6 +212,8 @@
         if not_run:
             lines.append("Corianderrelay-Not-Run: 1")
         with self._fleet.lock:
+            answered = (self.runner_id, request_id, time.monotonic())
+            self._fleet.answered.append(answered)
             stated = self._fleet.stated_headers.get(self.runner_id, {})
             lines += [f"{name}: {value}" for name, value in stated.items()]
         return "".join(f"{line}\r\n" for line in lines).encode()
