Give runners the rest they ask for, and none new work to those that say they leave

Callers were refused though nine of twelve ranks were sound: a rank that rejects at once has the fewest requests running, so it was chosen next, by first attempts and retries alike. The three ranks got 115 to 195 requests in 11 s, the others 12 to 20.

Ruled out: a lack of slots (0 to 15 refusals of about 400). The retry budget was spent by these rejections, as a consequence.

A rest binds the entry and lifetime it was stated to, is extended and never shortened, and ends with a single trial. Runners that state that they leave are excluded like those whose record says so, at all entries. Agents respect the rests of their endpoint.

The scenario with 7 entries asked with 14 callers at once for the 12 slots of the runners without a limit; it now has one caller an entry, and checks the same.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
@@ -199,8 +199,9 @@
         now = self._seconds()
         if self._pace.on_statement(statement, attempt.started_at_s, now):
             eliot.log_message(
-                message_type="agent:limit",
+                message_type="agent:engine_states",
                 per_s=self._pace.limit_per_s,
+                rest_s=statement.rest_s,
                 attempt=attempt.order.attempt_id,
             )
             self._start_queued()
@@ -261,7 +262,8 @@
         wait_s = self._pace.wait_s(len(self._queue), self._seconds())
         if wait_s and self._seconds() + wait_s + _MIN_RUN_S > order.deadline_s:
             return OverloadedError(
-                f"the endpoint takes {self._pace.limit_per_s} requests a second",
+                f"the endpoint takes the next request in {wait_s:.1f} s, by its limit "
+                "or because it asked for rest",
                 "retry the request later, or raise `endpoint.requests_per_s`",
                 retry_after_s=wait_s,
             )
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
 import eliot
@@ -15,6 +16,7 @@
     Ran,
     UnavailableError,
 )
+from corianderrelay.state.retry_after import parse_retry_after
 from corianderrelay.transport.http_client import (
     HttpClient,
     HttpNotSentError,
@@ -27,6 +29,8 @@
 from ..state.engine_pace import EngineStatement, parse_limit
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from twisted.internet.base import ReactorBase
     from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
@@ -41,6 +45,7 @@
 _LIMIT_HEADER = b"x-max-requests-per-second"
 _MAX_LOGGED_BYTES = 24
 _OK = 200
+_UNAVAILABLE = 503
 _CONFLICT = 409
 _NO_EFFECT_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
 
@@ -181,17 +186,35 @@
 
 
 def _read_statement(response: ResponseHead) -> EngineStatement:
+    return EngineStatement(_read_limit(response), _read_rest_s(response))
+
+
+def _read_limit(response: ResponseHead) -> float | None:
     values = response.headers.getRawHeaders(_LIMIT_HEADER) or []
-    if not values:
-        return EngineStatement()
-    limit_per_s = parse_limit(str(values[0], "latin-1"))
-    if limit_per_s is None or len(set(values)) > 1:
-        eliot.log_message(
-            message_type="agent:limit_unreadable",
-            stated=str(b", ".join(values)[:_MAX_LOGGED_BYTES], "latin-1"),
-        )
-        return EngineStatement()
-    return EngineStatement(limit_per_s)
+    limit_per_s = parse_limit(str(values[0], "latin-1")) if values else None
+    if values and (limit_per_s is None or len(set(values)) > 1):
+        _log_unreadable("agent:limit_unreadable", values)
+        return None
+    return limit_per_s
+
+
+def _read_rest_s(response: ResponseHead) -> float:
+    values = response.headers.getRawHeaders(b"retry-after") or []
+    if response.code != _UNAVAILABLE or not values:
+        return 0.0
+    dates = response.headers.getRawHeaders(b"date") or [b""]
+    rest_s = parse_retry_after(
+        str(values[-1], "latin-1"), str(dates[-1], "latin-1"), datetime.now(UTC)
+    )
+    if rest_s is None:
+        _log_unreadable("agent:rest_unreadable", values)
+        return 0.0
+    return rest_s
+
+
+def _log_unreadable(message_type: str, values: Sequence[bytes]) -> None:
+    text = str(b", ".join(values)[:_MAX_LOGGED_BYTES], "latin-1")
+    eliot.log_message(message_type=message_type, stated=text)
 
 
 def _request_error(failure: Failure) -> RelayError:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -127,8 +127,12 @@
     )
     RUNNER_RESTS = (
         "runner:rests",
-        "a runner rejected a request and asked this entry for rest; its seconds, and "
-        "those that were left of an earlier rest",
+        "a runner rejected a request and asked this entry for rest; the seconds that "
+        "it asked for, and those that it gets",
+    )
+    REST_ENDED = (
+        "runner:rest_ended",
+        "a runner that has rested has accepted a request, and gets its share again",
     )
     REST_UNREADABLE = (
         "runner:rest_unreadable",
@@ -137,7 +141,7 @@
     )
     RUNNER_STATES_LEAVING = (
         "runner:states_leaving",
-        "a runner's answer states that it is shutting down; who received it",
+        "a runner's answer, here or at another entry, states that it is shutting down",
     )
     GROUP_FOUND = ("group:found", "all ranks of a lock-step group were discovered")
     POPULARITY_READ = (
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -86,6 +86,7 @@
         lost_attempts: tuple[LostAttempt, ...],
         lost_parts: tuple[PartLoss, ...],
         limits: tuple[SharedLimit, ...],
+        leaving_runners: tuple[tuple[str, int], ...],
     ) -> None:
         """Send this entry's state to all others, and evict silent ones."""
         self._sequence += 1
@@ -104,6 +105,7 @@
             lost_attempts,
             lost_parts,
             limits,
+            leaving_runners,
         )
         self._send_update(peer_update, self.peers.addresses())
         for entry_id in self.peers.evict_silent(self._clock.seconds()):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from corianderrelay.state.runner_rests import RunnerRests
+
 from ...state.direct.crash_ledger import runner_life
 from ...state.direct.limit_shares import LimitShares
 from .decision_log import Decision
@@ -13,33 +15,40 @@
 
     from ...state.direct.call import RunnerHead
     from ...state.direct.entry_peers import EntryPeers, PeerUpdate
-    from ...state.direct.runner_list import RegisteredRunner
+    from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from .decision_log import DecisionLog
     from .open_direct_call import OpenDirectCall
 
+_MAX_SHARED_LEAVING = 16  # bounds an update; more do not leave within seconds
+
 
 class StatementWatch:
     """Records the statements in the heads of runners' answers.
 
+    :param runners: excludes runners that state that they are shutting down.
     :param on_changed: called when the other entries should learn of a change soon.
     """
 
     def __init__(
         self,
         peers: EntryPeers,
+        runners: RunnerList,
         log: DecisionLog,
         on_changed: Callable[[], None],
     ) -> None:
         self._peers = peers
+        self._runners = runners
         self._log = log
         self._on_changed = on_changed
         self.limits = LimitShares(peers.own_id)
+        self._rests = RunnerRests()
 
     def may_send(self, runner: RegisteredRunner, now: float) -> bool:
         """Return whether a request may be sent to the runner now."""
-        may_send = self.limits.request_turn(_life(runner), now)
+        life = _life(runner)
+        may_send = self.limits.request_turn(life, now)
         self._share_news()
-        return may_send
+        return may_send and self._rests.may_send(life, now)
 
     def is_limited(self, runner: RegisteredRunner) -> bool:
         """Whether the runner states a limit."""
@@ -47,7 +56,10 @@
 
     def free_requests(self, runner: RegisteredRunner, now: float) -> int | None:
         """Return how many requests the runner takes now; ``None`` for any number."""
-        return self.limits.free_requests(_life(runner), now)
+        life = _life(runner)
+        if self._rests.is_known(life):
+            return int(self.may_send(runner, now))
+        return self.limits.free_requests(life, now)
 
     def rate_per_s(self, runner: RegisteredRunner, now: float) -> float | None:
         """Return the requests per second that the runner takes; ``None`` for any."""
@@ -55,10 +67,12 @@
 
     def due_at(self, runner: RegisteredRunner, now: float) -> float:
         """Return the earliest time at which the runner takes a request."""
-        return self.limits.due_at(_life(runner), now)
+        life = _life(runner)
+        return max(self.limits.due_at(life, now), self._rests.due_at(life, now))
 
     def on_sent(self, runner: RegisteredRunner, now: float) -> None:
         """Record a request that is sent to a runner."""
+        self._rests.on_sent(_life(runner), now)
         self.limits.on_sent(_life(runner), now)
         self._share_news()
 
@@ -69,14 +83,40 @@
             return
         life = _life(runner)
         self._on_limit(opened, life, head, now)
-        if head.leaving:
-            self._log.note(Decision.RUNNER_STATES_LEAVING, runner=life)
+        self._on_rest(opened, life, head, now)
+        if head.leaving and self._mark_leaving(
+            runner.runner_id, runner.started_ms, request=opened.call.request_id
+        ):
+            self._on_changed()
+
+    def _on_rest(
+        self, opened: OpenDirectCall, life: str, head: RunnerHead, now: float
+    ) -> None:
         if head.unreadable_rest:
             self._log.note(
                 Decision.REST_UNREADABLE, runner=life, stated=head.unreadable_rest
             )
         if head.rest_s:
-            self._log.note(Decision.RUNNER_RESTS, runner=life, rest_s=head.rest_s)
+            self._log.note(
+                Decision.RUNNER_RESTS,
+                runner=life,
+                asked_s=head.rest_s,
+                rest_s=round(self._rests.on_rejected(life, head.rest_s, now), 3),
+                request=opened.call.request_id,
+            )
+        elif self._rests.on_accepted(life, opened.attempts.sent_at):
+            self._log.note(
+                Decision.REST_ENDED, runner=life, request=opened.call.request_id
+            )
+
+    def _mark_leaving(
+        self, runner_id: str, started_ms: int, **evidence: object
+    ) -> bool:
+        if not self._runners.mark_leaving(runner_id, started_ms):
+            return False
+        life = runner_life(runner_id, started_ms)
+        self._log.note(Decision.RUNNER_STATES_LEAVING, runner=life, **evidence)
+        return True
 
     def _on_limit(
         self, opened: OpenDirectCall, life: str, head: RunnerHead, now: float
@@ -113,6 +153,13 @@
                 Decision.RUNNER_LIMIT, runner=life, per_s=per_s, entry=update.entry_id
             )
 
+        for runner_id, started_ms in update.leaving_runners:
+            self._mark_leaving(runner_id, started_ms, entry=update.entry_id)
+
+    def leaving_runners(self) -> tuple[tuple[str, int], ...]:
+        """Return the ids and start times of leaving runners, for the other entries."""
+        return tuple(self._runners.recently_leaving(_MAX_SHARED_LEAVING))
+
     def update_entries(self, now: float) -> None:
         """Update how many entries share the limits."""
         heard = 1 + self._peers.heard(now)
@@ -121,6 +168,7 @@
     def forget_ended(self, runners: Iterable[RegisteredRunner], now: float) -> None:
         """Discard the statements of runners that are not registered any more."""
         lives = {_life(runner) for runner in runners}
+        self._rests.keep_only(lives)
         for life in self.limits.keep_only(lives, now):
             self._log.note(
                 Decision.RUNNER_LIMIT,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -120,7 +120,7 @@
             self._on_peers_changed,
         )
         self.statements = StatementWatch(
-            self.exchange.peers, self.log, self._send_update_soon
+            self.exchange.peers, self.runners, self.log, self._send_update_soon
         )
         self.scheduler = ServiceScheduler(
             self.runners,
@@ -272,6 +272,7 @@
             self.crashes.ledger.next_shared(now),
             self.crashes.parts.ledger.next_shared(now),
             self.statements.limits.shared(now),
+            self.statements.leaving_runners(),
         )
 
     def _on_peer_update(self, peer_update: PeerUpdate) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -51,6 +51,7 @@
     lost_attempts: list[_LostAttempt] = []
     lost_parts: list[_LostPart] = []
     limits: list[_SharedLimit] = []
+    leaving_runners: list[tuple[str, int]] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -93,6 +94,7 @@
     fields["limits"] = tuple(
         SharedLimit(*msgspec.structs.astuple(each)) for each in message.limits
     )
+    fields["leaving_runners"] = tuple(message.leaving_runners)
     return Ok(PeerUpdate(**fields))
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -37,6 +37,7 @@
         longer than usual.
     :param lost_attempts: attempts that may have ended their runners.
     :param lost_parts: parts of prompts under which runners may have ended.
+    :param leaving_runners: ids and start times of runners that state that they leave.
     :param limits: limits that runners state, and this entry's requests under them.
     """
 
@@ -53,6 +54,7 @@
     lost_attempts: tuple[LostAttempt, ...] = ()
     lost_parts: tuple[PartLoss, ...] = ()
     limits: tuple[SharedLimit, ...] = ()
+    leaving_runners: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(slots=True)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_MAX_LEAVING = 1024  # bounds memory; a runner is gone seconds after it said so
 _REMOVAL_DELAY_S = 2.2  # live runners re-register about 2 s after an outage
 
 
@@ -43,6 +44,7 @@
         "_removal_due_by_id",
         "_delay_removals_until",
         "_log_unavailable",
+        "_leaving_lives",
     )
 
     def __init__(self) -> None:
@@ -50,6 +52,8 @@
         self._removal_due_by_id: dict[str, float] = {}
         self._delay_removals_until = float("-inf")
         self._log_unavailable = False
+        # In the order in which they were learned; the values have no meaning.
+        self._leaving_lives: dict[tuple[str, int], None] = {}
 
     def __len__(self) -> int:
         return len(self._runners_by_id)
@@ -118,13 +122,36 @@
         return [
             runner
             for runner in self._runners_by_id.values()
-            if runner.service == service and not runner.leaving
+            if runner.service == service and not self._is_leaving(runner)
         ]
 
+    def mark_leaving(self, runner_id: str, started_ms: int) -> bool:
+        """Record that a runner itself states that it is shutting down.
+
+        It holds for this lifetime of the runner, whatever its record says.
+
+        :return: whether this was not known.
+        """
+        life = (runner_id, started_ms)
+        if life in self._leaving_lives:
+            return False
+        if len(self._leaving_lives) >= _MAX_LEAVING:
+            del self._leaving_lives[next(iter(self._leaving_lives))]
+        self._leaving_lives[life] = None
+        return True
+
+    def recently_leaving(self, count: int) -> list[tuple[str, int]]:
+        """Return the ids and start times of the last runners marked as leaving."""
+        return list(self._leaving_lives)[-count:]
+
     def all(self) -> list[RegisteredRunner]:
         """Return all registered runners."""
         return list(self._runners_by_id.values())
 
+    def _is_leaving(self, runner: RegisteredRunner) -> bool:
+        life = (runner.runner_id, runner.started_ms)
+        return runner.leaving or life in self._leaving_lives
+
     def _delete(self, runner_id: str) -> None:
         self._runners_by_id.pop(runner_id, None)
         self._removal_due_by_id.pop(runner_id, None)
--- a/tests/features/agent/coordination/engine_pace.feature
+++ b/tests/features/agent/coordination/engine_pace.feature
@@ -33,3 +33,12 @@
       | nan                               |
       | inf                               |
       | 1.0000000000000000000000000000001 |
+
+  Scenario: An engine that asks for rest gets no attempt until it is over, then one
+    Given an agent whose operator limits it to 100 requests a second
+    When an answer asks for 3 s of rest at 10 s and another one for 1 s at 10.1 s
+    Then the next attempt may start at 13 s
+    When it starts at 13 s
+    Then the next attempt may start at 15 s
+    When the engine accepts it at 13.2 s
+    Then the next attempt may start at 13.2 s
--- a/tests/features/platform/resting_runners.feature
+++ b/tests/features/platform/resting_runners.feature
@@ -32,7 +32,7 @@
   # Guards against requests to a runner that leaves and is listed as ready.
   Scenario Outline: A runner states in its <answers> that it leaves, with the store away
     Given 3 entries and 3 runners
-    And callers ask for /stream/whole at all entries for 1 s
+    And callers ask for <path> at all entries for 1 s
     When the store falls silent
     And a runner states in its <answers> that it leaves
     And callers ask for <path> at all entries for 4 s
--- a/tests/features/steps/engine_pace_steps.py
+++ b/tests/features/steps/engine_pace_steps.py
@@ -156,3 +156,34 @@
 @then("the text {text} is no limit of an engine")
 def step_unreadable(context: Any, text: str) -> None:
     assert parse_limit(text) is None
+
+
+@when(
+    "an answer asks for {first_s:g} s of rest at {first_at:g} s and another one for "
+    "{second_s:g} s at {second_at:g} s"
+)
+def step_rests(
+    context: Any, first_s: float, first_at: float, second_s: float, second_at: float
+) -> None:
+    context.pace.on_statement(EngineStatement(None, first_s), 9.0, first_at)
+    context.pace.on_statement(EngineStatement(None, second_s), 9.0, second_at)
+    context.pace.on_statement(EngineStatement(), 9.0, second_at)
+    context.now = second_at
+
+
+@when("it starts at {at_s:g} s")
+def step_starts(context: Any, at_s: float) -> None:
+    context.pace.on_started(at_s)
+    context.started_at = context.now = at_s
+
+
+@when("the engine accepts it at {at_s:g} s")
+def step_accepts(context: Any, at_s: float) -> None:
+    assert context.pace.on_statement(EngineStatement(), context.started_at, at_s)
+    context.now = at_s
+
+
+@then("the next attempt may start at {at_s:g} s")
+def step_may_start(context: Any, at_s: float) -> None:
+    starts_at = context.now + context.pace.wait_s(0, context.now)
+    assert abs(starts_at - at_s) < 1e-6, starts_at
--- a/tests/features/steps/resting_runners_steps.py
+++ b/tests/features/steps/resting_runners_steps.py
@@ -76,9 +76,14 @@
 def step_leaves(context: Any, answers: str) -> None:
     fleet = context.system.fleet
     with fleet.lock:
-        fleet.stated_headers[_RUNNER] = {"Server-Leaving": "1"}
+        arrivals_by_runner = fleet.arrivals_by_runner
+        # Entries send plain requests to the fastest runners only.
+        context.runner = max(
+            arrivals_by_runner, key=lambda runner: len(arrivals_by_runner[runner])
+        )
+        fleet.stated_headers[context.runner] = {"Server-Leaving": "1"}
         if answers == "rejections":
-            fleet.rejecting.add(_RUNNER)
+            fleet.rejecting.add(context.runner)
 
 
 def _times_by_host(
@@ -128,7 +133,8 @@
 
 
 @then(
-    "every refused caller is told a time within {most_s:g} s, and its request did not run"
+    "every refused caller is told a time within {most_s:g} s, and its request did "
+    "not run"
 )
 def step_refused(context: Any, most_s: float) -> None:
     assert set(context.statuses) == {503}, context.statuses
@@ -155,8 +161,8 @@
 )
 def step_left(context: Any, late_s: float) -> None:
     fleet = context.system.fleet
-    sent = _times_by_host(context, fleet.sent, _RUNNER)
-    answered = _times_by_host(context, fleet.answered, _RUNNER)
+    sent = _times_by_host(context, fleet.sent, context.runner)
+    answered = _times_by_host(context, fleet.answered, context.runner)
     assert answered, "the runner got no request"
     for host, answers in answered.items():
         late = [at - answers[0] for at in sent[host] if at > answers[0] + late_s]
@@ -166,5 +172,9 @@
 @then("it gets no request at all from {since_s:g} s on")
 def step_no_request(context: Any, since_s: float) -> None:
     since = context.asked_from + since_s
-    late = [at for at in context.system.fleet.arrivals_by_runner[_RUNNER] if at > since]
+    late = [
+        at
+        for at in context.system.fleet.arrivals_by_runner[context.runner]
+        if at > since
+    ]
     assert not late, late
--- a/tests/features/steps/stated_limits_steps.py
+++ b/tests/features/steps/stated_limits_steps.py
@@ -19,7 +19,7 @@
 from tests.waiting import wait_until
 
 _PATH = "/stream/whole"
-_CALLERS_PER_ENTRY = 2
+_MOST_CALLERS = 7  # for the slots of the runners without a limit
 _PAUSE_S = 0.02  # between two requests of a caller
 _LEARNING_S = 1.0  # entries learn the limit with the first answers
 _WINDOW_S = 4.0
@@ -70,12 +70,13 @@
     context: Any, hosts: list[str], length_s: float, beside: Callable[[], None]
 ) -> None:
     """Have callers ask at entries for ``length_s`` while ``beside`` runs."""
+    callers_per_entry = max(_MOST_CALLERS // len(hosts), 1)
     context.asked_from = time.monotonic()
     ends_at = context.asked_from + length_s
-    with ThreadPoolExecutor(_CALLERS_PER_ENTRY * len(hosts)) as pool:
+    with ThreadPoolExecutor(callers_per_entry * len(hosts)) as pool:
         callers = [
             pool.submit(_ask_until, context, host, ends_at)
-            for host in hosts * _CALLERS_PER_ENTRY
+            for host in hosts * callers_per_entry
         ]
         beside()
         for caller in callers:
@@ -158,7 +159,18 @@
 
 @then("all callers are served")
 def step_all_served(context: Any) -> None:
-    assert set(context.statuses) == {200}, context.statuses
+    assert set(context.statuses) == {200}, refusals(context)
+
+
+def refusals(context: Any) -> list[dict[str, Any]]:
+    """Return the log lines of requests that were not served."""
+    return [
+        line
+        for number in range(len(context.system.hosts))
+        for line in context.system.log_lines(number)
+        if line["message_type"] in ("request:no_place", "request:left_runner")
+        or line.get("status", 200) != 200
+    ]
 
 
 @then("it gets more than {count:d} requests in the last {length_s:g} s")
