Wait for agent-1 to run a request by time, not by a number of requests

"More requests wait at a blocked rank than the retry budget covers" failed at its first step on. Traced: all three engines run eight requests each, so agent-1 is chosen; the step gave the first requests 2 s to run (20 more requests, 0.1 s apart), and on a busy machine they take longer: one run needed all 60 requests, others 40 within 0.2 to 1.3 s. The step now waits up to 20 s and sends no more requests than before; what the scenario checks is the same.

--- a/tests/features/steps/whole_answers_steps.py
+++ b/tests/features/steps/whole_answers_steps.py
@@ -23,6 +23,7 @@
 _ANSWER_TOKENS = 90
 _FAULT_DELAY_S = 1.0
 _PAUSE_S = 5.0
+_START_TIMEOUT_S = 20.0
 _REQUESTS_PER_ENTRY = 15
 _MAX_REQUESTS = 60
 _GROUP_RANKS = 2
@@ -84,10 +85,13 @@
     context.answers = [
         _submit_chat(pool, system, next(numbers)) for _ in range(callers)
     ]
-    # Runners are chosen at random; agent-1 must be in use when the fault occurs.
+    # Runners are chosen at random; agent-1 must be in use when the fault occurs. On a
+    # busy machine it takes seconds until the first requests run.
+    give_up_at = time.monotonic() + _START_TIMEOUT_S
     while not _count_running_at_engine_1(system):
-        assert len(context.answers) < _MAX_REQUESTS, "agent-1 was never chosen"
-        context.answers.append(_submit_chat(pool, system, next(numbers)))
+        assert time.monotonic() < give_up_at, "agent-1 was never chosen"
+        if len(context.answers) < _MAX_REQUESTS:
+            context.answers.append(_submit_chat(pool, system, next(numbers)))
         time.sleep(_FAULT_DELAY_S / 10)
 
 
