Let only the elected entry and its standby ask ranks for their groups

Cause: every entry asked every rank for its group, so that any could take over at once. Now the entry with the lowest id and the next one do; surveys of groups of more than 32 ranks are made each 2 s at most. Test: 98 entries asked each rank once each per round before (both rows failed).

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -38,6 +38,9 @@
 # While a runner of the service is in no known group, or a group's map is unknown.
 _DISCOVERY_PERIOD_S = 2.0
 _POLL_PERIOD_S = 1.0  # detects slow ranks, and groups that another entry left held
+# Large groups are polled less often: slow ranks must be detected within 3 s.
+_MAX_POLL_PERIOD_S = 2.0
+_POLLED_RANKS_PER_S = 32.0  # of one group
 _SLOWNESS_CHANGE_RATIO = 1.5  # a larger change at any rank requires a new plan
 _MIN_SLOWNESS = 1.2  # from this multiple on, a rank should get fewer streams
 _MAX_COPY_S = 0.3  # popularity can change again within a few seconds
@@ -75,6 +78,12 @@
         """Each rank's step time as a multiple of the usual one, in order of rank."""
         return [self.slowness_by_id[runner_id] for runner_id in self.members]
 
+    @property
+    def poll_period_s(self) -> float:
+        """Seconds between two surveys of the ranks while no switch is in progress."""
+        scaled_s = len(self.members) / _POLLED_RANKS_PER_S
+        return min(max(scaled_s, _POLL_PERIOD_S), _MAX_POLL_PERIOD_S)
+
     @property
     def slowness_changed(self) -> bool:
         """Whether a rank's slowness differs much from that of the last plan."""
@@ -133,24 +142,25 @@
             if slowness >= _MIN_SLOWNESS
         }
 
-    def tick(self, engine: EngineModel, may_switch: bool) -> None:
+    def tick(self, engine: EngineModel, may_switch: bool, may_discover: bool) -> None:
         """Advance the current switches; start new ones only if ``may_switch``.
 
-        Groups are discovered in any case, so that this entry can take over at once.
-
         :param may_switch: whether this entry is elected to balance the groups.
+        :param may_discover: whether it asks ranks for their groups; an entry that does
+            so before it is elected can take over at once.
         """
         experts = engine.experts
         if experts is None:
             return
         now = self._clock.seconds()
-        self._discover_groups(engine, now)
+        if may_switch or may_discover:
+            self._discover_groups(engine, now)
         if may_switch and not self._was_elected:
             self._on_elected(now)
         self._was_elected = may_switch
         for group in self._groups_by_name.values():
             has_map = group.coordinator.map_version is not None
-            poll_period_s = _POLL_PERIOD_S if has_map else _DISCOVERY_PERIOD_S
+            poll_period_s = group.poll_period_s if has_map else _DISCOVERY_PERIOD_S
             if may_switch and now - group.polled_at >= poll_period_s:
                 group.polled_at = now
                 group.coordinator.request_survey(now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_balancers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_balancers.py
@@ -23,6 +23,7 @@
 # Short, because a held group makes no progress until another entry takes over. Two
 # entries that balance the same group for a short time do no harm.
 _PEER_TIMEOUT_S = 0.5
+_DISCOVERY_INTERVALS = 2.0  # each peer has sent an update within so many intervals
 
 
 class ServiceBalancers:
@@ -59,6 +60,7 @@
         if catalog is None:
             return
         may_switch = self._is_elected(ready, now)
+        may_discover = self._election.knows_groups(now, self._discovery_s)
         for service in catalog.services_by_name.values():
             engine = service.engine
             if engine is None or engine.experts is None:
@@ -66,7 +68,7 @@
             balancer = self._balancers_by_service.get(service.name)
             if balancer is None:
                 balancer = self._add_balancer(service.name)
-            balancer.tick(engine, may_switch)
+            balancer.tick(engine, may_switch, may_discover)
 
     def slow_runners(self) -> dict[str, float]:
         """Return the slow ranks, if this entry is a candidate of the election."""
@@ -80,7 +82,11 @@
     def _is_elected(self, ready: bool, now: float) -> bool:
         alive = self._peers.alive(now, _PEER_TIMEOUT_S)
         others = [peer_update.entry_id for peer_update in alive if peer_update.ready]
-        return self._election.is_elected(ready, others, now)
+        return self._election.is_elected(ready, others, now, self._discovery_s)
+
+    @property
+    def _discovery_s(self) -> float:
+        return _DISCOVERY_INTERVALS * self._peers.send_interval_s
 
     def _stream_cost_s(self, service: str) -> float:
         return self._scheduler.pacing.stream_cost_s(service, self._clock.seconds())
--- a/tests/features/steps/group_balancer_steps.py
+++ b/tests/features/steps/group_balancer_steps.py
@@ -6,73 +6,26 @@
 from typing import Any
 
 from behave import given, then, when
-from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
 from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
 from corianderrelay_entry.coordination.direct.group_balancer import GroupBalancer
-from corianderrelay_entry.state.direct.catalog import EngineModel, ExpertModel
-from corianderrelay_entry.state.direct.rank_orders import (
-    ExpertSets,
-    OrderOutcome,
-    RankOrder,
-    RankReport,
+from corianderrelay_entry.state.direct.runner_list import RunnerList
+from tests.harness.answering_ranks import (
+    ENGINE,
+    NEW_RANK,
+    SERVICE,
+    AnsweringRanks,
+    rank_runner,
 )
-from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
 
-_SERVICE = "s"
-_ENGINE = EngineModel(0.01, 4, 0.2, ExpertModel(1, 8, 4, 2, 0.01))
 _TICK_S = 0.05
-_NEW_RANK = "new"
-
-
-class _Ranks:
-    """Answers for all ranks of one group.
-
-    ``asked`` counts the report calls by runner.
-    """
-
-    def __init__(self, names: list[str]) -> None:
-        self.names = names
-        self.epoch_by_name = dict.fromkeys(names, 1)
-        self.asked = dict.fromkeys([*names, _NEW_RANK], 0)
-
-    def report(self, runner: RegisteredRunner) -> Deferred[RankReport | None]:
-        name = runner.runner_id
-        self.asked[name] += 1
-        return succeed(
-            RankReport(
-                name,
-                "g",
-                self.epoch_by_name[name],
-                self.names.index(name),
-                True,
-                len(self.names),
-                step=1,
-                map_version=0,
-            )
-        )
-
-    def counts(self, runner: RegisteredRunner) -> Deferred[list[int]]:
-        return succeed([1] * 8)
-
-    def experts(self, runner: RegisteredRunner) -> Deferred[ExpertSets]:
-        return succeed(((0, 1),))
-
-    def order(
-        self, runner: RegisteredRunner, order: RankOrder
-    ) -> Deferred[OrderOutcome]:
-        return succeed(OrderOutcome.DONE)
-
-
-def _runner(name: str) -> RegisteredRunner:
-    return RegisteredRunner(name, _SERVICE, "10.0.0.1", 1, "z", 6)
 
 
 def _run(context: Any, seconds: float, *, may_switch: bool = False) -> None:
     for _ in range(round(seconds / _TICK_S)):
         context.clock.advance(_TICK_S)
-        context.balancer.tick(_ENGINE, may_switch)
+        context.balancer.tick(ENGINE, may_switch, may_discover=True)
 
 
 def _members(context: Any) -> list[str]:
@@ -85,11 +38,11 @@
     context.clock, context.runners = Clock(), RunnerList()
     names = [f"rank {number}" for number in range(count)]
     for name in names:
-        context.runners.put(_runner(name))
-    context.ranks = _Ranks(names)
+        context.runners.put(rank_runner(name))
+    context.ranks = AnsweringRanks(names)
     context.balancer = GroupBalancer(
         "entry",
-        _SERVICE,
+        SERVICE,
         context.runners,
         context.ranks,
         context.clock,
@@ -106,9 +59,9 @@
 @when("rank {number:d} is replaced, and its first report is of the {epoch:w} epoch")
 def step_replaced(context: Any, number: int, epoch: str) -> None:
     context.runners.remove(context.ranks.names[number], context.clock.seconds())
-    context.runners.put(_runner(_NEW_RANK))
-    context.ranks.names[number] = _NEW_RANK
-    context.ranks.epoch_by_name[_NEW_RANK] = 2 if epoch == "new" else 1
+    context.runners.put(rank_runner(NEW_RANK))
+    context.ranks.names[number] = NEW_RANK
+    context.ranks.epoch_by_name[NEW_RANK] = 2 if epoch == "new" else 1
     _run(context, _TICK_S)
 
 
