Relay updates between zones and share what is read from the log

Now, with more than 10 entries, updates go directly within a zone; two relays of each zone send its updates to two entries of each other zone, which pass them on. Entries ask others for what they have read of the log. A question bears the asking entry's clock, so nothing looks younger than it is.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -1,4 +1,8 @@
-"""Polls the configuration log and tracks how stale the active configuration is."""
+"""Polls the configuration log and tracks how stale the active configuration is.
+
+An entry that does not read for its zone polls only if another entry tells of a newer
+configuration, or if the last confirmation is too old.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,7 @@
 from corianderrelay.state.errors import LogUnavailableError
 
 from ...state.direct.config_freshness import ConfigFreshness
+from ...state.direct.store_news import Confirmation
 from .decision_log import Decision
 from .dependency import Dependency
 from .ports import LogGapError
@@ -19,6 +24,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.catalog import Catalog, EngineModel
+    from ...state.direct.store_news import ReadDuty
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import ConfigSource
@@ -28,6 +34,10 @@
 _POLL_WAIT_SHARE = 0.3
 _DEFAULT_POLL_WAIT_S = 1.5  # if the use of revoked keys is not bounded
 _RETRY_S = 0.25  # several retries must fit into the seconds that keys stay trusted
+# Another entry of the zone retries sooner and tells when the log is back.
+_SHARED_RETRY_S = 0.6
+# Share of the same bound after which an entry polls without being told to.
+_MAX_AGE_SHARE = 0.56
 
 
 class ConfigWatch:
@@ -35,6 +45,7 @@
 
     :param boottime_seconds: returns seconds of a clock that includes suspended time.
     :param revoke_s: bound on the use of revoked keys, see ``ConfigFreshness``.
+    :param duty: whether this entry reads the log for its zone.
     """
 
     def __init__(
@@ -45,7 +56,9 @@
         revoke_s: float | None,
         log: DecisionLog,
         metrics: DirectMetrics,
+        duty: ReadDuty,
     ) -> None:
+        self._duty = duty
         self._source = source
         self._clock = clock
         self._boottime_seconds = boottime_seconds
@@ -55,7 +68,11 @@
         self._wait_s = (
             _DEFAULT_POLL_WAIT_S if revoke_s is None else _POLL_WAIT_SHARE * revoke_s
         )
+        max_age_s = self._wait_s * _MAX_AGE_SHARE / _POLL_WAIT_SHARE
+        self.confirmation = Confirmation(max_age_s)
         self._offset: int | None = None
+        self._polling = False
+        self._failed_at = float("-inf")
         self._trusted = False
         self._dependency = Dependency("configuration log", log)
         self.catalog: Catalog | None = None
@@ -85,30 +102,92 @@
             return None
         return self.catalog.services_by_name[service].engine
 
+    @property
+    def offset(self) -> int | None:
+        """The offset after the configuration that was read; ``None`` before."""
+        return self._offset
+
     def start(self) -> None:
         """Start polling."""
         self._poll()
 
+    def poll_if_due(self) -> None:
+        """Poll if this entry reads for its zone or its last confirmation is old."""
+        if not self._polling and self._poll_is_due():
+            self._poll()
+
+    def apply_news(
+        self, offset: int, confirmed_at: float, *, records_lost: bool
+    ) -> None:
+        """Apply what another entry tells of the log.
+
+        :param offset: the offset after the newest configuration.
+        :param confirmed_at: when nothing followed it, on the boottime clock.
+        :param records_lost: whether the log has lost records since this entry last
+            read the newest configuration, so that offsets have no meaning.
+        """
+        if self._polling or self._offset is None:
+            return
+        if records_lost:
+            self._offset = None
+        if offset == self._offset:
+            self._confirm(confirmed_at)
+        else:
+            self._poll()
+
+    def _poll_is_due(self) -> bool:
+        old = self.confirmation.is_old(self._boottime_seconds())
+        return old or self._offset is None or self._duty.reads(self._clock.seconds())
+
     def _poll(self) -> None:
+        self._polling = True
         requested_at = self._boottime_seconds()
         if self._offset is None:
             answer = self._source.newest()
         else:
-            answer = self._source.follow(self._offset, self._wait_s)
-        answer.addCallback(self._on_answer, requested_at)
+            answer = self._source.follow(self._offset, self._poll_wait_s())
+        answer.addCallback(self._on_answer, requested_at, self._offset is None)
         answer.addErrback(self._on_failure)
 
+    def _poll_wait_s(self) -> float:
+        """Return for how long a poll may wait: only one that confirms in time."""
+        fresh = self.age_s <= 2.0 * self._wait_s or not self._duty.shared
+        waits = fresh and self._duty.reads(self._clock.seconds())
+        return self._wait_s if waits else 0.0
+
+    def _confirm(self, confirmed_at: float) -> None:
+        self.confirmation.record(confirmed_at)
+        self._freshness.record_confirmation(confirmed_at)
+        if confirmed_at > self._failed_at:
+            self._dependency.mark_available()
+
     def _on_answer(
-        self, answer: tuple[Catalog | None, int], requested_at: float
+        self, answer: tuple[Catalog | None, int], requested_at: float, all_read: bool
     ) -> None:
+        self._polling = False
         catalog, self._offset = answer
         self._dependency.mark_available()
-        self._freshness.record_confirmation(requested_at)
+        self._confirm(requested_at)
+        if all_read:
+            self.confirmation.record_all_read(requested_at)
         if catalog is not None:
             self._activate(catalog)
-        # Without a configuration, polls can return at once: wait to avoid a busy loop.
-        delay_s = 0.0 if self.catalog is not None else _RETRY_S
-        self._clock.callLater(delay_s, self._poll)
+        if self.catalog is None:
+            # Polls can return at once: wait to avoid a busy loop.
+            self._schedule(_RETRY_S)
+        elif self._duty.reads(self._clock.seconds()):
+            self._schedule(0.0)
+
+    def _schedule(self, delay_s: float) -> None:
+        self._polling = True
+        self._clock.callLater(delay_s, self._poll_again)
+
+    def _poll_again(self) -> None:
+        self._polling = False
+        if self.catalog is None:
+            self._poll()
+        else:
+            self.poll_if_due()
 
     def _activate(self, catalog: Catalog) -> None:
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -125,9 +204,11 @@
         )
 
     def _on_failure(self, failure: Failure) -> None:
+        self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "configuration"})
         if failure.check(LogGapError):
             self._offset = None
+            self.confirmation.record_loss(self._failed_at)
             self._log.note(
                 Decision.CONFIG_REJECTED,
                 reason="the records at the offset are no longer kept; "
@@ -144,7 +225,8 @@
                 reason=failure.getErrorMessage(),
                 version=self.version,
             )
-        self._clock.callLater(_RETRY_S, self._poll)
+        reads = self._duty.reads(self._clock.seconds())
+        self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
 
 
 __all__ = ["ConfigWatch"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -111,6 +111,11 @@
     RUNNER_GONE = ("runner:gone", "a runner was removed; the reason")
     ENTRY_HEARD = ("entry:heard", "another entry appeared or has changed")
     ENTRY_FORGOTTEN = ("entry:forgotten", "another entry sent no updates and expired")
+    LOG_READER = (
+        "log:reader",
+        "this entry began or ceased to read the log for its zone; its position among "
+        "the readers of the zone, and the ages of what it knows",
+    )
     DATAGRAM_MALFORMED = (
         "entry:datagram_malformed",
         "a datagram could not be decoded or sent",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from ...state.direct.entry_peers import EntryPeers, PeerUpdate
+from ...state.direct.entry_peers import RELAY_INTERVAL_S, EntryPeers, PeerUpdate
+from ...state.direct.zone_relays import relay_targets
 from .decision_log import Decision
 from .dependency import Dependency
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Sequence
 
     from twisted.python.failure import Failure
 
@@ -20,18 +21,20 @@
     from ...state.direct.part_ledger import PartLoss
     from ...state.direct.settings import DirectSettings
     from .decision_log import DecisionLog
-    from .ports import EntryRegistry
+    from .ports import EntryRegistry, PeerSender
 
 _REGISTRY_RETRY_S = 2.0  # entries that know each other do not need the registry
 _FIRST_READ_RETRY_S = 0.5  # this entry is not ready before the first read
-_REGISTRY_POLL_S = 15.0  # finds entries that registered after the last read
+# Finds entries that registered after the last read. With many entries each polls less
+# often: any one that finds another tells the rest of it.
+_REGISTRY_POLL_S = 15.0
+_REGISTRY_POLLERS = 10
 
 
 class PeerExchange:
     """Sends this entry's state to the other entries and receives theirs.
 
-    :param send_update: sends an update to addresses.
-    :param on_peers_changed: called after each update of another entry.
+    :param sender: sends updates to addresses.
     :ivar discovered: whether the registry has been read. Two entries that have read it
         know each other, as the one that registered later has read the other's address.
     """
@@ -43,20 +46,20 @@
         registry: EntryRegistry,
         clock: Clock,
         log: DecisionLog,
-        send_update: Callable[[PeerUpdate, Iterable[tuple[str, int]]], None],
-        on_peers_changed: Callable[[], None],
+        sender: PeerSender,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
         self._registry = registry
         self._clock = clock
         self._log = log
-        self._send_update = send_update
-        self._on_peers_changed = on_peers_changed
+        self._sender = sender
         self._sequence = 0
+        self._last_update: PeerUpdate | None = None
+        self._relayed_at = float("-inf")
         self.discovered = False
         self._dependency = Dependency("entry registry", log)
-        self.peers = EntryPeers(settings.entry_id)
+        self.peers = EntryPeers(settings.entry_id, settings.zone)
 
     def start(self) -> None:
         """Register this entry's address and discover the other entries."""
@@ -66,16 +69,41 @@
         )
         registered.addCallbacks(lambda _: self._poll_registry(), self._on_failure)
 
-    def receive(self, peer_update: PeerUpdate) -> None:
-        """Apply an update of another entry."""
-        if self.peers.on_update(peer_update, self._clock.seconds()):
-            self._log.note(
-                Decision.ENTRY_HEARD,
-                entry=peer_update.entry_id,
-                incarnation=peer_update.incarnation,
-                ready=peer_update.ready,
-            )
-        self._on_peers_changed()
+    def receive(
+        self, aged_updates: Sequence[tuple[PeerUpdate, float]]
+    ) -> list[tuple[PeerUpdate, float]]:
+        """Apply updates of other entries; return those that were not known.
+
+        :param aged_updates: updates, and for how long relays have had them, in seconds.
+        """
+        now = self._clock.seconds()
+        newer = [each for each in aged_updates if self.peers.is_newer(each[0])]
+        for peer_update, age_s in newer:
+            if self.peers.on_update(peer_update, now, age_s):
+                self._log.note(
+                    Decision.ENTRY_HEARD,
+                    entry=peer_update.entry_id,
+                    incarnation=peer_update.incarnation,
+                    ready=peer_update.ready,
+                )
+        return newer
+
+    def pass_on(self, bundle: bytes) -> None:
+        """Send a bundle of another zone to the entries of this zone."""
+        self._sender.pass_on(bundle, self.peers.zone_addresses())
+
+    def relay_if_due(self) -> None:
+        """Send the updates of this zone to the other zones if this entry relays."""
+        now = self._clock.seconds()
+        if not self.peers.relayed or now - self._relayed_at < RELAY_INTERVAL_S:
+            return
+        self._relayed_at = now
+        alive = self.peers.alive(now)
+        targets = relay_targets(self._settings.entry_id, self._settings.zone, alive)
+        addresses = list(filter(None, map(self.peers.address, targets)))
+        if addresses and self._last_update is not None:
+            own = (self._last_update, 0.0)
+            self._sender.relay([own, *self.peers.zone_updates(now)], addresses)
 
     def send_update(
         self,
@@ -87,8 +115,13 @@
         lost_parts: tuple[PartLoss, ...],
         limits: tuple[SharedLimit, ...],
         leaving_runners: tuple[tuple[str, int], ...],
+        *,
+        urgent: bool,
     ) -> None:
-        """Send this entry's state to all others, and evict silent ones."""
+        """Send this entry's state to the others, and evict silent ones.
+
+        :param urgent: whether it also goes directly to those that get relayed updates.
+        """
         self._sequence += 1
         own = self._settings
         peer_update = PeerUpdate(
@@ -106,8 +139,12 @@
             lost_parts,
             limits,
             leaving_runners,
+            own.zone,
         )
-        self._send_update(peer_update, self.peers.addresses())
+        self._last_update = peer_update
+        peers = self.peers
+        targets = peers.addresses() if urgent else peers.direct_addresses()
+        self._sender.send_update(peer_update, targets)
         for entry_id in self.peers.evict_silent(self._clock.seconds()):
             self._log.note(Decision.ENTRY_FORGOTTEN, entry=entry_id)
 
@@ -122,7 +159,8 @@
         self._dependency.mark_available()
         for entry_id, (host, port) in known.items():
             self.peers.add_peer(entry_id, host, port, now)
-        self._clock.callLater(_REGISTRY_POLL_S, self._poll_registry)
+        pollers = max((1 + len(known)) / _REGISTRY_POLLERS, 1.0)
+        self._clock.callLater(_REGISTRY_POLL_S * pollers, self._poll_registry)
 
     def _on_failure(self, failure: Failure) -> None:
         self._dependency.mark_unavailable(reason=failure.getErrorMessage())
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -6,11 +6,15 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from twisted.internet.defer import Deferred
 
     from ...state.direct.call import DirectCall, Headers, RunnerHead
     from ...state.direct.catalog import Catalog
+    from ...state.direct.entry_peers import PeerUpdate
     from ...state.direct.runner_list import RegisteredRunner
+    from ...state.direct.store_news import StoreAnswer, StoreQuestion
 
 
 class AnswerSink(Protocol):
@@ -201,6 +205,35 @@
         """Return the peer addresses (host, port) of all registered entries by id."""
 
 
+class PeerSender(Protocol):
+    """Sends datagrams to other entries; failures are reported elsewhere."""
+
+    def send_update(
+        self, peer_update: PeerUpdate, targets: Iterable[tuple[str, int]]
+    ) -> None:
+        """Send an update to each address."""
+
+    def relay(
+        self,
+        aged_updates: Iterable[tuple[PeerUpdate, float]],
+        targets: Iterable[tuple[str, int]],
+    ) -> None:
+        """Send updates and their ages to entries of other zones."""
+
+    def pass_on(self, bundle: bytes, targets: Iterable[tuple[str, int]]) -> None:
+        """Send a relayed bundle to entries of this zone."""
+
+
+class NewsSender(Protocol):
+    """Sends questions for what is new in the log, and answers."""
+
+    def ask(self, question: StoreQuestion, target: tuple[str, int]) -> None:
+        """Send a question to an entry's address."""
+
+    def answer(self, answer: StoreAnswer, target: tuple[str, int]) -> None:
+        """Send an answer to an entry's address."""
+
+
 class QuarantineStore(Protocol):
     """Stores until when fingerprints are quarantined, in Unix seconds.
 
@@ -233,6 +266,8 @@
     "AnswerSink",
     "EntryRegistry",
     "LogGapError",
+    "NewsSender",
+    "PeerSender",
     "QuarantineStore",
     "ProbeResult",
     "RunnerConnections",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -1,4 +1,8 @@
-"""Polls the runner records in the platform's log and updates the runner list."""
+"""Polls the runner records in the platform's log and updates the runner list.
+
+An entry that does not read for its zone gets the changes from another one, and polls
+only if it has missed some or the last confirmation is too old.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 
 from corianderrelay.state.errors import LogUnavailableError
 
+from ...state.direct.store_news import Confirmation, RunnerChangeLog
 from .decision_log import Decision
 from .dependency import Dependency
 from .ports import LogGapError
@@ -18,6 +23,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
+    from ...state.direct.store_news import ReadDuty, StoreAnswer
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import RunnerSource
@@ -26,6 +32,10 @@
 # each heartbeat is a record, so a poll would return almost at once.
 _POLL_PERIOD_SHARE = 0.6
 _RETRY_S = 0.3  # several retries must fit into ``leaving_s``
+# An entry that reads for others polls more often, as these learn of a change later.
+_SHARED_PERIOD_SHARE = 0.3
+_MAX_AGE_SHARE = 0.55  # age from which an entry polls without being told to
+_SHARED_RETRY_S = 0.9  # another entry of the zone retries sooner
 
 
 class RunnerWatch:
@@ -33,6 +43,8 @@
 
     :param leaving_s: seconds within which this entry must know that a runner leaves.
     :param on_removed: called with the id of a runner that was removed or restarted.
+    :param boottime_seconds: returns seconds of a clock that includes suspended time.
+    :param duty: whether this entry reads the log for its zone.
     """
 
     def __init__(
@@ -44,8 +56,17 @@
         metrics: DirectMetrics,
         on_removed: Callable[[str], None],
         leaving_s: float,
+        boottime_seconds: Callable[[], float],
+        duty: ReadDuty,
     ) -> None:
         self._poll_period_s = _POLL_PERIOD_SHARE * leaving_s
+        self._shared_period_s = _SHARED_PERIOD_SHARE * leaving_s
+        self._boottime_seconds = boottime_seconds
+        self._duty = duty
+        self.confirmation = Confirmation(_MAX_AGE_SHARE * leaving_s)
+        self.changes = RunnerChangeLog()
+        self._polling = False
+        self._failed_at = float("-inf")
         self._source = source
         self._runners = runners
         self._clock = clock
@@ -56,22 +77,85 @@
         self._dependency = Dependency("runner records", log)
         self.loaded = False
 
+    @property
+    def offset(self) -> int | None:
+        """The offset up to which records were read; ``None`` before the first read."""
+        return self._offset
+
     def start(self) -> None:
         """Read the log and schedule the next read."""
+        self._polling = True
+        requested_at = self._boottime_seconds()
         if self._offset is None:
-            newest = self._source.newest().addCallback(self._replace)
+            newest = self._source.newest().addCallback(self._replace, requested_at)
             newest.addErrback(self._on_failure)
         else:
-            changes = self._source.follow(self._offset).addCallback(self._apply)
+            changes = self._source.follow(self._offset)
+            changes.addCallback(self._on_records, requested_at)
             changes.addErrback(self._on_failure)
 
+    def poll_if_due(self) -> None:
+        """Read if this entry reads for its zone or its last confirmation is old."""
+        if not self._polling and self._poll_is_due():
+            self.start()
+
+    def apply_news(
+        self, answer: StoreAnswer, confirmed_at: float, *, records_lost: bool
+    ) -> None:
+        """Apply what another entry tells of the runners' records.
+
+        :param confirmed_at: when nothing followed them, on the boottime clock.
+        :param records_lost: whether the log has lost records since this entry last
+            read all runners, so that offsets have no meaning.
+        """
+        if self._polling or self._offset is None:
+            return
+        missed = answer.changes is None or answer.runner_offset < self._offset
+        if records_lost or missed:
+            self._offset = None if records_lost else self._offset
+            self.start()
+            return
+        if answer.removal_delay_s > 0.0:
+            delay_until = self._clock.seconds() + answer.removal_delay_s
+            self._runners.delay_removals(delay_until)
+        changes = {each.runner_id: each.runner for each in answer.changes or ()}
+        self._apply(changes, answer.runner_offset)
+        self.confirmation.record(confirmed_at)
+        if confirmed_at > self._failed_at:
+            self._on_log_answered()
+
+    def _poll_is_due(self) -> bool:
+        old = self.confirmation.is_old(self._boottime_seconds())
+        return old or self._offset is None or self._duty.reads(self._clock.seconds())
+
+    def _schedule(self, delay_s: float) -> None:
+        self._polling = True
+        self._clock.callLater(delay_s, self._poll_again)
+
+    def _poll_again(self) -> None:
+        self._polling = False
+        self.poll_if_due()
+
+    def _schedule_next(self) -> None:
+        self._polling = False
+        if not self._duty.shared:
+            self._schedule(self._poll_period_s)
+        elif self._duty.reads(self._clock.seconds()):
+            self._schedule(self._shared_period_s)
+
     def expire(self) -> None:
         """Remove the runners whose records expired and were not renewed."""
         for runner_id in self._runners.expire(self._clock.seconds()):
             self._on_runner_removed(runner_id, "its record expired and was not renewed")
 
-    def _replace(self, answer: tuple[dict[str, RegisteredRunner | None], int]) -> None:
+    def _replace(
+        self,
+        answer: tuple[dict[str, RegisteredRunner | None], int],
+        requested_at: float,
+    ) -> None:
         runners_by_id, self._offset = answer
+        self.changes.restart(self._offset)
+        self.confirmation.record_all_read(requested_at)
         self._on_log_answered()
         before = {runner.runner_id for runner in self._runners.all()}
         for runner_id, runner in runners_by_id.items():
@@ -82,11 +166,29 @@
         for runner_id in before - after:
             self._on_runner_removed(runner_id, "it is not among the newest records")
         self.loaded = True
-        self._clock.callLater(self._poll_period_s, self.start)
+        self._schedule_next()
 
-    def _apply(self, answer: tuple[Mapping[str, RegisteredRunner | None], int]) -> None:
-        changes, self._offset = answer
+    def _on_records(
+        self,
+        answer: tuple[Mapping[str, RegisteredRunner | None], int],
+        requested_at: float,
+    ) -> None:
         self._on_log_answered()
+        self._apply(*answer)
+        self.confirmation.record(requested_at)
+        self._schedule_next()
+
+    def _apply(
+        self, changes: Mapping[str, RegisteredRunner | None], offset: int
+    ) -> None:
+        # Most records are heartbeats that change nothing.
+        changes = {
+            runner_id: runner
+            for runner_id, runner in changes.items()
+            if runner is None or runner != self._runners.get(runner_id)
+        }
+        self._offset = offset
+        self.changes.add(changes, offset)
         for runner_id, runner in changes.items():
             if runner is not None:
                 self._log_change(runner, self._runners.put(runner))
@@ -94,7 +196,6 @@
                 self._runners.remove(runner_id, self._clock.seconds())
                 if self._runners.get(runner_id) is None:
                     self._on_runner_removed(runner_id, "its record was removed")
-        self._clock.callLater(self._poll_period_s, self.start)
 
     def _on_log_answered(self) -> None:
         self._runners.on_log_available(self._clock.seconds())
@@ -122,16 +223,19 @@
         self._log.note(Decision.RUNNER_GONE, runner=runner_id, reason=reason)
 
     def _on_failure(self, failure: Failure) -> None:
+        self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "runners"})
         if failure.check(LogGapError):
             self._offset = None
+            self.confirmation.record_loss(self._failed_at)
         else:
             self._runners.on_log_unavailable()
             self._dependency.mark_unavailable(
                 reason=failure.getErrorMessage(),
                 expected=failure.check(LogUnavailableError) is not None,
             )
-        self._clock.callLater(_RETRY_S, self.start)
+        reads = self._duty.reads(self._clock.seconds())
+        self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
 
 
 __all__ = ["RunnerWatch"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
@@ -143,10 +143,13 @@
         if self.limits.has_news:
             self._on_changed()
 
-    def receive(self, update: PeerUpdate, now: float) -> None:
-        """Apply what another entry tells of runners."""
+    def receive(self, update: PeerUpdate, now: float, age_s: float = 0.0) -> None:
+        """Apply what another entry tells of runners.
+
+        :param age_s: seconds for which a relay has had the update.
+        """
         changed = self.limits.on_update(
-            update.entry_id, update.incarnation, update.limits, now
+            update.entry_id, update.incarnation, update.limits, now, age_s
         )
         for life, per_s in changed.items():
             self._log.note(
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
@@ -0,0 +1,162 @@
+"""Shares what one entry of a zone reads from the platform's log with the others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.direct.store_news import StoreAnswer, StoreQuestion
+from ...state.direct.zone_relays import rank_entries
+from .decision_log import Decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from corianderrelay.coordination.clock import Clock
+
+    from ...state.direct.entry_peers import EntryPeers
+    from ...state.direct.runner_list import RunnerList
+    from ...state.direct.store_news import Confirmation, ReadDuty
+    from .config_watch import ConfigWatch
+    from .decision_log import DecisionLog
+    from .ports import NewsSender
+    from .runner_watch import RunnerWatch
+
+_ASK_PERIOD_S = 0.5
+
+
+class StoreSharing:
+    """Asks the reader of the zone, and answers other entries.
+
+    :param boottime_seconds: returns seconds of a clock that includes suspended time.
+    """
+
+    def __init__(
+        self,
+        peers: EntryPeers,
+        config: ConfigWatch,
+        runner_watch: RunnerWatch,
+        runners: RunnerList,
+        duty: ReadDuty,
+        clock: Clock,
+        boottime_seconds: Callable[[], float],
+        sender: NewsSender,
+        log: DecisionLog,
+    ) -> None:
+        self._peers = peers
+        self._config = config
+        self._runner_watch = runner_watch
+        self._runners = runners
+        self._duty = duty
+        self._clock = clock
+        self._boottime_seconds = boottime_seconds
+        self._sender = sender
+        self._log = log
+        self._asked_at = float("-inf")
+        self._unanswered = 0
+        self._reads = True
+
+    def tick(self) -> None:
+        """Update this entry's duty; poll or ask if that is due."""
+        now = self._clock.seconds()
+        own_id = self._peers.own_id
+        readers = rank_entries([own_id, *self._ready_zone_peers(now)], "reader")
+        position = readers.index(own_id)
+        self._duty.set_position(position, shared=self._peers.relayed)
+        reads = self._duty.reads(now)
+        if reads != self._reads:
+            self._log_duty(reads, position)
+        self._config.poll_if_due()
+        self._runner_watch.poll_if_due()
+        if not reads and now - self._asked_at >= _ASK_PERIOD_S:
+            self._ask([each for each in readers if each != own_id], now)
+
+    def on_question(self, question: StoreQuestion) -> None:
+        """Answer an entry, and read for it from now on."""
+        config, runners = self._config, self._runner_watch
+        target = self._peers.address(question.entry_id)
+        self._duty.on_asked(self._clock.seconds())
+        if target is None or config.offset is None or runners.offset is None:
+            return
+        boottime = self._boottime_seconds()
+        answer = StoreAnswer(
+            self._peers.own_id,
+            question.asked_at,
+            config.offset,
+            boottime - config.confirmation.confirmed_at,
+            boottime - config.confirmation.read_again_at,
+            runners.offset,
+            boottime - runners.confirmation.confirmed_at,
+            boottime - runners.confirmation.read_again_at,
+            self._runners.removal_delay_s(self._clock.seconds()),
+            runners.changes.since(question.runner_offset),
+        )
+        self._sender.answer(answer, target)
+
+    def on_answer(self, answer: StoreAnswer) -> None:
+        """Apply an answer to one of this entry's questions."""
+        asked_at = answer.asked_at
+        if asked_at > self._boottime_seconds():
+            return
+        self._unanswered = 0
+        config_at = asked_at - answer.config_age_s
+        runners_at = asked_at - answer.runner_age_s
+        config = self._config.confirmation
+        runners = self._runner_watch.confirmation
+        if _is_too_old(config, config_at, asked_at) or _is_too_old(
+            runners, runners_at, asked_at
+        ):
+            self._unanswered = 1  # asks the next entry, which can perhaps read the log
+        self._config.apply_news(
+            answer.config_offset,
+            config_at,
+            records_lost=config.lost_since(asked_at, answer.config_read_again_s),
+        )
+        self._runner_watch.apply_news(
+            answer,
+            runners_at,
+            records_lost=runners.lost_since(asked_at, answer.runners_read_again_s),
+        )
+
+    def _ask(self, readers: list[str], now: float) -> None:
+        self._asked_at = now
+        reader = readers[self._unanswered % len(readers)]
+        self._unanswered += 1
+        target = self._peers.address(reader)
+        if target is None:
+            return
+        self._sender.ask(
+            StoreQuestion(
+                self._peers.own_id,
+                self._boottime_seconds(),
+                self._runner_watch.offset or 0,
+            ),
+            target,
+        )
+
+    def _ready_zone_peers(self, now: float) -> list[str]:
+        return [
+            update.entry_id
+            for update in self._peers.alive(now)
+            if update.ready and update.zone == self._peers.own_zone
+        ]
+
+    def _log_duty(self, reads: bool, position: int) -> None:
+        self._reads = reads
+        boottime = self._boottime_seconds()
+        config, runners = self._config.confirmation, self._runner_watch.confirmation
+        self._log.note(
+            Decision.LOG_READER,
+            reads=reads,
+            position=position,
+            config_age_s=round(boottime - config.confirmed_at, 3),
+            runners_age_s=round(boottime - runners.confirmed_at, 3),
+        )
+
+
+def _is_too_old(
+    confirmation: Confirmation, confirmed_at: float, asked_at: float
+) -> bool:
+    return asked_at - confirmed_at > confirmation.max_age_s
+
+
+__all__ = ["StoreSharing"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -21,13 +21,17 @@
 from .coordination.direct.service_balancers import ServiceBalancers
 from .coordination.direct.service_scheduler import ServiceScheduler
 from .coordination.direct.statement_watch import StatementWatch
+from .coordination.direct.store_sharing import StoreSharing
 from .state.direct.catalog import CallerLimits
 from .state.direct.quarantines import Quarantines
 from .state.direct.runner_list import RunnerList
+from .state.direct.store_news import ReadDuty
 from .transport.direct.peer_socket import PeerSocket
 from .transport.direct.runner_http import RunnerPool
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from .coordination.direct.open_direct_call import OpenDirectCall
     from .coordination.direct.ports import (
         ConfigSource,
@@ -40,9 +44,11 @@
     from .coordination.direct.rank_client import RankClient
     from .state.direct.entry_peers import PeerUpdate
     from .state.direct.settings import DirectSettings
+    from .state.direct.store_news import StoreAnswer, StoreQuestion
     from .transport.direct.caller_http import CallerConnection, CallerRequest
 
 _TICK_S = 0.05  # maximum delay between a deadline and the end of its request
+_SHARING_S = 0.1  # a fraction of the periods of relays and of questions to readers
 _HOUSEKEEPING_S = 0.5  # idle connections and records live for several seconds
 _URGENT_UPDATE_S = 0.05  # collects changes of the same moment in one update
 _MEASURING_S = 0.25  # several passes; the cost of a stream changes within seconds
@@ -94,12 +100,14 @@
     ) -> None:
         self.settings = settings
         self.draining = False
+        self._update_is_urgent = True  # the first update tells all where this entry is
         self._dialect = sources.dialect
         self._reactor = reactor
         self.log = DecisionLog(reactor.seconds)
         self.collectors = DirectMetrics()
         self.metrics = Metrics(self.collectors.collectors())
         self.runners = RunnerList()
+        duty = ReadDuty()
         self.config = ConfigWatch(
             sources.config,
             reactor,
@@ -107,8 +115,9 @@
             settings.bounds.revoke_s,
             self.log,
             self.collectors,
+            duty,
         )
-        self.peer_socket = PeerSocket(self._on_peer_update, self._log_datagram_fault)
+        self.peer_socket = PeerSocket(self)
         random = SystemRandom()
         self.exchange = PeerExchange(
             settings,
@@ -116,8 +125,7 @@
             sources.entries,
             reactor,
             self.log,
-            self.peer_socket.send_update,
-            self._on_peers_changed,
+            self.peer_socket,
         )
         self.statements = StatementWatch(
             self.exchange.peers, self.runners, self.log, self._send_update_soon
@@ -139,6 +147,19 @@
             self.collectors,
             self._remove_runner,
             settings.bounds.leaving_s,
+            _boottime_seconds,
+            duty,
+        )
+        self.sharing = StoreSharing(
+            self.exchange.peers,
+            self.config,
+            self.runner_watch,
+            self.runners,
+            duty,
+            reactor,
+            _boottime_seconds,
+            self.peer_socket,
+            self.log,
         )
         self.crashes = CrashWatch(
             self.runners,
@@ -183,6 +204,8 @@
         self._balance = Periodic(reactor, self._balance_groups)
         self._housekeeping = Periodic(reactor, self._run_housekeeping)
         self._measuring = Periodic(reactor, self._measure_pace)
+        self._sharing = Periodic(reactor, self.sharing.tick)
+        self._relaying = Periodic(reactor, self.exchange.relay_if_due)
 
     @property
     def limits(self) -> CallerLimits:
@@ -212,12 +235,14 @@
         self._housekeeping.start(_HOUSEKEEPING_S)
         self._measuring.start(_MEASURING_S)
         self._balance.start(_TICK_S)
+        self._sharing.start(_SHARING_S)
+        self._relaying.start(_SHARING_S)
         self._send_updates_periodically()
 
     def start_draining(self) -> None:
         """Report this entry as not ready; requests that still arrive are served."""
         self.draining = True
-        self._send_update()
+        self._send_update(urgent=True)
 
     def entry_addresses(self) -> list[str]:
         """Return the addresses for callers of all ready entries, this one first."""
@@ -248,18 +273,20 @@
         self.log.note(Decision.REQUEST_MALFORMED, status=status, reason=reason)
 
     def _send_updates_periodically(self) -> None:
-        self._send_update()
+        urgent, self._update_is_urgent = self._update_is_urgent, False
+        self._send_update(urgent=urgent)
         self._next_update = self._reactor.callLater(
             self.exchange.peers.send_interval_s, self._send_updates_periodically
         )
 
     def _send_update_soon(self) -> None:
         """Advance the next update: other entries may hold requests by it."""
+        self._update_is_urgent = True
         due_s = self._next_update.getTime() - self._reactor.seconds()
         if due_s > _URGENT_UPDATE_S:
             self._next_update.reset(_URGENT_UPDATE_S)
 
-    def _send_update(self) -> None:
+    def _send_update(self, *, urgent: bool) -> None:
         now = self._reactor.seconds()
         slowness = self.balancers.slow_runners()
         self.scheduler.set_own_slowness(slowness)
@@ -273,18 +300,32 @@
             self.crashes.parts.ledger.next_shared(now),
             self.statements.limits.shared(now),
             self.statements.leaving_runners(),
+            urgent=urgent,
         )
 
-    def _on_peer_update(self, peer_update: PeerUpdate) -> None:
-        self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
-        self.statements.receive(peer_update, self._reactor.seconds())
-        self.exchange.receive(peer_update)
-
-    def _on_peers_changed(self) -> None:
+    def on_updates(self, aged_updates: Sequence[tuple[PeerUpdate, float]]) -> None:
+        """Apply updates of other entries and their ages in seconds."""
+        now = self._reactor.seconds()
+        for peer_update, age_s in self.exchange.receive(aged_updates):
+            self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
+            self.statements.receive(peer_update, now, age_s)
         self.scheduler.apply_peer_updates(self._reactor.seconds())
         self.relay.admit_waiting()
 
-    def _log_datagram_fault(self, sender: str, reason: str) -> None:
+    def on_relayed(self, bundle: bytes) -> None:
+        """Pass a bundle of another zone on to the entries of this zone."""
+        self.exchange.pass_on(bundle)
+
+    def on_question(self, question: StoreQuestion) -> None:
+        """Answer another entry's question for what is new in the log."""
+        self.sharing.on_question(question)
+
+    def on_answer(self, answer: StoreAnswer) -> None:
+        """Apply what another entry knows of the log."""
+        self.sharing.on_answer(answer)
+
+    def on_fault(self, sender: str, reason: str) -> None:
+        """Log a datagram that is malformed or could not be sent."""
         self.log.note(Decision.DATAGRAM_MALFORMED, sender=sender, reason=reason)
 
     def _remove_runner(self, runner_id: str) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -1,8 +1,12 @@
-"""Codec of the datagrams in which entries send each other their updates."""
+"""Codec of the updates that entries send each other, alone or in bundles.
+
+A relay sends the updates of its availability zone in one compressed bundle.
+"""
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+import zlib
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -12,6 +16,12 @@
 from ...state.direct.limit_shares import SharedLimit
 from ...state.direct.part_ledger import PartLoss
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_COMPRESSION_LEVEL = 1  # addresses and ids of a zone share most of their bytes
+_MAX_BUNDLE_BYTES = 1_048_576  # decompressed; many times the updates of a large zone
+
 
 class _LostAttempt(msgspec.Struct, array_like=True):
     fingerprint: str
@@ -52,14 +62,56 @@
     lost_parts: list[_LostPart] = []
     limits: list[_SharedLimit] = []
     leaving_runners: list[tuple[str, int]] = []
+    zone: str = ""
+
+
+class _AgedMessage(msgspec.Struct, array_like=True):
+    age_s: Annotated[float, msgspec.Meta(ge=0.0)]
+    message: _Message
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_Message)
+_BUNDLE_DECODER = msgspec.msgpack.Decoder(list[_AgedMessage])
 
 
 def encode_peer_update(peer_update: PeerUpdate) -> bytes:
     """Encode an entry's update."""
+    return _ENCODER.encode(_build_message(peer_update))
+
+
+def decode_peer_update(datagram: bytes) -> Result[PeerUpdate, str]:
+    """Decode an entry's update; the error states why the datagram is malformed."""
+    try:
+        message = _DECODER.decode(datagram)
+    except msgspec.DecodeError as error:
+        return Err(str(error))
+    return Ok(_build_update(message))
+
+
+def encode_bundle(aged_updates: Iterable[tuple[PeerUpdate, float]]) -> bytes:
+    """Encode updates and their ages in seconds."""
+    aged = [
+        _AgedMessage(max(age_s, 0.0), _build_message(update))
+        for update, age_s in aged_updates
+    ]
+    return zlib.compress(_ENCODER.encode(aged), _COMPRESSION_LEVEL)
+
+
+def decode_bundle(datagram: bytes) -> Result[list[tuple[PeerUpdate, float]], str]:
+    """Decode updates and their ages; the error states what is malformed."""
+    try:
+        unpacker = zlib.decompressobj()
+        content = unpacker.decompress(datagram, _MAX_BUNDLE_BYTES)
+        if unpacker.unconsumed_tail:
+            return Err(f"the bundle is longer than {_MAX_BUNDLE_BYTES} bytes")
+        aged = _BUNDLE_DECODER.decode(content)
+    except (zlib.error, msgspec.DecodeError) as error:
+        return Err(str(error))
+    return Ok([(_build_update(each.message), each.age_s) for each in aged])
+
+
+def _build_message(peer_update: PeerUpdate) -> _Message:
     fields: dict[str, Any] = {
         name: getattr(peer_update, name) for name in _Message.__struct_fields__
     }
@@ -75,15 +127,10 @@
         _SharedLimit(*(getattr(each, name) for name in _SharedLimit.__struct_fields__))
         for each in peer_update.limits
     ]
-    return _ENCODER.encode(_Message(**fields))
+    return _Message(**fields)
 
 
-def decode_peer_update(datagram: bytes) -> Result[PeerUpdate, str]:
-    """Decode an entry's update; the error states why the datagram is malformed."""
-    try:
-        message = _DECODER.decode(datagram)
-    except msgspec.DecodeError as error:
-        return Err(str(error))
+def _build_update(message: _Message) -> PeerUpdate:
     fields: dict[str, Any] = msgspec.structs.asdict(message)
     fields["lost_attempts"] = tuple(
         LostAttempt(*msgspec.structs.astuple(lost)) for lost in message.lost_attempts
@@ -95,7 +142,12 @@
         SharedLimit(*msgspec.structs.astuple(each)) for each in message.limits
     )
     fields["leaving_runners"] = tuple(message.leaving_runners)
-    return Ok(PeerUpdate(**fields))
+    return PeerUpdate(**fields)
 
 
-__all__ = ["decode_peer_update", "encode_peer_update"]
+__all__ = [
+    "decode_bundle",
+    "decode_peer_update",
+    "encode_bundle",
+    "encode_peer_update",
+]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -2,6 +2,10 @@
 
 The log provides only the addresses of entries. Liveness, readiness and load of an entry
 come from its latest update.
+
+A few entries send each other their updates directly. Many send them directly only
+within their availability zone; two relays of each zone send the updates of their zone
+to the other zones, see ``zone_relays``. Updates that cannot wait go to all directly.
 """
 
 from __future__ import annotations
@@ -22,6 +26,9 @@
 _SHARE_KEPT_S = 600.0  # longer than usual partitions between entries
 _DATAGRAMS_PER_S = 125.0  # bounds CPU time and bandwidth for any number of entries
 _MIN_SEND_INTERVAL_S = 0.04  # half of the shortest pass; load changes once per pass
+_MAX_DIRECT_PEERS = 10  # with more, updates to other zones are relayed
+RELAY_INTERVAL_S = 0.4  # several updates of either relay fit into the liveness timeout
+_REMOTE_HEARD_S = 0.9  # an update waits in its zone, at the relay and on the way
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +46,7 @@
     :param lost_parts: parts of prompts under which runners may have ended.
     :param leaving_runners: ids and start times of runners that state that they leave.
     :param limits: limits that runners state, and this entry's requests under them.
+    :param zone: availability zone of the entry; empty if it does not state it.
     """
 
     entry_id: str
@@ -55,6 +63,7 @@
     lost_parts: tuple[PartLoss, ...] = ()
     limits: tuple[SharedLimit, ...] = ()
     leaving_runners: tuple[tuple[str, int], ...] = ()
+    zone: str = ""
 
 
 @dataclass(slots=True)
@@ -69,18 +78,25 @@
 class EntryPeers:
     """The known entries except this one."""
 
-    __slots__ = ("own_id", "_peers_by_id", "_most_peers", "_most_peers_at")
+    __slots__ = ("own_id", "own_zone", "_peers_by_id", "_most_peers", "_most_peers_at")
 
-    def __init__(self, own_id: str) -> None:
+    def __init__(self, own_id: str, own_zone: str = "") -> None:
         self.own_id = own_id
+        self.own_zone = own_zone
         self._peers_by_id: dict[str, _Peer] = {}
         self._most_peers = 0
         self._most_peers_at = float("-inf")
 
+    @property
+    def relayed(self) -> bool:
+        """Whether so many entries are known that updates between zones are relayed."""
+        return len(self._peers_by_id) > _MAX_DIRECT_PEERS
+
     @property
     def send_interval_s(self) -> float:
-        """Seconds between two updates to every peer."""
-        return max(_MIN_SEND_INTERVAL_S, len(self._peers_by_id) / _DATAGRAMS_PER_S)
+        """Seconds between two updates to every peer that gets them directly."""
+        peers = sum(map(self._is_direct, self._peers_by_id.values()))
+        return max(_MIN_SEND_INTERVAL_S, peers / _DATAGRAMS_PER_S)
 
     @property
     def liveness_timeout_s(self) -> float:
@@ -100,22 +116,31 @@
         if entry_id != self.own_id and entry_id not in self._peers_by_id:
             self._peers_by_id[entry_id] = _Peer(host, port, now)
 
-    def on_update(self, update: PeerUpdate, now: float) -> bool:
+    def is_newer(self, update: PeerUpdate) -> bool:
+        """Return whether an update of another entry is newer than the latest one."""
+        if update.entry_id == self.own_id:
+            return False
+        peer = self._peers_by_id.get(update.entry_id)
+        if peer is None or peer.update is None:
+            return True
+        return (update.incarnation, update.sequence) > (
+            peer.update.incarnation,
+            peer.update.sequence,
+        )
+
+    def on_update(self, update: PeerUpdate, now: float, age_s: float = 0.0) -> bool:
         """Record an update; return whether the state of the entry changed.
 
         That is whether the entry is new, restarted, alive again, or changed whether it
         is ready. Updates that are not newer than the latest one are ignored.
+
+        :param age_s: seconds for which a relay has had the update.
         """
-        if update.entry_id == self.own_id:
+        if not self.is_newer(update):
             return False
         self.add_peer(update.entry_id, update.peer_host, update.peer_port, now)
         peer = self._peers_by_id[update.entry_id]
         previous = peer.update
-        if previous is not None and (previous.incarnation, previous.sequence) >= (
-            update.incarnation,
-            update.sequence,
-        ):
-            return False
         changed = (
             previous is None
             or previous.incarnation != update.incarnation
@@ -124,7 +149,7 @@
         )
         peer.host, peer.port = update.peer_host, update.peer_port
         peer.update = update
-        peer.last_seen_at = now
+        peer.last_seen_at = now - age_s
         return changed
 
     def alive(
@@ -136,15 +161,16 @@
             ``_LIVENESS_INTERVALS`` send intervals if it is lower; the liveness timeout
             by default.
         """
-        timeout_s = self.liveness_timeout_s
+        direct_s, remote_s = self.liveness_timeout_s, _MIN_LIVENESS_TIMEOUT_S
         if max_update_age_s is not None:
-            timeout_s = max(
-                max_update_age_s, _LIVENESS_INTERVALS * self.send_interval_s
-            )
+            intervals_s = _LIVENESS_INTERVALS * self.send_interval_s
+            direct_s = max(max_update_age_s, intervals_s)
         return [
             peer.update
             for peer in self._peers_by_id.values()
-            if peer.update is not None and now - peer.last_seen_at <= timeout_s
+            if peer.update is not None
+            and now - peer.last_seen_at
+            <= (direct_s if self._is_direct(peer) else remote_s)
         ]
 
     def heard(self, now: float) -> int:
@@ -153,15 +179,48 @@
         Unlike ``alive``, this does not tolerate a lost datagram: a peer that is cut off
         must be missed soon.
         """
-        max_age_s = max(_MIN_HEARD_S, _HEARD_INTERVALS * self.send_interval_s)
+        direct_s = max(_MIN_HEARD_S, _HEARD_INTERVALS * self.send_interval_s)
         return sum(
-            now - peer.last_seen_at <= max_age_s for peer in self._peers_by_id.values()
+            now - peer.last_seen_at
+            <= (direct_s if self._is_direct(peer) else _REMOTE_HEARD_S)
+            for peer in self._peers_by_id.values()
         )
 
     def addresses(self) -> list[tuple[str, int]]:
         """Return the host and port of each peer."""
         return [(peer.host, peer.port) for peer in self._peers_by_id.values()]
 
+    def direct_addresses(self) -> list[tuple[str, int]]:
+        """Return the host and port of each peer that gets each update directly."""
+        return [
+            (peer.host, peer.port)
+            for peer in self._peers_by_id.values()
+            if self._is_direct(peer)
+        ]
+
+    def zone_addresses(self) -> list[tuple[str, int]]:
+        """Return the host and port of each peer in this entry's zone."""
+        return [
+            (peer.host, peer.port)
+            for peer in self._peers_by_id.values()
+            if peer.update is not None and peer.update.zone == self.own_zone
+        ]
+
+    def zone_updates(self, now: float) -> list[tuple[PeerUpdate, float]]:
+        """Return the latest updates of the zone's live peers, and their ages in s."""
+        return [
+            (peer.update, now - peer.last_seen_at)
+            for peer in self._peers_by_id.values()
+            if peer.update is not None
+            and peer.update.zone == self.own_zone
+            and now - peer.last_seen_at <= self.liveness_timeout_s
+        ]
+
+    def address(self, entry_id: str) -> tuple[str, int] | None:
+        """Return the host and port of a peer; ``None`` if it is not known."""
+        peer = self._peers_by_id.get(entry_id)
+        return None if peer is None else (peer.host, peer.port)
+
     def evict_silent(self, now: float) -> list[str]:
         """Remove entries without recent updates and return their ids."""
         self._update_most_peers(now)
@@ -177,10 +236,16 @@
                 self._most_peers = max(self._most_peers - 1, len(self._peers_by_id))
         return evicted
 
+    def _is_direct(self, peer: _Peer) -> bool:
+        """Whether the peer and this entry send each other their updates directly."""
+        if not self.relayed or peer.update is None:
+            return True
+        return peer.update.zone in ("", self.own_zone)
+
     def _update_most_peers(self, now: float) -> None:
         count = len(self._peers_by_id)
         if count >= self._most_peers or now - self._most_peers_at > _SHARE_KEPT_S:
             self._most_peers, self._most_peers_at = count, now
 
 
-__all__ = ["PeerUpdate", "EntryPeers"]
+__all__ = ["RELAY_INTERVAL_S", "PeerUpdate", "EntryPeers"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/limit_shares.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/limit_shares.py
@@ -175,11 +175,15 @@
         incarnation: int,
         shared: Iterable[SharedLimit],
         now: float,
+        age_s: float = 0.0,
     ) -> dict[str, float | None]:
-        """Apply what another entry tells; return the limits that changed by it."""
+        """Apply what another entry tells; return the limits that changed by it.
+
+        :param age_s: seconds for which a relay has had it.
+        """
         changed: dict[str, float | None] = {}
         for each in shared:
-            stated_at = now - each.age_s - _SHARING_DELAY_S
+            stated_at = now - each.age_s - age_s - _SHARING_DELAY_S
             stated = StatedLimit(each.per_s, stated_at)
             if self.stated.merge(each.runner_life, stated, now):
                 changed[each.runner_life] = each.per_s
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -77,6 +77,14 @@
             self._log_unavailable = False
             self._delay_removals_until = now + _REMOVAL_DELAY_S
 
+    def removal_delay_s(self, now: float) -> float:
+        """Return the seconds for which removals are still delayed."""
+        return max(self._delay_removals_until - now, 0.0)
+
+    def delay_removals(self, until: float) -> None:
+        """Delay removals at least until a time, as an outage has just ended."""
+        self._delay_removals_until = max(self._delay_removals_until, until)
+
     def put(self, runner: RegisteredRunner) -> RegisteredRunner | None:
         """Store a runner's newest record and return the previous one."""
         previous = self._runners_by_id.get(runner.runner_id)
--- a/tests/features/steps/group_balancer_steps.py
+++ b/tests/features/steps/group_balancer_steps.py
@@ -11,6 +11,7 @@
 from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
 from corianderrelay_entry.coordination.direct.group_balancer import GroupBalancer
 from corianderrelay_entry.state.direct.runner_list import RunnerList
+
 from tests.harness.answering_ranks import (
     ENGINE,
     NEW_RANK,
--- a/tests/features/steps/service_balancers_steps.py
+++ b/tests/features/steps/service_balancers_steps.py
@@ -14,12 +14,8 @@
 from corianderrelay_entry.state.direct.catalog import Catalog, Service
 from corianderrelay_entry.state.direct.entry_peers import EntryPeers, PeerUpdate
 from corianderrelay_entry.state.direct.runner_list import RunnerList
-from tests.harness.answering_ranks import (
-    ENGINE,
-    SERVICE,
-    AnsweringRanks,
-    rank_runner,
-)
+
+from tests.harness.answering_ranks import ENGINE, SERVICE, AnsweringRanks, rank_runner
 
 _TICK_S = 0.05
 _CATALOG = Catalog(
