Let one entry read the log for all zones

The first entry of each zone asks the first of all; polls of the one that reads do not wait, as a poll that waits confirms what was current when it was sent.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -1,6 +1,6 @@
 """Polls the configuration log and tracks how stale the active configuration is.
 
-An entry that does not read for its zone polls only if another entry tells of a newer
+An entry that does not read for others polls only if another entry tells of a newer
 configuration, or if the last confirmation is too old.
 """
 
@@ -36,7 +36,9 @@
 _RETRY_S = 0.25  # several retries must fit into the seconds that keys stay trusted
 # Another entry of the zone retries sooner and tells when the log is back.
 _SHARED_RETRY_S = 0.6
-# Share of the same bound after which an entry polls without being told to.
+# Shares of the same bound: the time between two polls for other entries, whose news are
+# older, and the age after which an entry polls without being told to.
+_SHARED_PERIOD_SHARE = 0.25
 _MAX_AGE_SHARE = 0.56
 
 
@@ -45,7 +47,7 @@
 
     :param boottime_seconds: returns seconds of a clock that includes suspended time.
     :param revoke_s: bound on the use of revoked keys, see ``ConfigFreshness``.
-    :param duty: whether this entry reads the log for its zone.
+    :param duty: whether this entry reads the log for others.
     """
 
     def __init__(
@@ -68,8 +70,9 @@
         self._wait_s = (
             _DEFAULT_POLL_WAIT_S if revoke_s is None else _POLL_WAIT_SHARE * revoke_s
         )
-        max_age_s = self._wait_s * _MAX_AGE_SHARE / _POLL_WAIT_SHARE
-        self.confirmation = Confirmation(max_age_s)
+        bound_s = self._wait_s / _POLL_WAIT_SHARE
+        self._shared_period_s = _SHARED_PERIOD_SHARE * bound_s
+        self.confirmation = Confirmation(_MAX_AGE_SHARE * bound_s)
         self._offset: int | None = None
         self._polling = False
         self._failed_at = float("-inf")
@@ -112,7 +115,7 @@
         self._poll()
 
     def poll_if_due(self) -> None:
-        """Poll if this entry reads for its zone or its last confirmation is old."""
+        """Poll if this entry reads for others or its last confirmation is old."""
         if not self._polling and self._poll_is_due():
             self._poll()
 
@@ -145,16 +148,13 @@
         if self._offset is None:
             answer = self._source.newest()
         else:
-            answer = self._source.follow(self._offset, self._poll_wait_s())
+            # A poll that waits confirms what was current when it was sent, so the other
+            # entries would get old news.
+            wait_s = 0.0 if self._duty.shared else self._wait_s
+            answer = self._source.follow(self._offset, wait_s)
         answer.addCallback(self._on_answer, requested_at, self._offset is None)
         answer.addErrback(self._on_failure)
 
-    def _poll_wait_s(self) -> float:
-        """Return for how long a poll may wait: only one that confirms in time."""
-        fresh = self.age_s <= 2.0 * self._wait_s or not self._duty.shared
-        waits = fresh and self._duty.reads(self._clock.seconds())
-        return self._wait_s if waits else 0.0
-
     def _confirm(self, confirmed_at: float) -> None:
         self.confirmation.record(confirmed_at)
         self._freshness.record_confirmation(confirmed_at)
@@ -176,7 +176,7 @@
             # Polls can return at once: wait to avoid a busy loop.
             self._schedule(_RETRY_S)
         elif self._duty.reads(self._clock.seconds()):
-            self._schedule(0.0)
+            self._schedule(self._shared_period_s if self._duty.shared else 0.0)
 
     def _schedule(self, delay_s: float) -> None:
         self._polling = True
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -113,8 +113,8 @@
     ENTRY_FORGOTTEN = ("entry:forgotten", "another entry sent no updates and expired")
     LOG_READER = (
         "log:reader",
-        "this entry began or ceased to read the log for its zone; its position among "
-        "the readers of the zone, and the ages of what it knows",
+        "this entry began or ceased to read the log for others; its position in line, "
+        "and the ages of what it knows",
     )
     DATAGRAM_MALFORMED = (
         "entry:datagram_malformed",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -23,6 +23,7 @@
     from corianderrelay.coordination.clock import Clock
 
     from ...state.direct.quarantines import Quarantines
+    from ...state.direct.store_news import ReadDuty
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
     from .ports import QuarantineStore
@@ -42,6 +43,7 @@
     """Long-polls the stored quarantines, and stores or removes what differs here.
 
     :param wall_seconds: returns the time of day in Unix seconds.
+    :param duty: whether this entry reads the log for others.
     :ivar loaded: whether the stored quarantines have been read.
     """
 
@@ -54,7 +56,10 @@
         random: Random,
         log: DecisionLog,
         metrics: DirectMetrics,
+        duty: ReadDuty,
     ) -> None:
+        self._duty = duty
+        self._polling = False
         self._store = store
         self._quarantines = quarantines
         self._clock = clock
@@ -68,15 +73,39 @@
         self._stored_ends_at_by_key: dict[str, float] = {}
         self._write_at_by_key: dict[str, float] = {}
 
+    @property
+    def offset(self) -> int | None:
+        """The offset up to which records were read; ``None`` before the first read."""
+        return self._offset
+
+    def poll_if_due(self) -> None:
+        """Read if this entry reads for others."""
+        if not self._polling and self._poll_is_due():
+            self.start()
+
+    def apply_news(self, offset: int) -> None:
+        """Read the records if another entry has read them up to another offset."""
+        if not self._polling and offset != self._offset:
+            self.start()
+
     def start(self) -> None:
         """Read the stored quarantines, and then their changes."""
+        self._polling = True
         if self._offset is None:
             read = self._store.newest().addCallback(self._replace)
         else:
-            changes = self._store.follow(self._offset, _POLL_WAIT_S)
+            wait_s = _POLL_WAIT_S if self._poll_is_due() else 0.0
+            changes = self._store.follow(self._offset, wait_s)
             read = changes.addCallback(self._apply)
         read.addErrback(self._on_read_failed)
 
+    def _poll_is_due(self) -> bool:
+        return self._offset is None or self._duty.reads(self._clock.seconds())
+
+    def _poll_again(self) -> None:
+        self._polling = False
+        self.poll_if_due()
+
     def tick(self) -> None:
         """Write the quarantines that have begun or ended here to the log."""
         now = self._clock.seconds()
@@ -123,7 +152,7 @@
                 self._on_removed(key)
             else:
                 self._on_stored(key, ends_at)
-        self._clock.callLater(0.0, self.start)
+        self._clock.callLater(0.0, self._poll_again)
 
     def _on_stored(self, key: str, ends_at: float) -> None:
         now = self._clock.seconds()
@@ -157,7 +186,7 @@
             self._offset = None
         else:
             self._dependency.mark_unavailable(reason=failure.getErrorMessage())
-        self._clock.callLater(_RETRY_S, self.start)
+        self._clock.callLater(_RETRY_S, self._poll_again)
 
     def _on_write_failed(self, failure: Failure) -> None:
         self._metrics.log_failures.inc({"reader": "quarantine"})
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -1,6 +1,6 @@
 """Polls the runner records in the platform's log and updates the runner list.
 
-An entry that does not read for its zone gets the changes from another one, and polls
+An entry that does not read for others gets the changes from another one, and polls
 only if it has missed some or the last confirmation is too old.
 """
 
@@ -34,7 +34,7 @@
 _RETRY_S = 0.3  # several retries must fit into ``leaving_s``
 # An entry that reads for others polls more often, as these learn of a change later.
 _SHARED_PERIOD_SHARE = 0.3
-_MAX_AGE_SHARE = 0.55  # age from which an entry polls without being told to
+_MAX_AGE_SHARE = 0.65  # age from which an entry polls without being told to
 _SHARED_RETRY_S = 0.9  # another entry of the zone retries sooner
 
 
@@ -44,7 +44,7 @@
     :param leaving_s: seconds within which this entry must know that a runner leaves.
     :param on_removed: called with the id of a runner that was removed or restarted.
     :param boottime_seconds: returns seconds of a clock that includes suspended time.
-    :param duty: whether this entry reads the log for its zone.
+    :param duty: whether this entry reads the log for others.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
             changes.addErrback(self._on_failure)
 
     def poll_if_due(self) -> None:
-        """Read if this entry reads for its zone or its last confirmation is old."""
+        """Read if this entry reads for others or its last confirmation is old."""
         if not self._polling and self._poll_is_due():
             self.start()
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
@@ -1,11 +1,16 @@
-"""Shares what one entry of a zone reads from the platform's log with the others."""
+"""Shares what one entry reads from the platform's log with all others.
+
+The first entry of each zone asks the first of all zones, which reads, and the others
+ask the first of their zone. An entry that gets no answer, or too old ones, asks the
+next in line, which then reads too.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from ...state.direct.store_news import StoreAnswer, StoreQuestion
-from ...state.direct.zone_relays import rank_entries
+from ...state.direct.zone_relays import read_line
 from .decision_log import Decision
 
 if TYPE_CHECKING:
@@ -13,15 +18,16 @@
 
     from corianderrelay.coordination.clock import Clock
 
-    from ...state.direct.entry_peers import EntryPeers
+    from ...state.direct.entry_peers import EntryPeers, PeerUpdate
     from ...state.direct.runner_list import RunnerList
     from ...state.direct.store_news import Confirmation, ReadDuty
     from .config_watch import ConfigWatch
     from .decision_log import DecisionLog
     from .ports import NewsSender
+    from .quarantine_watch import QuarantineWatch
     from .runner_watch import RunnerWatch
 
-_ASK_PERIOD_S = 0.5
+_ASK_PERIOD_S = 0.4
 
 
 class StoreSharing:
@@ -35,6 +41,7 @@
         peers: EntryPeers,
         config: ConfigWatch,
         runner_watch: RunnerWatch,
+        quarantine_watch: QuarantineWatch,
         runners: RunnerList,
         duty: ReadDuty,
         clock: Clock,
@@ -45,6 +52,7 @@
         self._peers = peers
         self._config = config
         self._runner_watch = runner_watch
+        self._quarantine_watch = quarantine_watch
         self._runners = runners
         self._duty = duty
         self._clock = clock
@@ -58,23 +66,24 @@
     def tick(self) -> None:
         """Update this entry's duty; poll or ask if that is due."""
         now = self._clock.seconds()
-        own_id = self._peers.own_id
-        readers = rank_entries([own_id, *self._ready_zone_peers(now)], "reader")
-        position = readers.index(own_id)
+        line = read_line(self._peers.own_id, self._peers.own_zone, self._ready(now))
+        position = line.index(self._peers.own_id)
         self._duty.set_position(position, shared=self._peers.relayed)
         reads = self._duty.reads(now)
         if reads != self._reads:
             self._log_duty(reads, position)
         self._config.poll_if_due()
         self._runner_watch.poll_if_due()
+        self._quarantine_watch.poll_if_due()
         if not reads and now - self._asked_at >= _ASK_PERIOD_S:
-            self._ask([each for each in readers if each != own_id], now)
+            self._ask([each for each in line if each != self._peers.own_id], now)
 
     def on_question(self, question: StoreQuestion) -> None:
         """Answer an entry, and read for it from now on."""
         config, runners = self._config, self._runner_watch
         target = self._peers.address(question.entry_id)
-        self._duty.on_asked(self._clock.seconds())
+        if question.others_failed:
+            self._duty.on_asked(self._clock.seconds())
         if target is None or config.offset is None or runners.offset is None:
             return
         boottime = self._boottime_seconds()
@@ -82,13 +91,14 @@
             self._peers.own_id,
             question.asked_at,
             config.offset,
-            boottime - config.confirmation.confirmed_at,
-            boottime - config.confirmation.read_again_at,
+            max(boottime - config.confirmation.confirmed_at, 0.0),
+            max(boottime - config.confirmation.read_again_at, 0.0),
             runners.offset,
-            boottime - runners.confirmation.confirmed_at,
-            boottime - runners.confirmation.read_again_at,
+            max(boottime - runners.confirmation.confirmed_at, 0.0),
+            max(boottime - runners.confirmation.read_again_at, 0.0),
             self._runners.removal_delay_s(self._clock.seconds()),
             runners.changes.since(question.runner_offset),
+            self._quarantine_watch.offset or 0,
         )
         self._sender.answer(answer, target)
 
@@ -116,12 +126,13 @@
             runners_at,
             records_lost=runners.lost_since(asked_at, answer.runners_read_again_s),
         )
+        self._quarantine_watch.apply_news(answer.quarantine_offset)
 
-    def _ask(self, readers: list[str], now: float) -> None:
+    def _ask(self, others: list[str], now: float) -> None:
         self._asked_at = now
-        reader = readers[self._unanswered % len(readers)]
+        others_failed = self._unanswered > 0
+        target = self._peers.address(others[self._unanswered % len(others)])
         self._unanswered += 1
-        target = self._peers.address(reader)
         if target is None:
             return
         self._sender.ask(
@@ -129,16 +140,13 @@
                 self._peers.own_id,
                 self._boottime_seconds(),
                 self._runner_watch.offset or 0,
+                others_failed,
             ),
             target,
         )
 
-    def _ready_zone_peers(self, now: float) -> list[str]:
-        return [
-            update.entry_id
-            for update in self._peers.alive(now)
-            if update.ready and update.zone == self._peers.own_zone
-        ]
+    def _ready(self, now: float) -> list[PeerUpdate]:
+        return [update for update in self._peers.alive(now) if update.ready]
 
     def _log_duty(self, reads: bool, position: int) -> None:
         self._reads = reads
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -150,17 +150,6 @@
             _boottime_seconds,
             duty,
         )
-        self.sharing = StoreSharing(
-            self.exchange.peers,
-            self.config,
-            self.runner_watch,
-            self.runners,
-            duty,
-            reactor,
-            _boottime_seconds,
-            self.peer_socket,
-            self.log,
-        )
         self.crashes = CrashWatch(
             self.runners,
             sources.probe,
@@ -177,6 +166,19 @@
             random,
             self.log,
             self.collectors,
+            duty,
+        )
+        self.sharing = StoreSharing(
+            self.exchange.peers,
+            self.config,
+            self.runner_watch,
+            self.quarantine_watch,
+            self.runners,
+            duty,
+            reactor,
+            _boottime_seconds,
+            self.peer_socket,
+            self.log,
         )
         self.relay = DirectRelay(
             sources.dialect,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
@@ -17,6 +17,7 @@
     entry_id: str
     asked_at: float
     runner_offset: int
+    others_failed: bool
 
 
 class _Runner(msgspec.Struct, array_like=True):
@@ -46,6 +47,7 @@
     runners_read_again_s: _Age
     removal_delay_s: _Age
     changes: list[_Change] | None
+    quarantine_offset: int
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -56,7 +58,7 @@
 def encode_question(question: StoreQuestion) -> bytes:
     """Encode a question."""
     return _ENCODER.encode(
-        _Question(question.entry_id, question.asked_at, question.runner_offset)
+        _Question(*(getattr(question, name) for name in _Question.__struct_fields__))
     )
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
@@ -1,7 +1,7 @@
 """What entries tell each other of the platform's log, so that few have to read it.
 
-One entry of each availability zone reads for all in its zone. The others ask it: the
-question bears the asking entry's clock, and what the answer confirms counts from the
+One entry reads for all. The others ask it, or the entry of their availability zone that
+does: the question bears the asking entry's clock, and what the answer confirms counts from the
 moment of the question. So neither a message that is delayed nor a reader or a receiver
 that was suspended makes news look younger than they are. An entry whose news are too
 old reads for itself.
@@ -30,11 +30,14 @@
     :param asked_at: the asking entry's clock in seconds, including suspended time; the
         answer repeats it.
     :param runner_offset: the offset up to which the asking entry knows the runners.
+    :param others_failed: whether entries before this one in line did not answer, or
+        could not read the log.
     """
 
     entry_id: str
     asked_at: float
     runner_offset: int
+    others_failed: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +61,7 @@
     :param removal_delay_s: seconds for which removals are delayed after an outage.
     :param changes: runners that changed since the offset of the question; ``None`` if
         the entry does not know them all.
+    :param quarantine_offset: offset up to which it has read the quarantines.
     """
 
     entry_id: str
@@ -70,6 +74,7 @@
     runners_read_again_s: float
     removal_delay_s: float
     changes: tuple[RunnerChange, ...] | None
+    quarantine_offset: int
 
 
 class RunnerChangeLog:
@@ -102,7 +107,7 @@
 
 
 class ReadDuty:
-    """Whether this entry reads the log for its zone.
+    """Whether this entry reads the log for others.
 
     :ivar shared: whether entries read for each other at all.
     """
@@ -115,11 +120,11 @@
         self._asked_at = float("-inf")
 
     def set_position(self, position: int, *, shared: bool) -> None:
-        """Set this entry's position among the readers of its zone, 0 for the first."""
+        """Set this entry's position in line, 0 for the one that reads."""
         self._position, self.shared = position, shared
 
     def on_asked(self, now: float) -> None:
-        """Record that another entry relies on this one."""
+        """Record that another entry relies on this one, as others have failed."""
         self._asked_at = now
 
     def reads(self, now: float) -> bool:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/zone_relays.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/zone_relays.py
@@ -50,4 +50,22 @@
     return [ids[own_position % min(len(ids), RELAYS_PER_ZONE)] for ids in ranked]
 
 
-__all__ = ["RELAYS_PER_ZONE", "rank_entries", "relay_targets"]
+def read_line(own_id: str, own_zone: str, ready: Iterable[PeerUpdate]) -> list[str]:
+    """Return the ids of the entries, this one included, that may read the log for it.
+
+    The first entry of each zone stands in line with those of the other zones, any other
+    entry with those of its own zone. The first in line of all zones reads.
+
+    :param ready: the latest updates of the ready entries except this one.
+    """
+    ids_by_zone: dict[str, list[str]] = {own_zone: [own_id]}
+    for update in ready:
+        ids_by_zone.setdefault(update.zone, []).append(update.entry_id)
+    own_line = rank_entries(ids_by_zone[own_zone], "reader")
+    if own_line[0] != own_id:
+        return own_line
+    first_ids = (rank_entries(ids, "reader")[0] for ids in ids_by_zone.values())
+    return rank_entries(first_ids, "reader")
+
+
+__all__ = ["RELAYS_PER_ZONE", "rank_entries", "read_line", "relay_targets"]
