--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.interfaces import IDelayedCall
     from twisted.python.failure import Failure
 
     from corianderrelay.coordination.clock import Clock
@@ -75,6 +76,7 @@
         self.confirmation = Confirmation(_MAX_AGE_SHARE * bound_s)
         self._offset: int | None = None
         self._polling = False
+        self._next_poll: IDelayedCall | None = None
         self._failed_at = float("-inf")
         self._trusted = False
         self._dependency = Dependency("configuration log", log)
@@ -116,7 +118,8 @@
 
     def poll_if_due(self) -> None:
         """Poll if this entry reads for others or its last confirmation is old."""
-        if not self._polling and self._poll_is_due():
+        scheduled = self._next_poll is not None and self._next_poll.active()
+        if not self._polling and not scheduled and self._poll_is_due():
             self._poll()
 
     def apply_news(
@@ -129,13 +132,10 @@
         :param records_lost: whether the log has lost records since this entry last
             read the newest configuration, so that offsets have no meaning.
         """
-        if self._polling or self._offset is None:
-            return
-        if records_lost:
-            self._offset = None
-        if offset == self._offset:
+        if offset == self._offset and not records_lost:
             self._confirm(confirmed_at)
-        else:
+        elif not self._polling and self._offset is not None:
+            self._offset = None if records_lost else self._offset
             self._poll()
 
     def _poll_is_due(self) -> bool:
@@ -179,11 +179,9 @@
             self._schedule(self._shared_period_s if self._duty.shared else 0.0)
 
     def _schedule(self, delay_s: float) -> None:
-        self._polling = True
-        self._clock.callLater(delay_s, self._poll_again)
+        self._next_poll = self._clock.callLater(delay_s, self._poll_again)
 
     def _poll_again(self) -> None:
-        self._polling = False
         if self.catalog is None:
             self._poll()
         else:
@@ -204,6 +202,7 @@
         )
 
     def _on_failure(self, failure: Failure) -> None:
+        self._polling = False
         self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "configuration"})
         if failure.check(LogGapError):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from twisted.internet.interfaces import IDelayedCall
     from twisted.python.failure import Failure
 
     from corianderrelay.coordination.clock import Clock
@@ -36,6 +37,7 @@
 _SHARED_PERIOD_SHARE = 0.3
 _MAX_AGE_SHARE = 0.65  # age from which an entry polls without being told to
 _SHARED_RETRY_S = 0.9  # another entry of the zone retries sooner
+_RECENT_NEWS_S = 1.0  # an entry that answers is asked more often than that
 
 
 class RunnerWatch:
@@ -65,8 +67,10 @@
         self._duty = duty
         self.confirmation = Confirmation(_MAX_AGE_SHARE * leaving_s)
         self.changes = RunnerChangeLog()
-        self._polling = False
+        self._reading = False
+        self._next_read: IDelayedCall | None = None
         self._failed_at = float("-inf")
+        self._news_at = float("-inf")
         self._source = source
         self._runners = runners
         self._clock = clock
@@ -84,7 +88,7 @@
 
     def start(self) -> None:
         """Read the log and schedule the next read."""
-        self._polling = True
+        self._reading = True
         requested_at = self._boottime_seconds()
         if self._offset is None:
             newest = self._source.newest().addCallback(self._replace, requested_at)
@@ -96,8 +100,14 @@
 
     def poll_if_due(self) -> None:
         """Read if this entry reads for others or its last confirmation is old."""
-        if not self._polling and self._poll_is_due():
-            self.start()
+        scheduled = self._next_read is not None and self._next_read.active()
+        if self._reading or scheduled or not self._poll_is_due():
+            return
+        old = self.confirmation.is_old(self._boottime_seconds())
+        if old and self._clock.seconds() - self._news_at <= _RECENT_NEWS_S:
+            # The entry that reads for this one answers, but cannot read the log.
+            self._runners.on_log_unavailable()
+        self.start()
 
     def apply_news(
         self, answer: StoreAnswer, confirmed_at: float, *, records_lost: bool
@@ -108,12 +118,14 @@
         :param records_lost: whether the log has lost records since this entry last
             read all runners, so that offsets have no meaning.
         """
-        if self._polling or self._offset is None:
+        self._news_at = self._clock.seconds()
+        if self._offset is None:
             return
         missed = answer.changes is None or answer.runner_offset < self._offset
         if records_lost or missed:
-            self._offset = None if records_lost else self._offset
-            self.start()
+            if not self._reading:
+                self._offset = None if records_lost else self._offset
+                self.start()
             return
         if answer.removal_delay_s > 0.0:
             delay_until = self._clock.seconds() + answer.removal_delay_s
@@ -129,15 +141,10 @@
         return old or self._offset is None or self._duty.reads(self._clock.seconds())
 
     def _schedule(self, delay_s: float) -> None:
-        self._polling = True
-        self._clock.callLater(delay_s, self._poll_again)
-
-    def _poll_again(self) -> None:
-        self._polling = False
-        self.poll_if_due()
+        self._next_read = self._clock.callLater(delay_s, self.poll_if_due)
 
     def _schedule_next(self) -> None:
-        self._polling = False
+        self._reading = False
         if not self._duty.shared:
             self._schedule(self._poll_period_s)
         elif self._duty.reads(self._clock.seconds()):
@@ -174,7 +181,10 @@
         requested_at: float,
     ) -> None:
         self._on_log_answered()
-        self._apply(*answer)
+        _, offset = answer
+        # Another entry may have told of later records meanwhile.
+        if self._offset is None or offset >= self._offset:
+            self._apply(*answer)
         self.confirmation.record(requested_at)
         self._schedule_next()
 
@@ -185,7 +195,7 @@
         changes = {
             runner_id: runner
             for runner_id, runner in changes.items()
-            if runner is None or runner != self._runners.get(runner_id)
+            if runner is None or not self._runners.is_registered(runner)
         }
         self._offset = offset
         self.changes.add(changes, offset)
@@ -223,6 +233,7 @@
         self._log.note(Decision.RUNNER_GONE, runner=runner_id, reason=reason)
 
     def _on_failure(self, failure: Failure) -> None:
+        self._reading = False
         self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "runners"})
         if failure.check(LogGapError):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
@@ -28,12 +28,14 @@
     from .runner_watch import RunnerWatch
 
 _ASK_PERIOD_S = 0.4
+_ASKED_TWICE = 2  # a single datagram may be lost
 
 
 class StoreSharing:
     """Asks the reader of the zone, and answers other entries.
 
     :param boottime_seconds: returns seconds of a clock that includes suspended time.
+    :ivar position: this entry's position in line, 0 for the one that reads.
     """
 
     def __init__(
@@ -62,21 +64,24 @@
         self._asked_at = float("-inf")
         self._unanswered = 0
         self._reads = True
+        self.position = 0
 
     def tick(self) -> None:
         """Update this entry's duty; poll or ask if that is due."""
         now = self._clock.seconds()
         line = read_line(self._peers.own_id, self._peers.own_zone, self._ready(now))
-        position = line.index(self._peers.own_id)
-        self._duty.set_position(position, shared=self._peers.relayed)
+        self.position = line.index(self._peers.own_id)
+        self._duty.set_position(self.position, shared=self._peers.relayed)
         reads = self._duty.reads(now)
         if reads != self._reads:
-            self._log_duty(reads, position)
+            self._log_duty(reads)
         self._config.poll_if_due()
         self._runner_watch.poll_if_due()
         self._quarantine_watch.poll_if_due()
-        if not reads and now - self._asked_at >= _ASK_PERIOD_S:
-            self._ask([each for each in line if each != self._peers.own_id], now)
+        others = [each for each in line if each != self._peers.own_id]
+        asks = not reads or (self._peers.relayed and self._knows_only_old())
+        if others and asks and now - self._asked_at >= _ASK_PERIOD_S:
+            self._ask(others, now)
 
     def on_question(self, question: StoreQuestion) -> None:
         """Answer an entry, and read for it from now on."""
@@ -115,7 +120,7 @@
         if _is_too_old(config, config_at, asked_at) or _is_too_old(
             runners, runners_at, asked_at
         ):
-            self._unanswered = 1  # asks the next entry, which can perhaps read the log
+            self._unanswered = _ASKED_TWICE  # the next entry can perhaps read the log
         self._config.apply_news(
             answer.config_offset,
             config_at,
@@ -130,8 +135,8 @@
 
     def _ask(self, others: list[str], now: float) -> None:
         self._asked_at = now
-        others_failed = self._unanswered > 0
-        target = self._peers.address(others[self._unanswered % len(others)])
+        failed = max(self._unanswered + 1 - _ASKED_TWICE, 0)
+        target = self._peers.address(others[failed % len(others)])
         self._unanswered += 1
         if target is None:
             return
@@ -140,22 +145,28 @@
                 self._peers.own_id,
                 self._boottime_seconds(),
                 self._runner_watch.offset or 0,
-                others_failed,
+                failed > 0,
             ),
             target,
         )
 
+    def _knows_only_old(self) -> bool:
+        """Whether this entry should read, but cannot."""
+        boottime = self._boottime_seconds()
+        config, runners = self._config.confirmation, self._runner_watch.confirmation
+        return config.is_old(boottime) or runners.is_old(boottime)
+
     def _ready(self, now: float) -> list[PeerUpdate]:
         return [update for update in self._peers.alive(now) if update.ready]
 
-    def _log_duty(self, reads: bool, position: int) -> None:
+    def _log_duty(self, reads: bool) -> None:
         self._reads = reads
         boottime = self._boottime_seconds()
         config, runners = self._config.confirmation, self._runner_watch.confirmation
         self._log.note(
             Decision.LOG_READER,
             reads=reads,
-            position=position,
+            position=self.position,
             config_age_s=round(boottime - config.confirmed_at, 3),
             runners_age_s=round(boottime - runners.confirmed_at, 3),
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -216,6 +216,11 @@
             and now - peer.last_seen_at <= self.liveness_timeout_s
         ]
 
+    def last_seen_at(self, entry_id: str) -> float:
+        """Return the time of a peer's latest update; minus infinity without one."""
+        peer = self._peers_by_id.get(entry_id)
+        return float("-inf") if peer is None else peer.last_seen_at
+
     def address(self, entry_id: str) -> tuple[str, int] | None:
         """Return the host and port of a peer; ``None`` if it is not known."""
         peer = self._peers_by_id.get(entry_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -62,6 +62,11 @@
         """Return a runner's record; ``None`` if it is not registered."""
         return self._runners_by_id.get(runner_id)
 
+    def is_registered(self, runner: RegisteredRunner) -> bool:
+        """Return whether a record is the current one, and is not to be removed."""
+        known = self._runners_by_id.get(runner.runner_id)
+        return known == runner and runner.runner_id not in self._removal_due_by_id
+
     @property
     def current(self) -> bool:
         """Whether a runner that has ended would be removed within seconds."""
