Cut the cost of a request and of a peer's update at many runners and entries

Now lists of usable runners are kept until a record changes, statements are looked up only if there are any, and updates of peers are applied together each 20 ms where they are many.

--- a/packages/corianderrelay-core/src/corianderrelay/state/runner_rests.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/runner_rests.py
@@ -26,6 +26,9 @@
     def __init__(self) -> None:
         self._rest_by_life: dict[str, _Rest] = {}
 
+    def __len__(self) -> int:
+        return len(self._rest_by_life)
+
     def on_rejected(self, life: str, rest_s: float, now: float) -> float:
         """Begin or extend a rest, but never shorten it; return its seconds from now."""
         ends_at = now + min(rest_s, _MAX_REST_S)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -19,10 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall
     from twisted.python.failure import Failure
 
-    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.coordination.clock import Clock, DelayedCall
 
     from ...state.direct.catalog import Catalog, EngineModel
     from ...state.direct.store_news import ReadDuty
@@ -76,7 +75,7 @@
         self.confirmation = Confirmation(_MAX_AGE_SHARE * bound_s)
         self._offset: int | None = None
         self._polling = False
-        self._next_poll: IDelayedCall | None = None
+        self._next_poll: DelayedCall | None = None
         self._failed_at = float("-inf")
         self._trusted = False
         self._dependency = Dependency("configuration log", log)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_capacity.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_capacity.py
@@ -27,20 +27,24 @@
         self, service: str, excluded: frozenset[str], now: float
     ) -> list[RegisteredRunner]:
         """Return the service's runners that take a request of this entry now."""
-        return [
-            runner
-            for runner in self._runners.usable(service)
-            if runner.runner_id not in excluded
-            and self._statements.may_send(runner, now)
-        ]
+        usable = self._runners.usable(service)
+        if excluded:
+            usable = [each for each in usable if each.runner_id not in excluded]
+        if self._statements.nothing_known:
+            return usable
+        return [each for each in usable if self._statements.may_send(each, now)]
 
     def announce_demand(self, service: str, now: float) -> None:
         """Let the other entries know that this one has requests for limited runners."""
+        if self._statements.nothing_known:
+            return
         for runner in self._runners.usable(service):
             self._statements.may_send(runner, now)
 
     def limited_ids(self, runners: list[RegisteredRunner]) -> frozenset[str]:
         """Return the ids of the runners that state a limit."""
+        if self._statements.nothing_known:
+            return frozenset()
         return frozenset(
             runner.runner_id
             for runner in runners
@@ -49,13 +53,18 @@
 
     def slots(self, service: str, now: float) -> int:
         """Return the slots that are occupied or can be occupied now."""
-        return sum(self._slots(each, now) for each in self._runners.usable(service))
+        usable = self._runners.usable(service)
+        if self._statements.nothing_known:
+            return sum(each.slots for each in usable)
+        return sum(self._slots(each, now) for each in usable)
 
     def wait_s(self, service: str, waiting: int, now: float) -> float:
         """Return the seconds until the runners take a request; 0 if one does now.
 
         :param waiting: requests of all entries that wait before it.
         """
+        if self._statements.nothing_known:
+            return 0.0
         usable = self._runners.usable(service)
         due_at = [self._statements.due_at(runner, now) for runner in usable]
         if not due_at:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -18,10 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from twisted.internet.interfaces import IDelayedCall
     from twisted.python.failure import Failure
 
-    from corianderrelay.coordination.clock import Clock
+    from corianderrelay.coordination.clock import Clock, DelayedCall
 
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from ...state.direct.store_news import ReadDuty, StoreAnswer
@@ -37,6 +36,7 @@
 _SHARED_PERIOD_SHARE = 0.3
 _MAX_AGE_SHARE = 0.65  # age from which an entry polls without being told to
 _SHARED_RETRY_S = 0.9  # another entry of the zone retries sooner
+_PENDING_PERIOD_S = 0.4  # while expired records may be renewed
 _RECENT_NEWS_S = 1.0  # an entry that answers is asked more often than that
 
 
@@ -68,7 +68,7 @@
         self.confirmation = Confirmation(_MAX_AGE_SHARE * leaving_s)
         self.changes = RunnerChangeLog()
         self._reading = False
-        self._next_read: IDelayedCall | None = None
+        self._next_read: DelayedCall | None = None
         self._failed_at = float("-inf")
         self._news_at = float("-inf")
         self._source = source
@@ -145,14 +145,21 @@
 
     def _schedule_next(self) -> None:
         self._reading = False
-        if not self._duty.shared:
-            self._schedule(self._poll_period_s)
-        elif self._duty.reads(self._clock.seconds()):
-            self._schedule(self._shared_period_s)
+        period_s = self._poll_period_s
+        if self._duty.shared:
+            period_s = self._shared_period_s
+        if self._runners.removals_pending:
+            period_s = min(period_s, _PENDING_PERIOD_S)
+        if self._duty.reads(self._clock.seconds()):
+            self._schedule(period_s)
 
     def expire(self) -> None:
-        """Remove the runners whose records expired and were not renewed."""
-        for runner_id in self._runners.expire(self._clock.seconds()):
+        """Remove the runners whose records expired and were not renewed.
+
+        Only a read shows that a record was not renewed.
+        """
+        read_s_ago = self._boottime_seconds() - self.confirmation.confirmed_at
+        for runner_id in self._runners.expire(self._clock.seconds() - read_s_ago):
             self._on_runner_removed(runner_id, "its record expired and was not renewed")
 
     def _replace(
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
@@ -43,6 +43,11 @@
         self.limits = LimitShares(peers.own_id)
         self._rests = RunnerRests()
 
+    @property
+    def nothing_known(self) -> bool:
+        """Whether no runner states a limit or rests, as on most days."""
+        return not len(self.limits.stated) and not len(self._rests)
+
     def may_send(self, runner: RegisteredRunner, now: float) -> bool:
         """Return whether a request may be sent to the runner now."""
         life = _life(runner)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/stream_pacing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/stream_pacing.py
@@ -112,10 +112,7 @@
 
     def running(self, service: str) -> int:
         """Return the requests in flight at a service's runners, of all entries."""
-        return sum(
-            self._placement.running(runner.runner_id)
-            for runner in self._runners.usable(service)
-        )
+        return self._placement.running_sum(self._runners.usable(service))
 
     def _measure(
         self, service: str, streaming: _StreamingService, now: float
@@ -151,6 +148,8 @@
 
     def _max_slowness(self, service: str, *, with_streams: bool = False) -> float:
         """Return the slowest rank's step time as a multiple of the usual one."""
+        if self._placement.none_slow:
+            return 1.0
         return max(
             (
                 self._placement.slowness(runner.runner_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -49,6 +49,7 @@
 
 _TICK_S = 0.05  # maximum delay between a deadline and the end of its request
 _SHARING_S = 0.1  # a fraction of the periods of relays and of questions to readers
+_PEERS_CHANGED_S = 0.02  # many entries send updates at all times; a pass takes longer
 _HOUSEKEEPING_S = 0.5  # idle connections and records live for several seconds
 _URGENT_UPDATE_S = 0.05  # collects changes of the same moment in one update
 _MEASURING_S = 0.25  # several passes; the cost of a stream changes within seconds
@@ -100,6 +101,7 @@
     ) -> None:
         self.settings = settings
         self.draining = False
+        self._peers_changed = False
         self._update_is_urgent = True  # the first update tells all where this entry is
         self._dialect = sources.dialect
         self._reactor = reactor
@@ -311,6 +313,14 @@
         for peer_update, age_s in self.exchange.receive(aged_updates):
             self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
             self.statements.receive(peer_update, now, age_s)
+        if not self.exchange.peers.relayed:
+            self._apply_peer_updates()
+        elif not self._peers_changed:
+            self._peers_changed = True
+            self._reactor.callLater(_PEERS_CHANGED_S, self._apply_peer_updates)
+
+    def _apply_peer_updates(self) -> None:
+        self._peers_changed = False
         self.scheduler.apply_peer_updates(self._reactor.seconds())
         self.relay.admit_waiting()
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -78,12 +78,20 @@
 class EntryPeers:
     """The known entries except this one."""
 
-    __slots__ = ("own_id", "own_zone", "_peers_by_id", "_most_peers", "_most_peers_at")
+    __slots__ = (
+        "own_id",
+        "own_zone",
+        "_peers_by_id",
+        "_send_interval_s",
+        "_most_peers",
+        "_most_peers_at",
+    )
 
     def __init__(self, own_id: str, own_zone: str = "") -> None:
         self.own_id = own_id
         self.own_zone = own_zone
         self._peers_by_id: dict[str, _Peer] = {}
+        self._send_interval_s: float | None = None
         self._most_peers = 0
         self._most_peers_at = float("-inf")
 
@@ -95,8 +103,10 @@
     @property
     def send_interval_s(self) -> float:
         """Seconds between two updates to every peer that gets them directly."""
-        peers = sum(map(self._is_direct, self._peers_by_id.values()))
-        return max(_MIN_SEND_INTERVAL_S, peers / _DATAGRAMS_PER_S)
+        if self._send_interval_s is None:
+            peers = sum(map(self._is_direct, self._peers_by_id.values()))
+            self._send_interval_s = max(_MIN_SEND_INTERVAL_S, peers / _DATAGRAMS_PER_S)
+        return self._send_interval_s
 
     @property
     def liveness_timeout_s(self) -> float:
@@ -115,6 +125,7 @@
         """Add an entry's address unless the entry is known."""
         if entry_id != self.own_id and entry_id not in self._peers_by_id:
             self._peers_by_id[entry_id] = _Peer(host, port, now)
+            self._send_interval_s = None
 
     def is_newer(self, update: PeerUpdate) -> bool:
         """Return whether an update of another entry is newer than the latest one."""
@@ -147,6 +158,8 @@
             or previous.ready != update.ready
             or now - peer.last_seen_at > self.liveness_timeout_s
         )
+        if previous is None or previous.zone != update.zone:
+            self._send_interval_s = None
         peer.host, peer.port = update.peer_host, update.peer_port
         peer.update = update
         peer.last_seen_at = now - age_s
@@ -165,12 +178,20 @@
         if max_update_age_s is not None:
             intervals_s = _LIVENESS_INTERVALS * self.send_interval_s
             direct_s = max(max_update_age_s, intervals_s)
+        direct_since, remote_since = now - direct_s, now - remote_s
+        # Called for each request: without a call for each peer.
+        direct_zones = ("", self.own_zone)
+        relayed = self.relayed
         return [
             peer.update
             for peer in self._peers_by_id.values()
             if peer.update is not None
-            and now - peer.last_seen_at
-            <= (direct_s if self._is_direct(peer) else remote_s)
+            and peer.last_seen_at
+            >= (
+                remote_since
+                if relayed and peer.update.zone not in direct_zones
+                else direct_since
+            )
         ]
 
     def heard(self, now: float) -> int:
@@ -235,6 +256,7 @@
             if now - max(peer.last_seen_at, peer.added_at) > _EVICT_AFTER_S
         ]
         for entry_id in evicted:
+            self._send_interval_s = None
             last = self._peers_by_id.pop(entry_id).update
             if last is not None and not last.ready:
                 # It has left in an orderly way, and needs no part of the limits.
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -45,6 +45,7 @@
         "_delay_removals_until",
         "_log_unavailable",
         "_leaving_lives",
+        "_usable_by_service",
     )
 
     def __init__(self) -> None:
@@ -54,6 +55,7 @@
         self._log_unavailable = False
         # In the order in which they were learned; the values have no meaning.
         self._leaving_lives: dict[tuple[str, int], None] = {}
+        self._usable_by_service: dict[str, list[RegisteredRunner]] = {}
 
     def __len__(self) -> int:
         return len(self._runners_by_id)
@@ -82,6 +84,11 @@
             self._log_unavailable = False
             self._delay_removals_until = now + _REMOVAL_DELAY_S
 
+    @property
+    def removals_pending(self) -> bool:
+        """Whether records have expired that may still be renewed."""
+        return bool(self._removal_due_by_id)
+
     def removal_delay_s(self, now: float) -> float:
         """Return the seconds for which removals are still delayed."""
         return max(self._delay_removals_until - now, 0.0)
@@ -94,6 +101,7 @@
         """Store a runner's newest record and return the previous one."""
         previous = self._runners_by_id.get(runner.runner_id)
         self._runners_by_id[runner.runner_id] = runner
+        self._usable_by_service.clear()
         self._removal_due_by_id.pop(runner.runner_id, None)
         return previous
 
@@ -121,22 +129,33 @@
         for runner_id in missing:
             self.remove(runner_id, now)
 
-    def expire(self, now: float) -> list[str]:
-        """Remove the runners whose delayed removal is due and return their ids."""
+    def expire(self, read_at: float) -> list[str]:
+        """Remove the runners whose delayed removal is due and return their ids.
+
+        :param read_at: when the log was last read.
+        """
         due = [
-            each for each, due_at in self._removal_due_by_id.items() if now >= due_at
+            each
+            for each, due_at in self._removal_due_by_id.items()
+            if read_at >= due_at
         ]
         for runner_id in due:
             self._delete(runner_id)
         return due
 
     def usable(self, service: str) -> list[RegisteredRunner]:
-        """Return the service's runners that are not shutting down."""
-        return [
-            runner
-            for runner in self._runners_by_id.values()
-            if runner.service == service and not self._is_leaving(runner)
-        ]
+        """Return the service's runners that are not shutting down.
+
+        The list is kept until a record changes; callers must not change it.
+        """
+        usable = self._usable_by_service.get(service)
+        if usable is None:
+            usable = self._usable_by_service[service] = [
+                runner
+                for runner in self._runners_by_id.values()
+                if runner.service == service and not self._is_leaving(runner)
+            ]
+        return usable
 
     def mark_leaving(self, runner_id: str, started_ms: int) -> bool:
         """Record that a runner itself states that it is shutting down.
@@ -151,6 +170,7 @@
         if len(self._leaving_lives) >= _MAX_LEAVING:
             del self._leaving_lives[next(iter(self._leaving_lives))]
         self._leaving_lives[life] = None
+        self._usable_by_service.clear()
         return True
 
     def recently_leaving(self, count: int) -> list[tuple[str, int]]:
@@ -167,6 +187,7 @@
 
     def _delete(self, runner_id: str) -> None:
         self._runners_by_id.pop(runner_id, None)
+        self._usable_by_service.clear()
         self._removal_due_by_id.pop(runner_id, None)
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_placement.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_placement.py
@@ -84,6 +84,8 @@
         self._peer_slowness_by_id = {}
 
     def _apply_updates(self) -> None:
+        if not self._pending_updates:
+            return
         updates, self._pending_updates = self._pending_updates, []
         for peer_update in updates:
             self._peer_slowness_by_id.update(peer_update.slowness_by_runner)
@@ -108,6 +110,27 @@
         own = health.running if health is not None else 0
         return own + self._peer_running_by_id.get(runner_id, 0)
 
+    def running_sum(self, runners: Iterable[RegisteredRunner]) -> int:
+        """Return the running requests of several runners."""
+        self._apply_updates()
+        peer_running = self._peer_running_by_id
+        health_by_id = self._health_by_id
+        return sum(
+            peer_running.get(each.runner_id, 0)
+            + (
+                health_by_id[each.runner_id].running
+                if each.runner_id in health_by_id
+                else 0
+            )
+            for each in runners
+        )
+
+    @property
+    def none_slow(self) -> bool:
+        """Whether no runner is known to be slow."""
+        self._apply_updates()
+        return not self._own_slowness_by_id and not self._peer_slowness_by_id
+
     def own_running(self) -> dict[str, int]:
         """Return this entry's counts of running requests by runner, without zeros."""
         return {
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/stated_limits.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/stated_limits.py
@@ -35,6 +35,9 @@
     def __init__(self) -> None:
         self._stated_by_life: dict[str, StatedLimit] = {}
 
+    def __len__(self) -> int:
+        return len(self._stated_by_life)
+
     def limit_per_s(self, life: str) -> float | None:
         """Return the limit of a runner; ``None`` if there is none."""
         stated = self._stated_by_life.get(life)
