Read the popularity of experts from a share of a large group's ranks

Cause: one rank of each of three groups was read, whatever their size; with 192 ranks of 3 streams, 9 of some 350 streams decided which experts are popular, so that maps fitted their topics only. Now one rank in 16 is read, and two of all groups at least. Rows of 64 and 256 ranks failed before.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/group_balancer.py
@@ -35,6 +35,8 @@
     from .rank_client import RankClient
 
 _MIN_RANKS_READ = 2  # the few streams of one rank can all have the same topic
+# Large groups have fewer streams on each rank, and experts for more topics.
+_RANKS_PER_SAMPLE = 16
 # While a runner of the service is in no known group, or a group's map is unknown.
 _DISCOVERY_PERIOD_S = 2.0
 _POLL_PERIOD_S = 1.0  # detects slow ranks, and groups that another entry left held
@@ -268,11 +270,10 @@
         ]
         if not idle or not self._popularity_reader.is_due(self._stream_cost_s()):
             return
-        ranks_per_group = math.ceil(_MIN_RANKS_READ / len(idle))
         ranks = [
             each
             for group in idle
-            for each in self._busiest_ranks(group)[:ranks_per_group]
+            for each in self._busiest_ranks(group)[: _sample_size(group, len(idle))]
         ]
         if self._popularity_reader.read(ranks, experts):
             # Request the ranks' reports now, so that a switch need not wait for them.
@@ -411,4 +412,11 @@
         self._log.note(Decision.RANK_SILENT, reason=failure.getErrorMessage())
 
 
+def _sample_size(group: _Group, groups: int) -> int:
+    """Return how many ranks of a group are read for the popularity of experts."""
+    return math.ceil(
+        max(_MIN_RANKS_READ / groups, len(group.members) / _RANKS_PER_SAMPLE)
+    )
+
+
 __all__ = ["GroupBalancer"]
--- a/tests/features/entry/coordination/direct/group_balancer.feature
+++ b/tests/features/entry/coordination/direct/group_balancer.feature
@@ -14,3 +14,17 @@
       | epoch |
       | old   |
       | new   |
+
+  # Guards against maps for the topics of a handful of streams: of 192 ranks in 3 groups
+  # with 3 streams each, 3 ranks were read, so that 9 of 350 streams made the map.
+  Scenario Outline: The popularity of experts is read from a share of the ranks
+    Given a balancer that has found a group of <ranks> ranks
+    When it is elected, with streams on all ranks, for 3 s
+    Then it has read the counts of <read> ranks
+
+    Examples:
+      | ranks | read |
+      | 4     | 2    |
+      | 12    | 2    |
+      | 64    | 4    |
+      | 256   | 16   |
--- a/tests/features/steps/group_balancer_steps.py
+++ b/tests/features/steps/group_balancer_steps.py
@@ -37,6 +37,7 @@
 @given("a balancer that has found a group of {count:d} ranks")
 def step_found(context: Any, count: int) -> None:
     context.clock, context.runners = Clock(), RunnerList()
+    context.streams_per_rank = 0
     names = [f"rank {number}" for number in range(count)]
     for name in names:
         context.runners.put(rank_runner(name))
@@ -51,7 +52,7 @@
         DecisionLog(context.clock.seconds),
         lambda: 0.0,
         lambda: 0.0,
-        lambda runner_id: 0,
+        lambda runner_id: context.streams_per_rank,
     )
     _run(context, 3.0)
     assert _members(context) == names
@@ -86,3 +87,14 @@
     before = dict(context.ranks.asked)
     _run(context, 5.0)
     assert context.ranks.asked == before, (before, context.ranks.asked)
+
+
+@when("it is elected, with streams on all ranks, for {seconds:d} s")
+def step_elected(context: Any, seconds: int) -> None:
+    context.streams_per_rank = 3
+    _run(context, seconds, may_switch=True)
+
+
+@then("it has read the counts of {count:d} ranks")
+def step_counts_read(context: Any, count: int) -> None:
+    assert len(context.ranks.counts_read) == count, context.ranks.counts_read
--- a/tests/harness/answering_ranks.py
+++ b/tests/harness/answering_ranks.py
@@ -21,12 +21,14 @@
 class AnsweringRanks:
     """Answers for all ranks of one group.
 
-    ``asked`` counts the report calls by runner.
+    ``asked`` counts the report calls by runner, ``counts_read`` names the ranks whose
+    selection counts were read.
     """
 
     def __init__(self, names: list[str]) -> None:
         self.names = names
         self.epoch_by_name = dict.fromkeys(names, 1)
+        self.counts_read: set[str] = set()
         self.asked = dict.fromkeys([*names, NEW_RANK], 0)
 
     def report(self, runner: RegisteredRunner) -> Deferred[RankReport | None]:
@@ -46,6 +48,7 @@
         )
 
     def counts(self, runner: RegisteredRunner) -> Deferred[list[int]]:
+        self.counts_read.add(runner.runner_id)
         return succeed([1] * 8)
 
     def experts(self, runner: RegisteredRunner) -> Deferred[ExpertSets]:
