Exit only when the answers of a stopping entry are wholly sent

Cause: an entry that was stopping exited as soon as no request was open. An answer that the runner had completed could still wait in the entry for a caller that reads slowly, and was cut off; a further request of the caller could reset the connection under it. Now the exit waits, up to the drain's deadline, until all bytes are handed to the kernel and the caller has closed its side, or 1 s has passed. Tests: the connection without network (did not exist before); the process test of a slow reader passes before too, since the kernel takes its whole answer on loopback.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -171,9 +171,8 @@
         self._check_drained()
 
     def _check_drained(self) -> None:
-        order = self._drain.check_exit(
-            self._entry.relay.open_requests, self._reactor.seconds()
-        )
+        unfinished = self._entry.relay.open_requests + self._callers.ending_connections
+        order = self._drain.check_exit(unfinished, self._reactor.seconds())
         if order is None:
             self._reactor.callLater(_DRAIN_POLL_S, self._check_drained)
         else:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/caller_http.py
@@ -18,6 +18,8 @@
 from .socket_options import enable_dead_peer_detection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.python.failure import Failure
 
     from corianderrelay.coordination.clock import Clock, DelayedCall
@@ -33,6 +35,7 @@
 _HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 _HEADER_FRAMING_BYTES = 4  # colon, space and CRLF
 _MAX_UNSENT_BYTES = 4_194_304  # bounds the memory used for a caller that stops reading
+_LINGER_S = 1.0  # callers close when they have read an answer with Connection: close
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -108,9 +111,15 @@
 class CallerConnection(TwistedProtocol):
     """One caller's connection; implements ``AnswerSink`` for its current answer."""
 
-    def __init__(self, handler: CallerHandler, clock: Clock) -> None:
+    def __init__(
+        self,
+        handler: CallerHandler,
+        clock: Clock,
+        on_lost: Callable[[CallerConnection], None] = lambda connection: None,
+    ) -> None:
         self._handler = handler
         self._clock = clock
+        self._on_lost = on_lost
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
@@ -139,6 +148,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Cancel the open request after either side has closed the connection."""
+        self._on_lost(self)
         self._closed = True
         self._cancel_timer()
         open_call, self._open_call = self._open_call, None
@@ -176,7 +186,10 @@
             return
         self._send(h11.EndOfMessage())
         if self._http.our_state is h11.MUST_CLOSE:
-            self._close()
+            if self._handler.draining:
+                self._close_after_reading()
+            else:
+                self._close()
             return
         self._http.start_next_cycle()
         self._request = None
@@ -273,6 +286,39 @@
         self._cancel_timer()
         cast("Any", self.transport).loseConnection()
 
+    def _close_after_reading(self) -> None:
+        """End the answer, and close when the caller has closed or reads no more.
+
+        The process exits soon: bytes that are not sent by then would be lost, and so
+        would sent ones if the next request of the caller reset the connection.
+        """
+        self._closed = True
+        cast("Any", self.transport).loseWriteConnection()
+        self._start_linger()
+
+    def _start_linger(self) -> None:
+        self._cancel_timer()
+        self._timer = self._clock.callLater(_LINGER_S, self._on_lingered)
+
+    def _on_lingered(self) -> None:
+        if self.unsent_bytes:
+            self._start_linger()
+        else:
+            cast("Any", self.transport).loseConnection()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were not handed to the kernel yet."""
+        transport = cast("Any", self.transport)
+        waiting = getattr(transport, "_tempDataLen", 0)
+        offset = getattr(transport, "offset", 0)
+        return len(getattr(transport, "dataBuffer", b"")) - offset + int(waiting)
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether an answer is not wholly sent, or its end is not read yet."""
+        return bool(self._closed or self.unsent_bytes)
+
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
         self._timer = self._clock.callLater(seconds, self._on_timeout)
@@ -311,10 +357,20 @@
     def __init__(self, handler: CallerHandler, clock: Clock) -> None:
         self._handler = handler
         self._clock = clock
+        self._connections: set[CallerConnection] = set()
+
+    @property
+    def ending_connections(self) -> int:
+        """Number of connections on which an answer has not wholly been sent."""
+        return sum(each.is_ending for each in self._connections)
 
     def buildProtocol(self, addr: Any) -> CallerConnection:
         """Return the protocol of a new connection."""
-        return CallerConnection(self._handler, self._clock)
+        connection = CallerConnection(
+            self._handler, self._clock, self._connections.discard
+        )
+        self._connections.add(connection)
+        return connection
 
 
 __all__ = [
--- a/tests/features/entry/transport/caller_http.feature
+++ b/tests/features/entry/transport/caller_http.feature
@@ -15,3 +15,24 @@
     Given a caller's connection is idle
     When the time limit becomes due and a request is read in the same pass of the reactor
     Then the request is handled
+
+  # Guards against an exit that loses the end of an answer. The runner has sent it whole,
+  # but the caller reads slowly, or its next request meets the close and resets it.
+  Scenario: An entry that is stopping has an answer to send
+    Given a caller's connection of an entry that is stopping
+    When its request is answered faster than it reads
+    Then the entry must not exit yet
+    When all bytes are handed to the kernel
+    Then the entry must not exit yet
+    And only its own direction of the connection is closed
+    When the caller closes the connection
+    Then the entry may exit
+
+  Scenario: The caller does not close the connection
+    Given a caller's connection of an entry that is stopping
+    When its request is answered faster than it reads
+    And 1 s pass
+    Then the entry must not exit yet
+    When all bytes are handed to the kernel
+    And 1 s pass
+    Then the connection is closed
--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -119,6 +119,14 @@
     When entry 2 is restarted
     Then each entry returns the addresses of both
 
+  # Guards against an exit that loses the end of an answer: the runner has sent it whole,
+  # but the caller reads slowly, so that the entry still has bytes to send.
+  Scenario: A caller reads slowly while its entry stops
+    When entry 2 gets SIGTERM while a caller reads /stock/large in 4.5 s
+    Then it gets all bytes of the large body and the entry exits
+    When entry 2 is restarted
+    Then each entry returns the addresses of both
+
   Scenario: Settings that change while an entry runs
     When the grace time in entry 1's settings changes and it gets SIGHUP
     Then its log names the bounds and a remedy, and it keeps serving
--- a/tests/features/steps/caller_http_steps.py
+++ b/tests/features/steps/caller_http_steps.py
@@ -11,6 +11,7 @@
 from corianderrelay_entry.state.direct.catalog import CallerLimits
 from corianderrelay_entry.transport.direct.caller_http import (
     CallerConnection,
+    CallerFactory,
     CallerRequest,
 )
 
@@ -35,6 +36,13 @@
 class _Transport(StringTransport):
     """A transport whose socket options are ignored."""
 
+    dataBuffer = b""
+    write_closed = False
+
+    def loseWriteConnection(self) -> None:
+        """Record that no more will be sent."""
+        self.write_closed = True
+
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Do nothing."""
 
@@ -80,6 +88,58 @@
     context.limit_s = _LIMITS.receive_head_s
 
 
+@given("a caller's connection of an entry that is stopping")
+def step_stopping(context: Any) -> None:
+    context.clock, context.handler = _ReactorClock(), _Handler()
+    context.handler.draining = True
+    context.factory = CallerFactory(context.handler, context.clock)
+    context.connection = context.factory.buildProtocol(None)
+    context.transport = _Transport()
+    context.connection.makeConnection(context.transport)
+    assert context.factory.ending_connections == 0
+
+
+@when("its request is answered faster than it reads")
+def step_answered(context: Any) -> None:
+    context.transport.dataBuffer = b"unsent"
+    context.connection.dataReceived(_HEAD + _BODY)
+
+
+@when("all bytes are handed to the kernel")
+def step_sent(context: Any) -> None:
+    context.transport.dataBuffer = b""
+
+
+@when("the caller closes the connection")
+def step_caller_closes(context: Any) -> None:
+    context.connection.connectionLost()
+
+
+@when("{seconds:d} s pass")
+def step_pass(context: Any, seconds: int) -> None:
+    context.clock.advance(seconds)
+
+
+@then("the entry must not exit yet")
+def step_not_yet(context: Any) -> None:
+    assert context.factory.ending_connections == 1
+
+
+@then("only its own direction of the connection is closed")
+def step_half_closed(context: Any) -> None:
+    assert context.transport.write_closed and not context.transport.disconnecting
+
+
+@then("the entry may exit")
+def step_may_exit(context: Any) -> None:
+    assert context.factory.ending_connections == 0
+
+
+@then("the connection is closed")
+def step_connection_closed(context: Any) -> None:
+    assert context.transport.disconnecting
+
+
 @when("the time limit becomes due and the body is read in the same pass of the reactor")
 def step_body(context: Any) -> None:
     context.clock.advance(context.limit_s)
