--- a/tests/features/entry/transport/caller_http.feature
+++ b/tests/features/entry/transport/caller_http.feature
@@ -31,8 +31,8 @@
   Scenario: The caller does not close the connection
     Given a caller's connection of an entry that is stopping
     When its request is answered faster than it reads
-    And 1 s pass
+    And the connection lingers for 1 s
     Then the entry must not exit yet
     When all bytes are handed to the kernel
-    And 1 s pass
+    And the connection lingers for 1 s
     Then the connection is closed
--- a/tests/features/steps/caller_http_steps.py
+++ b/tests/features/steps/caller_http_steps.py
@@ -115,7 +115,7 @@
     context.connection.connectionLost()
 
 
-@when("{seconds:d} s pass")
+@when("the connection lingers for {seconds:d} s")
 def step_pass(context: Any, seconds: int) -> None:
     context.clock.advance(seconds)
 
