Trust no answer on a kept connection that does not name its request

Cause: an answer without a request id was taken for that of the current request, also on a connection that had carried another one, where it may be a copy of an earlier refusal; and a second attempt could meet the same on another kept connection. Now such an answer ends its connection, and second attempts open a new one. Orders always had a connection of their own. Tests: refusals written once more, with and without an id (lookups failed before with a 503 for a request that had run); eight ways in which the runner that should go on with a stream fails (all passed before).

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -332,7 +332,8 @@
             headers,
             opened.call.body,
             opened.call.request_id,
-            opened.route.retryable,
+            # A kept connection may have caused the failure of the first attempt.
+            may_reuse_connection=opened.route.retryable and first,
         )
         opened.runner_attempt = self._connections.send(runner, request, events)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -2,7 +2,8 @@
 
 A connection is reused only if every byte received on it belonged to the answer to a
 request. Unexpected bytes close it. A late answer to an earlier request is recognised
-by its request id and skipped.
+by its request id and skipped; one without an id ends the connection if it has carried
+another request.
 """
 
 from __future__ import annotations
@@ -50,6 +51,7 @@
         self._skipping_answer = False
         self._skipped_bytes = 0
         self._interim_answers = 0
+        self._answered_before = False
         self._idle_limit_s = _MAX_IDLE_S
         self.idle_until = 0.0
         self.open = False
@@ -158,6 +160,12 @@
         if answered is not None and answered != request.request_id:
             self._skipping_answer = True
             return
+        if answered is None and self._answered_before:
+            self._fail(
+                "the runner's answer on a kept connection does not name its request: it "
+                "may be a copy of an earlier one"
+            )
+            return
         self._idle_limit_s = _read_idle_limit_s(headers)
         if self._listener is not None:
             head = dialect.decode_head(
@@ -197,6 +205,7 @@
             self._abort()
             return
         self._http.start_next_cycle()
+        self._answered_before = True
         self._owner.keep_idle(self._runner_id, self, self._idle_limit_s)
 
     def _fail(self, reason: str) -> None:
--- a/tests/features/entry/state/direct/direct_attempts.feature
+++ b/tests/features/entry/state/direct/direct_attempts.feature
@@ -68,3 +68,23 @@
     Then the request is retried after event 3
     When a runner sends events 4 to 6 and ends the stream
     Then the caller has events 1 to 6, once each, and a complete response
+
+  # Guards against an error's text in the middle of a stream, and against a stream that
+  # ends as if it were complete, when the next runner does not go on with it.
+  Scenario Outline: The runner that should go on with a stream answers with an error
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and disconnects
+    Then the request is retried after event 3
+    When its attempts end as follows: <outcome>
+    Then the caller's connection is closed after event 3
+
+    Examples:
+      | outcome        |
+      | complete 500   |
+      | complete 404   |
+      | complete 503   |
+      | rejected 503   |
+      | rejected 421   |
+      | unsigned 200   |
+      | encoded 200    |
+      | disconnected   |
--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -63,6 +63,15 @@
     When 20 callers ask for /stock/extra and /stock/stray-first alternately
     Then each gets the whole body
 
+  # Guards against callers that are told "not run" for a request that a runner runs, since
+  # the runner wrote a refusal of before once more on a kept connection.
+  Scenario: A runner writes an earlier refusal once more
+    When 20 callers ask for /stock/refusal-again and /stock/refusal-again-unnamed alternately
+    Then each gets the whole body
+    When 12 callers ask for /orders/refusal-again and /orders/refusal-again-unnamed alternately
+    Then each gets the whole body
+    And each of their requests ran once
+
   Scenario Outline: Requests that are rejected
     When a caller asks for <path> with <key>
     Then it gets <status> and nothing
--- a/tests/features/steps/platform_path_steps.py
+++ b/tests/features/steps/platform_path_steps.py
@@ -87,6 +87,12 @@
     assert {answer[1:4:2] for answer in context.answers} == {(200, b"body")}
 
 
+@then("each of their requests ran once")
+def step_each_once(context: Any) -> None:
+    fleet = context.system.fleet
+    assert all(fleet.run_count(request_id) == 1 for request_id, *_ in context.answers)
+
+
 def _runner_headers(context: Any) -> dict[str, str]:
     request_id = context.answer[0]
     runs = context.system.fleet.runs
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -66,6 +66,7 @@
         self.crashes: list[RunnerCrash] = []
         self.arrivals: list[tuple[str, float]] = []
         self.endless: set[str] = set()
+        self.answered_peers: set[tuple[str, int]] = set()
         self.deadly_parts: set[str] = set()
         self.stated_headers: dict[str, dict[str, str]] = {}
         self.arrivals_by_runner: defaultdict[str, list[float]] = defaultdict(list)
@@ -305,6 +306,10 @@
                 + self._signed_answer(request_id, b"body"),
                 True,
             ),
+            "refusal-again": lambda: self._repeat_refusal(request_id, connection),
+            "refusal-again-unnamed": lambda: self._repeat_refusal(
+                request_id, connection, named=False
+            ),
             "unframed": lambda: _send(
                 connection,
                 self._answer_head(200, request_id, signed=True) + b"\r\nbody",
@@ -322,6 +327,26 @@
             return answer()
         return _send(connection, self._signed_answer(request_id, b"body"), True)
 
+    def _repeat_refusal(
+        self, request_id: str, connection: socket.socket, *, named: bool = True
+    ) -> bool:
+        """Run the request, but write a refusal of before once more first.
+
+        The first request on a connection is answered as it should be.
+        """
+        peer = connection.getpeername()
+        with self._fleet.lock:
+            kept = peer in self._fleet.answered_peers
+            self._fleet.answered_peers.add(peer)
+        refusal = b""
+        if kept:
+            refusal = self._answer_head(503, "earlier", not_run=True)
+            if not named:
+                refusal = b"HTTP/1.1 503 X\r\nCorianderrelay-Not-Run: 1\r\n"
+            refusal += _body_with_length(b"")
+        answer = self._signed_answer(request_id, b"body")
+        return _send(connection, refusal + answer, True)
+
     def _send_endlessly(
         self, behaviour: str, request_id: str, connection: socket.socket
     ) -> bool:
