--- a/bench/news.py
+++ b/bench/news.py
@@ -15,11 +15,19 @@
 
 _WARM_UP_S = 8.0
 _SAMPLE_EVERY = 10  # steps of the model
-_HEAD = (
-    "| entries | zones | calls of the store /s | of these at the start | sent in zone "
-    "B/s an entry | between zones B/s an entry | datagrams /s an entry | age of load in "
-    "zone p50, p99, worst s | of other zones | configuration proof worst s | runners "
-    "worst s | death noticed after s |\n" + "|---" * 12 + "|"
+_COLUMNS = (
+    "entries",
+    "zones",
+    "calls of the log /s",
+    "calls before",
+    "B/s an entry, in its zone",
+    "B/s an entry, to other zones",
+    "datagrams/s an entry",
+    "age of load in the zone, p50, p99, worst s",
+    "age of load of other zones",
+    "configuration confirmed, worst s",
+    "runners confirmed, worst s",
+    "death noticed, s",
 )
 
 
@@ -111,7 +119,8 @@
 @click.option("--seed", default=1, show_default=True)
 def main(sizes: tuple[str, ...], seconds: float, seed: int) -> None:
     """Print the table."""
-    click.echo(_HEAD)
+    click.echo("| " + " | ".join(_COLUMNS) + " |")
+    click.echo("|---" * len(_COLUMNS) + "|")
     for size in sizes:
         entries, zones = map(int, size.split(":"))
         click.echo(measure(entries, zones, seconds, seed))
--- a/bench/news_simulation.py
+++ b/bench/news_simulation.py
@@ -23,7 +23,6 @@
 from corianderrelay_entry.coordination.direct.runner_watch import RunnerWatch
 from corianderrelay_entry.coordination.direct.store_sharing import StoreSharing
 from corianderrelay_entry.state.direct.crash_ledger import CrashLedger
-from corianderrelay_entry.state.direct.entry_peers import PeerUpdate
 from corianderrelay_entry.state.direct.part_ledger import PartLedger
 from corianderrelay_entry.state.direct.quarantines import Quarantines
 from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
@@ -1,10 +1,10 @@
 """What entries tell each other of the platform's log, so that few have to read it.
 
-One entry reads for all. The others ask it, or the entry of their availability zone that
-does: the question bears the asking entry's clock, and what the answer confirms counts from the
-moment of the question. So neither a message that is delayed nor a reader or a receiver
-that was suspended makes news look younger than they are. An entry whose news are too
-old reads for itself.
+One entry reads for all. The others ask it, or the first entry of their availability
+zone, which asks it in turn. The question bears the asking entry's clock, and what the
+answer confirms counts from the moment of the question. So neither a message that is
+delayed nor an entry that was suspended makes news look younger than they are. An entry
+whose news are too old reads for itself.
 """
 
 from __future__ import annotations
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/runner_http.py
@@ -162,8 +162,8 @@
             return
         if answered is None and self._answered_before:
             self._fail(
-                "the runner's answer on a kept connection does not name its request: it "
-                "may be a copy of an earlier one"
+                "the runner's answer on a kept connection does not name its request; "
+                "it may be a copy of an earlier one"
             )
             return
         self._idle_limit_s = _read_idle_limit_s(headers)
--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -106,8 +106,8 @@
 
 
 @then(
-    "all others stay confirmed for {seconds:d} s, configurations within {config_s:g} s, "
-    "runners within {runners_s:g} s"
+    "all others stay confirmed for {seconds:d} s, configurations within "
+    "{config_s:g} s, runners within {runners_s:g} s"
 )
 def step_stay_confirmed(
     context: Any, seconds: int, config_s: float, runners_s: float
