--- a/tests/features/bench/news.feature
+++ b/tests/features/bench/news.feature
@@ -75,3 +75,10 @@
     Given 21 entries in 3 zones that know each other
     When the log is down for 3 s, and loses the record of a runner for 1.5 s after that
     Then no entry has removed the runner
+
+  # Guards against an entry that goes on at its old offset, which now names other records:
+  # only the entry that reads sees that the log has lost some.
+  Scenario: The log gives out the same offsets again
+    Given 21 entries in 3 zones that know each other
+    When the log forgets its records, and gives out the offsets up to the old end again
+    Then no entry knows the runner that was removed meanwhile
--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -211,3 +211,29 @@
 @then("no entry has removed the runner")
 def step_not_removed(context: Any) -> None:
     assert context.removed_at is None, context.removed_at
+
+
+@when("the log forgets its records, and gives out the offsets up to the old end again")
+def step_offsets_again(context: Any) -> None:
+    world, store = context.world, context.world.store
+    reader, old_end = world.reader(), len(context.world.store.runner_records)
+    store.runner_records = list(dict(store.runner_records).items())
+    store.first_runner_offset = len(store.runner_records)
+    for _ in world.run(3.0):
+        if (reader.runner_watch.offset or old_end) < old_end:
+            break
+    context.runner_id = world.runner_ids[0]
+    world.remove_runner(context.runner_id)
+    while len(store.runner_records) <= old_end:
+        world.put_runner(world.runner_ids[0])
+
+
+@then("no entry knows the runner that was removed meanwhile")
+def step_removed_unknown(context: Any) -> None:
+    _run(context, 8.0)
+    knowing = [
+        entry.entry_id
+        for entry in context.world.entries
+        if entry.runners.get(context.runner_id) is not None
+    ]
+    assert not knowing, knowing
