Log the era and the offsets of the platform's log

Neither the era that the log states (Store-Era) nor the offset at which an entry reads was logged, so logs could not tell an entry that goes on at an offset of a lost history from one that took an older record for the newest. Positions now carry the era; no decision uses it yet. log:era, log:read_again, config:in_force with era and offset, era on the lines of requests, and two metrics.

--- a/bench/news_network.py
+++ b/bench/news_network.py
@@ -13,6 +13,7 @@
 from corianderrelay.state.errors import LogUnavailableError
 from corianderrelay_entry.coordination.direct.ports import LogGapError
 from corianderrelay_entry.state.direct.catalog import Catalog
+from corianderrelay_entry.state.direct.log_position import LogPosition
 from corianderrelay_entry.state.direct.runner_list import RegisteredRunner
 
 _IN_ZONE_S = 0.0001
@@ -104,6 +105,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self.era = 1
         self.versions: list[int] = [1]
         self.runner_records: list[tuple[str, RegisteredRunner | None]] = []
         self.first_runner_offset = 0
@@ -173,15 +175,15 @@
     def __init__(self, entry_store: EntryStore) -> None:
         self._store = entry_store
 
-    def newest(self) -> Deferred[tuple[Catalog | None, int]]:
+    def newest(self) -> Deferred[tuple[Catalog | None, LogPosition]]:
         return self._store.call("configuration", lambda store: _read(store, 0))
 
     def follow(
-        self, offset: int, wait_s: float
-    ) -> Deferred[tuple[Catalog | None, int]]:
+        self, position: LogPosition, wait_s: float
+    ) -> Deferred[tuple[Catalog | None, LogPosition]]:
         # A poll that waits and finds nothing ends late, and is answered as of its end.
         return self._store.call(
-            "configuration", lambda store: _read(store, offset), wait_s
+            "configuration", lambda store: _read(store, position.offset), wait_s
         )
 
 
@@ -189,22 +191,25 @@
     def __init__(self, entry_store: EntryStore) -> None:
         self._store = entry_store
 
-    def newest(self) -> Deferred[tuple[dict[str, RegisteredRunner | None], int]]:
+    def newest(
+        self,
+    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], LogPosition]]:
         def read(store: Store) -> Any:
             newest = dict(store.runner_records)
             live = {each: record for each, record in newest.items() if record}
-            return live, len(store.runner_records)
+            return live, LogPosition(store.era, len(store.runner_records))
 
         return self._store.call("runners", read)
 
     def follow(
-        self, offset: int
-    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], int]]:
+        self, position: LogPosition
+    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], LogPosition]]:
         def read(store: Store) -> Any:
             end = len(store.runner_records)
-            if offset < store.first_runner_offset or offset > end:
+            if position.offset < store.first_runner_offset or position.offset > end:
                 raise LogGapError("the records are not kept any more")
-            return dict(store.runner_records[offset:]), len(store.runner_records)
+            changes = dict(store.runner_records[position.offset :])
+            return changes, LogPosition(store.era, end)
 
         return self._store.call("runners", read)
 
@@ -213,14 +218,16 @@
     def __init__(self, entry_store: EntryStore) -> None:
         self._store = entry_store
 
-    def newest(self) -> Deferred[tuple[dict[str, float | None], int]]:
-        return self._store.call("quarantine", lambda store: ({}, 0))
+    def newest(self) -> Deferred[tuple[dict[str, float | None], LogPosition]]:
+        return self._store.call(
+            "quarantine", lambda store: ({}, LogPosition(store.era, 0))
+        )
 
     def follow(
-        self, offset: int, wait_s: float
-    ) -> Deferred[tuple[dict[str, float | None], int]]:
-        polled: Deferred[tuple[dict[str, float | None], int]] = Deferred()
-        self._store.call("quarantine", lambda store: ({}, 0))
+        self, position: LogPosition, wait_s: float
+    ) -> Deferred[tuple[dict[str, float | None], LogPosition]]:
+        polled: Deferred[tuple[dict[str, float | None], LogPosition]] = Deferred()
+        self._store.call("quarantine", lambda store: ({}, LogPosition(store.era, 0)))
         return polled  # nothing is quarantined in the model, so the poll stays open
 
     def put(self, fingerprint: str, ends_at: float) -> Deferred[None]:
@@ -230,10 +237,10 @@
         return self._store.call("quarantine", lambda store: None)
 
 
-def _read(store: Store, offset: int) -> tuple[Catalog | None, int]:
+def _read(store: Store, offset: int) -> tuple[Catalog | None, LogPosition]:
     versions = store.versions[offset:]
     catalog = Catalog(versions[-1], {}, {}, {}, True) if versions else None
-    return catalog, len(store.versions)
+    return catalog, LogPosition(store.era, len(store.versions))
 
 
 __all__ = ["EntryClock", "EntryStore", "Network", "Store"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -14,6 +14,7 @@
 from ...state.direct.store_news import Confirmation
 from .decision_log import Decision
 from .dependency import Dependency
+from .log_reading import LogReading
 from .ports import LogGapError
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     from corianderrelay.coordination.clock import Clock, DelayedCall
 
     from ...state.direct.catalog import Catalog, EngineModel
+    from ...state.direct.log_position import LogPosition
     from ...state.direct.store_news import ReadDuty
     from .decision_log import DecisionLog
     from .direct_metrics import DirectMetrics
@@ -73,7 +75,7 @@
         bound_s = self._wait_s / _POLL_WAIT_SHARE
         self._shared_period_s = _SHARED_PERIOD_SHARE * bound_s
         self.confirmation = Confirmation(_MAX_AGE_SHARE * bound_s)
-        self._offset: int | None = None
+        self._reading = LogReading("configuration", log, metrics)
         self._polling = False
         self._next_poll: DelayedCall | None = None
         self._failed_at = float("-inf")
@@ -95,6 +97,11 @@
             self._log.note(kind, version=self.version, proof_age_s=self.age_s)
         return trusted
 
+    @property
+    def era(self) -> int | None:
+        """The era of the log at the last read; ``None`` before."""
+        return None if self.position is None else self.position.era
+
     @property
     def version(self) -> int | None:
         """The active version; ``None`` before the first one is loaded."""
@@ -107,9 +114,9 @@
         return self.catalog.services_by_name[service].engine
 
     @property
-    def offset(self) -> int | None:
-        """The offset after the configuration that was read; ``None`` before."""
-        return self._offset
+    def position(self) -> LogPosition | None:
+        """The position after the configuration that was read; ``None`` before."""
+        return self._reading.position
 
     def start(self) -> None:
         """Start polling."""
@@ -131,27 +138,32 @@
         :param records_lost: whether the log has lost records since this entry last
             read the newest configuration, so that offsets have no meaning.
         """
-        if offset == self._offset and not records_lost:
+        position = self._reading.position
+        if position is None:
+            return
+        if offset == position.offset and not records_lost:
             self._confirm(confirmed_at)
-        elif not self._polling and self._offset is not None:
-            self._offset = None if records_lost else self._offset
+        elif not self._polling:
+            if records_lost:
+                self._reading.start_over("another entry tells that records were lost")
             self._poll()
 
     def _poll_is_due(self) -> bool:
         old = self.confirmation.is_old(self._boottime_seconds())
-        return old or self._offset is None or self._duty.reads(self._clock.seconds())
+        return old or self.position is None or self._duty.reads(self._clock.seconds())
 
     def _poll(self) -> None:
         self._polling = True
         requested_at = self._boottime_seconds()
-        if self._offset is None:
+        position = self._reading.position
+        if position is None:
             answer = self._source.newest()
         else:
             # A poll that waits confirms what was current when it was sent, so the other
             # entries would get old news.
             wait_s = 0.0 if self._duty.shared else self._wait_s
-            answer = self._source.follow(self._offset, wait_s)
-        answer.addCallback(self._on_answer, requested_at, self._offset is None)
+            answer = self._source.follow(position, wait_s)
+        answer.addCallback(self._on_answer, requested_at, position is None)
         answer.addErrback(self._on_failure)
 
     def _confirm(self, confirmed_at: float) -> None:
@@ -161,16 +173,20 @@
             self._dependency.mark_available()
 
     def _on_answer(
-        self, answer: tuple[Catalog | None, int], requested_at: float, all_read: bool
+        self,
+        answer: tuple[Catalog | None, LogPosition],
+        requested_at: float,
+        all_read: bool,
     ) -> None:
         self._polling = False
-        catalog, self._offset = answer
+        catalog, position = answer
+        self._reading.advance(position)
         self._dependency.mark_available()
         self._confirm(requested_at)
         if all_read:
             self.confirmation.record_all_read(requested_at)
         if catalog is not None:
-            self._activate(catalog)
+            self._activate(catalog, position)
         if self.catalog is None:
             # Polls can return at once: wait to avoid a busy loop.
             self._schedule(_RETRY_S)
@@ -186,7 +202,7 @@
         else:
             self.poll_if_due()
 
-    def _activate(self, catalog: Catalog) -> None:
+    def _activate(self, catalog: Catalog, position: LogPosition) -> None:
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return
         before = self.version
@@ -196,6 +212,8 @@
             Decision.CONFIG_IN_FORCE,
             version=catalog.version,
             before=before,
+            era=position.era,
+            offset=position.offset,
             routes=sum(map(len, catalog.routes_by_host.values())),
             keys=len(catalog.workspaces_by_key),
         )
@@ -205,14 +223,8 @@
         self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "configuration"})
         if failure.check(LogGapError):
-            self._offset = None
+            self._reading.start_over(failure.getErrorMessage())
             self.confirmation.record_loss(self._failed_at)
-            self._log.note(
-                Decision.CONFIG_REJECTED,
-                reason="the records at the offset are no longer kept; "
-                "reading the newest record",
-                version=self.version,
-            )
         elif failure.check(LogUnavailableError):
             self._dependency.mark_unavailable(
                 reason=failure.getErrorMessage(), proof_age_s=self.age_s
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -101,6 +101,16 @@
         "config:rejected",
         "a configuration record is missing or malformed",
     )
+    LOG_ERA = (
+        "log:era",
+        "the log states another era, as it was restored from an older copy; who read "
+        "it, era and offset before and now",
+    )
+    LOG_READ_AGAIN = (
+        "log:read_again",
+        "all newest records are read, as the position in the log is not valid any "
+        "more; who reads, the position and the reason",
+    )
     KEYS_UNTRUSTED = (
         "keys:untrusted",
         "the configuration is too stale to validate keys",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_metrics.py
@@ -29,6 +29,8 @@
         "config_version",
         "config_age_s",
         "log_failures",
+        "log_era",
+        "log_read_again",
     )
 
     def __init__(self) -> None:
@@ -93,6 +95,15 @@
             "direct_log_failures_total",
             "Failed reads of the platform's log, by reader.",
         )
+        self.log_era = Gauge(
+            "direct_log_era",
+            "Era of the platform's log at the last read, by reader; 0 if not stated.",
+        )
+        self.log_read_again = Counter(
+            "direct_log_read_again_total",
+            "Reads of all newest records since a position was not valid any more, by "
+            "reader.",
+        )
 
     def collectors(self) -> list[Collector]:
         """Return all collectors, for registration."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -165,6 +165,7 @@
             fingerprint=opened.fingerprint,
             workspace=accepted.workspace,
             version=self._config.version,
+            era=self._config.era,
             proof_age_s=round(self._config.age_s, 3),
             prompt_tokens=call.prompt_tokens,
             answer_tokens=call.answer_tokens,
@@ -239,6 +240,7 @@
             reason=rejected.reason,
             path=call.path,
             version=self._config.version,
+            era=self._config.era,
             proof_age_s=round(self._config.age_s, 3),
             retry_after_s=rejected.retry_after_s,
         )
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/log_reading.py
@@ -0,0 +1,61 @@
+"""Logs where a reader stands in the platform's log, and why it starts over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .decision_log import Decision
+
+if TYPE_CHECKING:
+    from ...state.direct.log_position import LogPosition
+    from .decision_log import DecisionLog
+    from .direct_metrics import DirectMetrics
+
+
+class LogReading:
+    """The position of one reader of the log.
+
+    :param name: the reader's name in logs and metrics.
+    :ivar position: the position of the next record; ``None`` before the first read,
+        and while all newest records have to be read.
+    """
+
+    __slots__ = ("_name", "_log", "_metrics", "_last", "position")
+
+    def __init__(self, name: str, log: DecisionLog, metrics: DirectMetrics) -> None:
+        self._name = name
+        self._log = log
+        self._metrics = metrics
+        self._last: LogPosition | None = None
+        self.position: LogPosition | None = None
+
+    def advance(self, position: LogPosition) -> None:
+        """Record the position after an answer of the log."""
+        last, self._last, self.position = self._last, position, position
+        if last is not None and last.era == position.era:
+            return
+        self._metrics.log_era.set({"reader": self._name}, position.era)
+        if last is not None:
+            self._log.note(
+                Decision.LOG_ERA,
+                reader=self._name,
+                era=position.era,
+                era_before=last.era,
+                offset=position.offset,
+                offset_before=last.offset,
+            )
+
+    def start_over(self, reason: str) -> None:
+        """Discard the position, so that the next read is of all newest records."""
+        position, self.position = self.position, None
+        self._metrics.log_read_again.inc({"reader": self._name})
+        self._log.note(
+            Decision.LOG_READ_AGAIN,
+            reader=self._name,
+            era=None if position is None else position.era,
+            offset=None if position is None else position.offset,
+            reason=reason,
+        )
+
+
+__all__ = ["LogReading"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -13,6 +13,7 @@
     from ...state.direct.call import DirectCall, Headers, RunnerHead
     from ...state.direct.catalog import Catalog
     from ...state.direct.entry_peers import PeerUpdate
+    from ...state.direct.log_position import LogPosition
     from ...state.direct.runner_list import RegisteredRunner
     from ...state.direct.store_news import StoreAnswer, StoreQuestion
 
@@ -163,13 +164,13 @@
 class ConfigSource(Protocol):
     """Reads the configuration log; calls can fail with ``LogUnavailableError``."""
 
-    def newest(self) -> Deferred[tuple[Catalog | None, int]]:
-        """Return the newest configuration, if any, and the next offset."""
+    def newest(self) -> Deferred[tuple[Catalog | None, LogPosition]]:
+        """Return the newest configuration, if any, and the next position."""
 
     def follow(
-        self, offset: int, wait_s: float
-    ) -> Deferred[tuple[Catalog | None, int]]:
-        """Return a newer configuration, if any, and the next offset.
+        self, position: LogPosition, wait_s: float
+    ) -> Deferred[tuple[Catalog | None, LogPosition]]:
+        """Return a newer configuration, if any, and the next position.
 
         Waits up to ``wait_s`` seconds for it.
 
@@ -180,16 +181,18 @@
 class RunnerSource(Protocol):
     """Reads the runner records; calls can fail with ``LogUnavailableError``."""
 
-    def newest(self) -> Deferred[tuple[dict[str, RegisteredRunner | None], int]]:
-        """Return all runners by id, and the next offset.
+    def newest(
+        self,
+    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], LogPosition]]:
+        """Return all runners by id, and the next position.
 
         A runner whose record is malformed maps to ``None``.
         """
 
     def follow(
-        self, offset: int
-    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], int]]:
-        """Return the changed runners by id, ``None`` if removed, and the next offset.
+        self, position: LogPosition
+    ) -> Deferred[tuple[dict[str, RegisteredRunner | None], LogPosition]]:
+        """Return the changed runners by id, ``None`` if removed, and the next position.
 
         :raises LogGapError: the caller must start over with ``newest``.
         """
@@ -240,13 +243,13 @@
     Calls can fail with ``LogUnavailableError``.
     """
 
-    def newest(self) -> Deferred[tuple[dict[str, float | None], int]]:
-        """Return the end of each quarantine by fingerprint, and the next offset."""
+    def newest(self) -> Deferred[tuple[dict[str, float | None], LogPosition]]:
+        """Return the end of each quarantine by fingerprint, and the next position."""
 
     def follow(
-        self, offset: int, wait_s: float
-    ) -> Deferred[tuple[dict[str, float | None], int]]:
-        """Return the changed ends, ``None`` for removed ones, and the next offset.
+        self, position: LogPosition, wait_s: float
+    ) -> Deferred[tuple[dict[str, float | None], LogPosition]]:
+        """Return the changed ends, ``None`` for removed ones, and the next position.
 
         Waits up to ``wait_s`` seconds for a change.
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -12,6 +12,7 @@
 
 from .decision_log import Decision
 from .dependency import Dependency
+from .log_reading import LogReading
 from .ports import LogGapError
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 
     from corianderrelay.coordination.clock import Clock
 
+    from ...state.direct.log_position import LogPosition
     from ...state.direct.quarantines import Quarantines
     from ...state.direct.store_news import ReadDuty
     from .decision_log import DecisionLog
@@ -67,16 +69,16 @@
         self._random = random
         self._log = log
         self._metrics = metrics
-        self._offset: int | None = None
+        self._reading = LogReading("quarantine", log, metrics)
         self.loaded = False
         self._dependency = Dependency("quarantine records", log)
         self._stored_ends_at_by_key: dict[str, float] = {}
         self._write_at_by_key: dict[str, float] = {}
 
     @property
-    def offset(self) -> int | None:
-        """The offset up to which records were read; ``None`` before the first read."""
-        return self._offset
+    def position(self) -> LogPosition | None:
+        """The position up to which records were read; ``None`` before."""
+        return self._reading.position
 
     def poll_if_due(self) -> None:
         """Read if this entry reads for others."""
@@ -85,22 +87,24 @@
 
     def apply_news(self, offset: int) -> None:
         """Read the records if another entry has read them up to another offset."""
-        if not self._polling and offset != self._offset:
+        position = self._reading.position
+        if not self._polling and (position is None or offset != position.offset):
             self.start()
 
     def start(self) -> None:
         """Read the stored quarantines, and then their changes."""
         self._polling = True
-        if self._offset is None:
+        position = self._reading.position
+        if position is None:
             read = self._store.newest().addCallback(self._replace)
         else:
             wait_s = _POLL_WAIT_S if self._poll_is_due() else 0.0
-            changes = self._store.follow(self._offset, wait_s)
+            changes = self._store.follow(position, wait_s)
             read = changes.addCallback(self._apply)
         read.addErrback(self._on_read_failed)
 
     def _poll_is_due(self) -> bool:
-        return self._offset is None or self._duty.reads(self._clock.seconds())
+        return self.position is None or self._duty.reads(self._clock.seconds())
 
     def _poll_again(self) -> None:
         self._polling = False
@@ -139,12 +143,13 @@
         # The record itself arrives by the next poll; a lost write is repeated.
         written.addErrback(self._on_write_failed)
 
-    def _replace(self, answer: tuple[Mapping[str, float | None], int]) -> None:
+    def _replace(self, answer: tuple[Mapping[str, float | None], LogPosition]) -> None:
         self._stored_ends_at_by_key.clear()
         self._apply(answer)
 
-    def _apply(self, answer: tuple[Mapping[str, float | None], int]) -> None:
-        ends_at_by_key, self._offset = answer
+    def _apply(self, answer: tuple[Mapping[str, float | None], LogPosition]) -> None:
+        ends_at_by_key, position = answer
+        self._reading.advance(position)
         self._dependency.mark_available()
         self.loaded = True
         for key, ends_at in ends_at_by_key.items():
@@ -183,7 +188,7 @@
     def _on_read_failed(self, failure: Failure) -> None:
         self._metrics.log_failures.inc({"reader": "quarantine"})
         if failure.check(LogGapError):
-            self._offset = None
+            self._reading.start_over(failure.getErrorMessage())
         else:
             self._dependency.mark_unavailable(reason=failure.getErrorMessage())
         self._clock.callLater(_RETRY_S, self._poll_again)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -10,9 +10,11 @@
 
 from corianderrelay.state.errors import LogUnavailableError
 
+from ...state.direct.log_position import LogPosition
 from ...state.direct.store_news import Confirmation, RunnerChangeLog
 from .decision_log import Decision
 from .dependency import Dependency
+from .log_reading import LogReading
 from .ports import LogGapError
 
 if TYPE_CHECKING:
@@ -67,7 +69,7 @@
         self._duty = duty
         self.confirmation = Confirmation(_MAX_AGE_SHARE * leaving_s)
         self.changes = RunnerChangeLog()
-        self._reading = False
+        self._polling = False
         self._next_read: DelayedCall | None = None
         self._failed_at = float("-inf")
         self._news_at = float("-inf")
@@ -77,31 +79,32 @@
         self._log = log
         self._metrics = metrics
         self._on_removed = on_removed
-        self._offset: int | None = None
+        self._reading = LogReading("runners", log, metrics)
         self._dependency = Dependency("runner records", log)
         self.loaded = False
 
     @property
-    def offset(self) -> int | None:
-        """The offset up to which records were read; ``None`` before the first read."""
-        return self._offset
+    def position(self) -> LogPosition | None:
+        """The position up to which records were read; ``None`` before."""
+        return self._reading.position
 
     def start(self) -> None:
         """Read the log and schedule the next read."""
-        self._reading = True
+        self._polling = True
         requested_at = self._boottime_seconds()
-        if self._offset is None:
+        position = self._reading.position
+        if position is None:
             newest = self._source.newest().addCallback(self._replace, requested_at)
             newest.addErrback(self._on_failure)
         else:
-            changes = self._source.follow(self._offset)
+            changes = self._source.follow(position)
             changes.addCallback(self._on_records, requested_at)
             changes.addErrback(self._on_failure)
 
     def poll_if_due(self) -> None:
         """Read if this entry reads for others or its last confirmation is old."""
         scheduled = self._next_read is not None and self._next_read.active()
-        if self._reading or scheduled or not self._poll_is_due():
+        if self._polling or scheduled or not self._poll_is_due():
             return
         old = self.confirmation.is_old(self._boottime_seconds())
         if old and self._clock.seconds() - self._news_at <= _RECENT_NEWS_S:
@@ -119,32 +122,36 @@
             read all runners, so that offsets have no meaning.
         """
         self._news_at = self._clock.seconds()
-        if self._offset is None:
+        position = self._reading.position
+        if position is None:
             return
-        missed = answer.changes is None or answer.runner_offset < self._offset
+        missed = answer.changes is None or answer.runner_offset < position.offset
         if records_lost or missed:
-            if not self._reading:
-                self._offset = None if records_lost else self._offset
+            if not self._polling:
+                if records_lost:
+                    self._reading.start_over(
+                        "another entry tells that records were lost"
+                    )
                 self.start()
             return
         if answer.removal_delay_s > 0.0:
             delay_until = self._clock.seconds() + answer.removal_delay_s
             self._runners.delay_removals(delay_until)
         changes = {each.runner_id: each.runner for each in answer.changes or ()}
-        self._apply(changes, answer.runner_offset)
+        self._apply(changes, LogPosition(position.era, answer.runner_offset))
         self.confirmation.record(confirmed_at)
         if confirmed_at > self._failed_at:
             self._on_log_answered()
 
     def _poll_is_due(self) -> bool:
         old = self.confirmation.is_old(self._boottime_seconds())
-        return old or self._offset is None or self._duty.reads(self._clock.seconds())
+        return old or self.position is None or self._duty.reads(self._clock.seconds())
 
     def _schedule(self, delay_s: float) -> None:
         self._next_read = self._clock.callLater(delay_s, self.poll_if_due)
 
     def _schedule_next(self) -> None:
-        self._reading = False
+        self._polling = False
         period_s = self._poll_period_s
         if self._duty.shared:
             period_s = self._shared_period_s
@@ -164,11 +171,12 @@
 
     def _replace(
         self,
-        answer: tuple[dict[str, RegisteredRunner | None], int],
+        answer: tuple[dict[str, RegisteredRunner | None], LogPosition],
         requested_at: float,
     ) -> None:
-        runners_by_id, self._offset = answer
-        self.changes.restart(self._offset)
+        runners_by_id, position = answer
+        self._reading.advance(position)
+        self.changes.restart(position.offset)
         self.confirmation.record_all_read(requested_at)
         self._on_log_answered()
         before = {runner.runner_id for runner in self._runners.all()}
@@ -184,19 +192,19 @@
 
     def _on_records(
         self,
-        answer: tuple[Mapping[str, RegisteredRunner | None], int],
+        answer: tuple[Mapping[str, RegisteredRunner | None], LogPosition],
         requested_at: float,
     ) -> None:
         self._on_log_answered()
-        _, offset = answer
+        known = self._reading.position
         # Another entry may have told of later records meanwhile.
-        if self._offset is None or offset >= self._offset:
+        if known is None or answer[1].offset >= known.offset:
             self._apply(*answer)
         self.confirmation.record(requested_at)
         self._schedule_next()
 
     def _apply(
-        self, changes: Mapping[str, RegisteredRunner | None], offset: int
+        self, changes: Mapping[str, RegisteredRunner | None], position: LogPosition
     ) -> None:
         # Most records are heartbeats that change nothing.
         changes = {
@@ -204,8 +212,8 @@
             for runner_id, runner in changes.items()
             if runner is None or not self._runners.is_registered(runner)
         }
-        self._offset = offset
-        self.changes.add(changes, offset)
+        self._reading.advance(position)
+        self.changes.add(changes, position.offset)
         for runner_id, runner in changes.items():
             if runner is not None:
                 self._log_change(runner, self._runners.put(runner))
@@ -240,11 +248,11 @@
         self._log.note(Decision.RUNNER_GONE, runner=runner_id, reason=reason)
 
     def _on_failure(self, failure: Failure) -> None:
-        self._reading = False
+        self._polling = False
         self._failed_at = self._boottime_seconds()
         self._metrics.log_failures.inc({"reader": "runners"})
         if failure.check(LogGapError):
-            self._offset = None
+            self._reading.start_over(failure.getErrorMessage())
             self.confirmation.record_loss(self._failed_at)
         else:
             self._runners.on_log_unavailable()
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
@@ -89,21 +89,23 @@
         target = self._peers.address(question.entry_id)
         if question.others_failed:
             self._duty.on_asked(self._clock.seconds())
-        if target is None or config.offset is None or runners.offset is None:
+        config_position, runner_position = config.position, runners.position
+        if target is None or config_position is None or runner_position is None:
             return
+        quarantine_position = self._quarantine_watch.position
         boottime = self._boottime_seconds()
         answer = StoreAnswer(
             self._peers.own_id,
             question.asked_at,
-            config.offset,
+            config_position.offset,
             max(boottime - config.confirmation.confirmed_at, 0.0),
             max(boottime - config.confirmation.read_again_at, 0.0),
-            runners.offset,
+            runner_position.offset,
             max(boottime - runners.confirmation.confirmed_at, 0.0),
             max(boottime - runners.confirmation.read_again_at, 0.0),
             self._runners.removal_delay_s(self._clock.seconds()),
             runners.changes.since(question.runner_offset),
-            self._quarantine_watch.offset or 0,
+            0 if quarantine_position is None else quarantine_position.offset,
         )
         self._sender.answer(answer, target)
 
@@ -140,11 +142,12 @@
         self._unanswered += 1
         if target is None:
             return
+        runner_position = self._runner_watch.position
         self._sender.ask(
             StoreQuestion(
                 self._peers.own_id,
                 self._boottime_seconds(),
-                self._runner_watch.offset or 0,
+                0 if runner_position is None else runner_position.offset,
                 failed > 0,
             ),
             target,
--- /dev/null
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/log_position.py
@@ -0,0 +1,24 @@
+"""Position of a reader in the platform's log.
+
+The platform may restore its log from an older copy. Offsets of lost records are then
+assigned to other records, and the log states a higher era.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LogPosition:
+    """The next record to read.
+
+    :param era: era of the log in which the offset is valid; 0 if the log states none.
+    :param offset: number of the record within its topic.
+    """
+
+    era: int
+    offset: int
+
+
+__all__ = ["LogPosition"]
--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -220,7 +220,8 @@
     store.runner_records = list(dict(store.runner_records).items())
     store.first_runner_offset = len(store.runner_records)
     for _ in world.run(3.0):
-        if (reader.runner_watch.offset or old_end) < old_end:
+        position = reader.runner_watch.position
+        if position is not None and position.offset < old_end:
             break
     context.runner_id = world.runner_ids[0]
     world.remove_runner(context.runner_id)
