--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -28,11 +28,13 @@
     ``mode`` is ``ok``, ``busy`` (every call gets 503), ``silent`` (calls get no answer
     and the connection is closed after 5 s) or ``reset`` (every connection is closed).
     Calls for a topic in ``refused_topics`` get 503 in any mode. ``rewrite_value`` maps
-    topic, key and value of each append to the value that is stored.
+    topic, key and value of each append to the value that is stored. ``era`` is stated
+    in all answers, unless it is ``None``.
     """
 
     def __init__(self) -> None:
         self.mode = "ok"
+        self.era: int | None = 1
         self.calls = 0
         self.refused_topics: set[str] = set()
         self.rewrite_value: Callable[[str, str, bytes], bytes] | None = None
@@ -69,6 +71,18 @@
             newest = dict(self._records_by_topic.get(topic, []))
         return {key for key, value in newest.items() if value}
 
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all records, by topic."""
+        with self._lock:
+            return {topic: list(each) for topic, each in self._records_by_topic.items()}
+
+    def restore(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Replace all records by those of an older copy, and begin a new era."""
+        with self._lock:
+            self._records_by_topic = {topic: list(each) for topic, each in copy.items()}
+            if self.era is not None:
+                self.era += 1
+
     def drop_superseded_records(self, topic: str) -> None:
         """Expire all current offsets; the newest record of each key stays available."""
         with self._lock:
@@ -128,7 +142,7 @@
             with self._lock:
                 records = list(self._records_by_topic.get(topic, []))
                 first = self._first_offset_by_topic.get(topic, 0)
-            if start < first:
+            if start < first or start > len(records):
                 return 410, json.dumps({"First": first}).encode()
             if len(records) > start or time.monotonic() >= until:
                 break
@@ -140,6 +154,8 @@
         try:
             handler.send_response(status)
             handler.send_header("Content-Length", str(len(body)))
+            if self.era is not None:
+                handler.send_header("Store-Era", str(self.era))
             handler.end_headers()
             handler.wfile.write(body)
         except OSError:
