Bind positions in the log to the era in which they are valid

Callers saw 404 for routes that had been added, answers for removed ones, and keys that worked after they had been taken away, at all entries and for good, after the platform had restored its log from an older copy.

Cause: a position in a history was used after that history had been replaced. Entries went on at their old offset, skipped the records below it, and counted each read that found nothing as a confirmation. Entries that ask others compared offsets of two histories. An entry that started meanwhile took an older record for the newest.

Now every position carries the era that the log states, in the readers and in what entries tell each other. A reader starts over if the era is another one or the log ends before its offset; an answer of an earlier era is not used. Entries state the version that is active at them: one that cannot read it confirms nothing, refuses with 503 instead of 404 or 401, and one that starts serves nothing until it has heard others. What is known of runners that left, of lifted quarantines and own addresses is kept or written again.

--- a/bench/news_network.py
+++ b/bench/news_network.py
@@ -114,6 +114,12 @@
         self.down = False
         self.calls_by_kind: Counter[str] = Counter()
 
+    def restore(self, versions: int, runner_records: int) -> None:
+        """Drop all records but the first ones of each kind, and begin a new era."""
+        del self.versions[versions:]
+        del self.runner_records[runner_records:]
+        self.era += 1
+
     def call(
         self, host: str, kind: str, read: Callable[[], Any], wait_s: float
     ) -> Deferred[Any]:
@@ -183,7 +189,7 @@
     ) -> Deferred[tuple[Catalog | None, LogPosition]]:
         # A poll that waits and finds nothing ends late, and is answered as of its end.
         return self._store.call(
-            "configuration", lambda store: _read(store, position.offset), wait_s
+            "configuration", lambda store: _follow(store, position), wait_s
         )
 
 
@@ -206,8 +212,7 @@
     ) -> Deferred[tuple[dict[str, RegisteredRunner | None], LogPosition]]:
         def read(store: Store) -> Any:
             end = len(store.runner_records)
-            if position.offset < store.first_runner_offset or position.offset > end:
-                raise LogGapError("the records are not kept any more")
+            _check_position(position, store.era, store.first_runner_offset, end)
             changes = dict(store.runner_records[position.offset :])
             return changes, LogPosition(store.era, end)
 
@@ -237,6 +242,16 @@
         return self._store.call("quarantine", lambda store: None)
 
 
+def _check_position(position: LogPosition, era: int, first: int, end: int) -> None:
+    if position.era != era or not first <= position.offset <= end:
+        raise LogGapError("the records are not kept any more")
+
+
+def _follow(store: Store, position: LogPosition) -> tuple[Catalog | None, LogPosition]:
+    _check_position(position, store.era, 0, len(store.versions))
+    return _read(store, position.offset)
+
+
 def _read(store: Store, offset: int) -> tuple[Catalog | None, LogPosition]:
     versions = store.versions[offset:]
     catalog = Catalog(versions[-1], {}, {}, {}, True) if versions else None
--- a/bench/news_simulation.py
+++ b/bench/news_simulation.py
@@ -87,7 +87,15 @@
             settings, world.next_incarnation(), own_store, clock, log, self.socket
         )
         self.config = ConfigWatch(
-            own_store.config, clock, clock.boottime, REVOKE_S, log, metrics, duty
+            own_store.config,
+            clock,
+            clock.boottime,
+            REVOKE_S,
+            log,
+            metrics,
+            duty,
+            self.exchange.settled,
+            self.exchange.register_again,
         )
         self.runners = RunnerList()
         self.runner_watch = RunnerWatch(
@@ -149,7 +157,8 @@
 
     def on_updates(self, aged_updates: Any) -> None:
         """Apply updates of other entries."""
-        self.exchange.receive(aged_updates)
+        for update, _ in self.exchange.receive(aged_updates):
+            self.config.learn_version(update.config_version)
 
     def on_relayed(self, bundle: bytes) -> None:
         """Pass a bundle on."""
@@ -170,7 +179,16 @@
     def _send_update(self, *, urgent: bool = False) -> None:
         running = {f"i-{self._random.randrange(1 << 32):08x}": 1 for _ in range(4)}
         self.exchange.send_update(
-            self.ready, running, {}, {}, (), (), (), (), urgent=urgent
+            self.ready,
+            running,
+            {},
+            {},
+            (),
+            (),
+            (),
+            (),
+            self.config.version or 0,
+            urgent=urgent,
         )
         interval_s = self.exchange.peers.send_interval_s
         self.clock.callLater(interval_s, self._send_update)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/call_validation.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/call_validation.py
@@ -63,23 +63,29 @@
         catalog = self._config.catalog
         if not self._accepts_calls:
             return _unavailable("this entry is shutting down")
-        if catalog is None:
+        if catalog is None or not self._config.usable:
             return _unavailable("no configuration has been loaded yet")
         route = catalog.route(call.host, call.path)
         if route is None:
-            return RejectedCall(_NOT_FOUND, "no route matches the host and path")
+            return self._not_allowed(_NOT_FOUND, "no route matches the host and path")
         if not catalog.needs_key or route.public:
             return AcceptedCall(route, None, route.priority, requires_valid_key=False)
         if not self._config.keys_trusted():
             return _unavailable("the configuration is too stale to validate API keys")
         workspace = catalog.workspaces_by_key.get(call.key or "")
         if workspace is None:
-            return RejectedCall(_UNAUTHORIZED, "the API key is unknown")
+            return self._not_allowed(_UNAUTHORIZED, "the API key is unknown")
         priority = route.priority
         if workspace.priority is not None:
             priority = workspace.priority
         return AcceptedCall(route, workspace.name, priority, requires_valid_key=True)
 
+    def _not_allowed(self, status: int, reason: str) -> RejectedCall:
+        """Reject for good, unless a newer configuration may allow the request."""
+        if self._config.behind:
+            return _unavailable(f"{reason}, but a newer configuration exists")
+        return RejectedCall(status, reason)
+
     def key_still_valid(self, call: DirectCall) -> bool:
         """Whether a request's API key is still valid after the request was queued."""
         catalog = self._config.catalog
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -1,5 +1,8 @@
 """Polls the configuration log and tracks how stale the active configuration is.
 
+A log that was restored from an older copy may lack the newest version. An entry to
+which others tell a version that it cannot read does not count its own as confirmed.
+
 An entry that does not read for others polls only if another entry tells of a newer
 configuration, or if the last confirmation is too old.
 """
@@ -38,6 +41,9 @@
 _RETRY_S = 0.25  # several retries must fit into the seconds that keys stay trusted
 # Another entry of the zone retries sooner and tells when the log is back.
 _SHARED_RETRY_S = 0.6
+_GAP_RETRY_S = 0.05  # the log answers, so reading can go on at once
+# Time between two reads for a version that others know and the log does not have.
+_BEHIND_RETRY_S = 0.5
 # Shares of the same bound: the time between two polls for other entries, whose news are
 # older, and the age after which an entry polls without being told to.
 _SHARED_PERIOD_SHARE = 0.25
@@ -50,6 +56,8 @@
     :param boottime_seconds: returns seconds of a clock that includes suspended time.
     :param revoke_s: bound on the use of revoked keys, see ``ConfigFreshness``.
     :param duty: whether this entry reads the log for others.
+    :param others_heard: returns whether other entries had time to tell their versions.
+    :param on_restored: called when the log was restored from an older copy.
     """
 
     def __init__(
@@ -61,8 +69,14 @@
         log: DecisionLog,
         metrics: DirectMetrics,
         duty: ReadDuty,
+        others_heard: Callable[[], bool],
+        on_restored: Callable[[], None],
     ) -> None:
         self._duty = duty
+        self._others_heard = others_heard
+        self._on_restored = on_restored
+        self._version_known_by_others = 0
+        self._looked_for_version_at = float("-inf")
         self._source = source
         self._clock = clock
         self._boottime_seconds = boottime_seconds
@@ -80,6 +94,7 @@
         self._next_poll: DelayedCall | None = None
         self._failed_at = float("-inf")
         self._trusted = False
+        self._usable = False
         self._dependency = Dependency("configuration log", log)
         self.catalog: Catalog | None = None
 
@@ -90,7 +105,8 @@
 
     def keys_trusted(self) -> bool:
         """Whether the configuration is fresh enough to validate API keys against it."""
-        trusted = self._freshness.is_fresh(self._boottime_seconds())
+        fresh = self._freshness.is_fresh(self._boottime_seconds())
+        trusted = fresh and self.usable
         if trusted != self._trusted:
             self._trusted = trusted
             kind = Decision.KEYS_TRUSTED if trusted else Decision.KEYS_UNTRUSTED
@@ -128,23 +144,52 @@
         if not self._polling and not scheduled and self._poll_is_due():
             self._poll()
 
+    @property
+    def usable(self) -> bool:
+        """Whether requests may be validated against the active configuration.
+
+        An entry that starts may read an older version than others have from a restored
+        log, so it waits until it has heard them.
+        """
+        if not self._usable and self.catalog is not None:
+            self._usable = self._others_heard() and not self.behind
+        return self._usable
+
+    @property
+    def behind(self) -> bool:
+        """Whether another entry has a newer configuration."""
+        return self._version_known_by_others > (self.version or 0)
+
+    def learn_version(self, version: int) -> None:
+        """Record a version that is active at another entry, and look for it."""
+        if version > self._version_known_by_others:
+            self._version_known_by_others = version
+        now = self._clock.seconds()
+        looked_s_ago = now - self._looked_for_version_at
+        if not self.behind or self._polling or looked_s_ago < _BEHIND_RETRY_S:
+            return
+        self._looked_for_version_at = now
+        if self._next_poll is not None and self._next_poll.active():
+            self._next_poll.cancel()
+        self._poll()
+
     def apply_news(
-        self, offset: int, confirmed_at: float, *, records_lost: bool
+        self, news: LogPosition, confirmed_at: float, *, records_lost: bool
     ) -> None:
         """Apply what another entry tells of the log.
 
-        :param offset: the offset after the newest configuration.
+        :param news: the position after the newest configuration.
         :param confirmed_at: when nothing followed it, on the boottime clock.
         :param records_lost: whether the log has lost records since this entry last
             read the newest configuration, so that offsets have no meaning.
         """
         position = self._reading.position
-        if position is None:
+        if position is None or news.era < position.era:
             return
-        if offset == position.offset and not records_lost:
+        if news == position and not records_lost:
             self._confirm(confirmed_at)
         elif not self._polling:
-            if records_lost:
+            if records_lost or news.era > position.era:
                 self._reading.start_over("another entry tells that records were lost")
             self._poll()
 
@@ -167,6 +212,8 @@
         answer.addErrback(self._on_failure)
 
     def _confirm(self, confirmed_at: float) -> None:
+        if self.behind:
+            return  # the log has lost the newest version, or it is not read yet
         self.confirmation.record(confirmed_at)
         self._freshness.record_confirmation(confirmed_at)
         if confirmed_at > self._failed_at:
@@ -180,13 +227,23 @@
     ) -> None:
         self._polling = False
         catalog, position = answer
-        self._reading.advance(position)
+        restored = self._reading.advance(position)
         self._dependency.mark_available()
-        self._confirm(requested_at)
-        if all_read:
-            self.confirmation.record_all_read(requested_at)
         if catalog is not None:
             self._activate(catalog, position)
+        if self.behind:
+            self._log.note(
+                Decision.CONFIG_BEHIND,
+                version=self.version,
+                version_of_others=self._version_known_by_others,
+                era=position.era,
+                offset=position.offset,
+            )
+        self._confirm(requested_at)
+        if all_read and not self.behind:
+            self.confirmation.record_all_read(requested_at)
+        if restored:
+            self._on_restored()
         if self.catalog is None:
             # Polls can return at once: wait to avoid a busy loop.
             self._schedule(_RETRY_S)
@@ -235,8 +292,11 @@
                 reason=failure.getErrorMessage(),
                 version=self.version,
             )
-        reads = self._duty.reads(self._clock.seconds())
-        self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
+        if failure.check(LogGapError):
+            self._schedule(_GAP_RETRY_S)
+        else:
+            reads = self._duty.reads(self._clock.seconds())
+            self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
 
 
 __all__ = ["ConfigWatch"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -111,6 +111,11 @@
         "all newest records are read, as the position in the log is not valid any "
         "more; who reads, the position and the reason",
     )
+    CONFIG_BEHIND = (
+        "config:behind",
+        "another entry has a newer configuration than the log, which has lost it; "
+        "it is looked for until the operators write it again or a higher version",
+    )
     KEYS_UNTRUSTED = (
         "keys:untrusted",
         "the configuration is too stale to validate keys",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/log_reading.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/log_reading.py
@@ -29,11 +29,11 @@
         self._last: LogPosition | None = None
         self.position: LogPosition | None = None
 
-    def advance(self, position: LogPosition) -> None:
-        """Record the position after an answer of the log."""
+    def advance(self, position: LogPosition) -> bool:
+        """Record the position after an answer; return whether the log was restored."""
         last, self._last, self.position = self._last, position, position
         if last is not None and last.era == position.era:
-            return
+            return False
         self._metrics.log_era.set({"reader": self._name}, position.era)
         if last is not None:
             self._log.note(
@@ -44,6 +44,7 @@
                 offset=position.offset,
                 offset_before=last.offset,
             )
+        return last is not None
 
     def start_over(self, reason: str) -> None:
         """Discard the position, so that the next read is of all newest records."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -29,6 +29,10 @@
 # often: any one that finds another tells the rest of it.
 _REGISTRY_POLL_S = 15.0
 _REGISTRY_POLLERS = 10
+# A new entry hears of newer configurations than the log's within one update of others.
+# Entries that are gone stay registered, so it does not wait for all of them.
+_SETTLE_S = 0.5
+_SETTLED_SHARE = 0.5
 
 
 class PeerExchange:
@@ -58,6 +62,9 @@
         self._last_update: PeerUpdate | None = None
         self._relayed_at = float("-inf")
         self.discovered = False
+        self._discovered_at = float("inf")
+        self._settled = False
+        self._registering = False
         self._dependency = Dependency("entry registry", log)
         self.peers = EntryPeers(settings.entry_id, settings.zone)
 
@@ -69,6 +76,36 @@
         )
         registered.addCallbacks(lambda _: self._poll_registry(), self._on_failure)
 
+    def settled(self) -> bool:
+        """Whether this entry has heard others, or there are none to hear."""
+        if not self._settled and self.discovered:
+            now = self._clock.seconds()
+            known = len(self.peers.addresses())
+            heard = len(self.peers.alive(now))
+            self._settled = (
+                heard >= _SETTLED_SHARE * known or now - self._discovered_at > _SETTLE_S
+            )
+        return self._settled
+
+    def register_again(self) -> None:
+        """Register this entry's address, as the log may have lost it."""
+        if self._registering:
+            return
+        self._registering = True
+        own = self._settings.peers
+        registered = self._registry.register(
+            self._settings.entry_id, own.host, own.port
+        )
+        registered.addCallbacks(self._on_registered_again, self._on_register_failed)
+
+    def _on_registered_again(self, _: object) -> None:
+        self._registering = False
+
+    def _on_register_failed(self, failure: Failure) -> None:
+        self._registering = False
+        self._dependency.mark_unavailable(reason=failure.getErrorMessage())
+        self._clock.callLater(_REGISTRY_RETRY_S, self.register_again)
+
     def receive(
         self, aged_updates: Sequence[tuple[PeerUpdate, float]]
     ) -> list[tuple[PeerUpdate, float]]:
@@ -115,6 +152,7 @@
         lost_parts: tuple[PartLoss, ...],
         limits: tuple[SharedLimit, ...],
         leaving_runners: tuple[tuple[str, int], ...],
+        config_version: int,
         *,
         urgent: bool,
     ) -> None:
@@ -140,6 +178,7 @@
             limits,
             leaving_runners,
             own.zone,
+            config_version,
         )
         self._last_update = peer_update
         peers = self.peers
@@ -155,7 +194,9 @@
 
     def _on_registered_entries(self, known: dict[str, tuple[str, int]]) -> None:
         now = self._clock.seconds()
-        self.discovered = True
+        if not self.discovered:
+            self.discovered = True
+            self._discovered_at = now
         self._dependency.mark_available()
         for entry_id, (host, port) in known.items():
             self.peers.add_peer(entry_id, host, port, now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/quarantine_watch.py
@@ -39,6 +39,7 @@
 # A record whose hold is over is removed so much later: its removal clears the key at
 # entries that hold it still.
 _REMOVE_AFTER_S = 10.0
+_MAX_REMOVED = 1024  # bounds memory; the keys removed within the age of a copy
 
 
 class QuarantineWatch:
@@ -74,6 +75,7 @@
         self._dependency = Dependency("quarantine records", log)
         self._stored_ends_at_by_key: dict[str, float] = {}
         self._write_at_by_key: dict[str, float] = {}
+        self._removed_keys: dict[str, None] = {}
 
     @property
     def position(self) -> LogPosition | None:
@@ -85,10 +87,12 @@
         if not self._polling and self._poll_is_due():
             self.start()
 
-    def apply_news(self, offset: int) -> None:
-        """Read the records if another entry has read them up to another offset."""
+    def apply_news(self, news: LogPosition | None) -> None:
+        """Read the records if another entry has read them up to another position."""
         position = self._reading.position
-        if not self._polling and (position is None or offset != position.offset):
+        if self._polling or news is None or news == position:
+            return
+        if position is None or news.era >= position.era:
             self.start()
 
     def start(self) -> None:
@@ -144,8 +148,16 @@
         written.addErrback(self._on_write_failed)
 
     def _replace(self, answer: tuple[Mapping[str, float | None], LogPosition]) -> None:
+        ends_at_by_key, position = answer
+        restored = self._reading.advance(position)
         self._stored_ends_at_by_key.clear()
-        self._apply(answer)
+        if restored:
+            # Removals that the older copy lacks are written again by ``tick``.
+            lifted = self._removed_keys.keys() & ends_at_by_key.keys()
+            ends_at_by_key = dict(ends_at_by_key)
+            for key in lifted:
+                self._stored_ends_at_by_key[key] = ends_at_by_key.pop(key) or 0.0
+        self._apply((ends_at_by_key, position))
 
     def _apply(self, answer: tuple[Mapping[str, float | None], LogPosition]) -> None:
         ends_at_by_key, position = answer
@@ -162,6 +174,7 @@
     def _on_stored(self, key: str, ends_at: float) -> None:
         now = self._clock.seconds()
         self._stored_ends_at_by_key[key] = ends_at
+        self._removed_keys.pop(key, None)
         remaining_s = ends_at - self._wall_seconds()
         if remaining_s <= 0.0 or key in self._quarantines.left_s_by_key(now):
             return
@@ -176,6 +189,9 @@
     def _on_removed(self, key: str) -> None:
         now = self._clock.seconds()
         self._stored_ends_at_by_key.pop(key, None)
+        if len(self._removed_keys) >= _MAX_REMOVED:
+            del self._removed_keys[next(iter(self._removed_keys))]
+        self._removed_keys[key] = None
         if key not in self._quarantines.left_s_by_key(now):
             return  # lifted here already; its records may still count
         if self._quarantines.clear(key, now):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/runner_watch.py
@@ -39,6 +39,7 @@
 _MAX_AGE_SHARE = 0.65  # age from which an entry polls without being told to
 _SHARED_RETRY_S = 0.9  # another entry of the zone retries sooner
 _PENDING_PERIOD_S = 0.4  # while expired records may be renewed
+_GAP_RETRY_S = 0.05  # the log answers, so reading can go on at once
 _RECENT_NEWS_S = 1.0  # an entry that answers is asked more often than that
 
 
@@ -121,14 +122,15 @@
         :param records_lost: whether the log has lost records since this entry last
             read all runners, so that offsets have no meaning.
         """
-        self._news_at = self._clock.seconds()
-        position = self._reading.position
-        if position is None:
+        position, news = self._reading.position, answer.runner_position
+        if position is None or news.era < position.era:
             return
-        missed = answer.changes is None or answer.runner_offset < position.offset
-        if records_lost or missed:
+        self._news_at = self._clock.seconds()
+        lost = records_lost or news.era > position.era
+        missed = answer.changes is None or news.offset < position.offset
+        if lost or missed:
             if not self._polling:
-                if records_lost:
+                if lost:
                     self._reading.start_over(
                         "another entry tells that records were lost"
                     )
@@ -138,7 +140,7 @@
             delay_until = self._clock.seconds() + answer.removal_delay_s
             self._runners.delay_removals(delay_until)
         changes = {each.runner_id: each.runner for each in answer.changes or ()}
-        self._apply(changes, LogPosition(position.era, answer.runner_offset))
+        self._apply(changes, news)
         self.confirmation.record(confirmed_at)
         if confirmed_at > self._failed_at:
             self._on_log_answered()
@@ -175,15 +177,18 @@
         requested_at: float,
     ) -> None:
         runners_by_id, position = answer
-        self._reading.advance(position)
-        self.changes.restart(position.offset)
+        restored = self._reading.advance(position)
+        self.changes.restart(position)
         self.confirmation.record_all_read(requested_at)
         self._on_log_answered()
+        now = self._clock.seconds()
+        if restored:
+            self._runners.on_log_restored(now)
         before = {runner.runner_id for runner in self._runners.all()}
         for runner_id, runner in runners_by_id.items():
             if runner is not None:
                 self._log_change(runner, self._runners.get(runner_id))
-        self._runners.replace(runners_by_id, self._clock.seconds())
+        self._runners.replace(runners_by_id, now, restored=restored)
         after = {runner.runner_id for runner in self._runners.all()}
         for runner_id in before - after:
             self._on_runner_removed(runner_id, "it is not among the newest records")
@@ -198,7 +203,7 @@
         self._on_log_answered()
         known = self._reading.position
         # Another entry may have told of later records meanwhile.
-        if known is None or answer[1].offset >= known.offset:
+        if known is None or answer[1].is_at_or_after(known):
             self._apply(*answer)
         self.confirmation.record(requested_at)
         self._schedule_next()
@@ -213,7 +218,7 @@
             if runner is None or not self._runners.is_registered(runner)
         }
         self._reading.advance(position)
-        self.changes.add(changes, position.offset)
+        self.changes.add(changes, position)
         for runner_id, runner in changes.items():
             if runner is not None:
                 self._log_change(runner, self._runners.put(runner))
@@ -260,8 +265,11 @@
                 reason=failure.getErrorMessage(),
                 expected=failure.check(LogUnavailableError) is not None,
             )
-        reads = self._duty.reads(self._clock.seconds())
-        self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
+        if failure.check(LogGapError):
+            self._schedule(_GAP_RETRY_S)
+        else:
+            reads = self._duty.reads(self._clock.seconds())
+            self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
 
 
 __all__ = ["RunnerWatch"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/store_sharing.py
@@ -92,20 +92,19 @@
         config_position, runner_position = config.position, runners.position
         if target is None or config_position is None or runner_position is None:
             return
-        quarantine_position = self._quarantine_watch.position
         boottime = self._boottime_seconds()
         answer = StoreAnswer(
             self._peers.own_id,
             question.asked_at,
-            config_position.offset,
+            config_position,
             max(boottime - config.confirmation.confirmed_at, 0.0),
             max(boottime - config.confirmation.read_again_at, 0.0),
-            runner_position.offset,
+            runner_position,
             max(boottime - runners.confirmation.confirmed_at, 0.0),
             max(boottime - runners.confirmation.read_again_at, 0.0),
             self._runners.removal_delay_s(self._clock.seconds()),
-            runners.changes.since(question.runner_offset),
-            0 if quarantine_position is None else quarantine_position.offset,
+            runners.changes.since(question.runner_position),
+            self._quarantine_watch.position,
         )
         self._sender.answer(answer, target)
 
@@ -124,7 +123,7 @@
         ):
             self._unanswered = _ASKED_TWICE  # the next entry can perhaps read the log
         self._config.apply_news(
-            answer.config_offset,
+            answer.config_position,
             config_at,
             records_lost=config.lost_since(asked_at, answer.config_read_again_s),
         )
@@ -133,7 +132,7 @@
             runners_at,
             records_lost=runners.lost_since(asked_at, answer.runners_read_again_s),
         )
-        self._quarantine_watch.apply_news(answer.quarantine_offset)
+        self._quarantine_watch.apply_news(answer.quarantine_position)
 
     def _ask(self, others: list[str], now: float) -> None:
         self._asked_at = now
@@ -142,12 +141,11 @@
         self._unanswered += 1
         if target is None:
             return
-        runner_position = self._runner_watch.position
         self._sender.ask(
             StoreQuestion(
                 self._peers.own_id,
                 self._boottime_seconds(),
-                0 if runner_position is None else runner_position.offset,
+                self._runner_watch.position,
                 failed > 0,
             ),
             target,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/direct_entry.py
@@ -110,15 +110,6 @@
         self.metrics = Metrics(self.collectors.collectors())
         self.runners = RunnerList()
         duty = ReadDuty()
-        self.config = ConfigWatch(
-            sources.config,
-            reactor,
-            _boottime_seconds,
-            settings.bounds.revoke_s,
-            self.log,
-            self.collectors,
-            duty,
-        )
         self.peer_socket = PeerSocket(self)
         random = SystemRandom()
         self.exchange = PeerExchange(
@@ -129,6 +120,17 @@
             self.log,
             self.peer_socket,
         )
+        self.config = ConfigWatch(
+            sources.config,
+            reactor,
+            _boottime_seconds,
+            settings.bounds.revoke_s,
+            self.log,
+            self.collectors,
+            duty,
+            self.exchange.settled,
+            self.exchange.register_again,
+        )
         self.statements = StatementWatch(
             self.exchange.peers, self.runners, self.log, self._send_update_soon
         )
@@ -304,6 +306,7 @@
             self.crashes.parts.ledger.next_shared(now),
             self.statements.limits.shared(now),
             self.statements.leaving_runners(),
+            self.config.version or 0,
             urgent=urgent,
         )
 
@@ -311,6 +314,7 @@
         """Apply updates of other entries and their ages in seconds."""
         now = self._reactor.seconds()
         for peer_update, age_s in self.exchange.receive(aged_updates):
+            self.config.learn_version(peer_update.config_version)
             self.crashes.receive(peer_update.lost_attempts, peer_update.lost_parts)
             self.statements.receive(peer_update, now, age_s)
         if not self.exchange.peers.relayed:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -63,6 +63,7 @@
     limits: list[_SharedLimit] = []
     leaving_runners: list[tuple[str, int]] = []
     zone: str = ""
+    config_version: int = 0
 
 
 class _AgedMessage(msgspec.Struct, array_like=True):
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
@@ -7,16 +7,22 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ...state.direct.log_position import LogPosition
 from ...state.direct.runner_list import RegisteredRunner
 from ...state.direct.store_news import RunnerChange, StoreAnswer, StoreQuestion
 
 _Age = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
+class _Position(msgspec.Struct, array_like=True):
+    era: int
+    offset: int
+
+
 class _Question(msgspec.Struct, array_like=True):
     entry_id: str
     asked_at: float
-    runner_offset: int
+    runner_position: _Position | None
     others_failed: bool
 
 
@@ -39,17 +45,18 @@
 class _Answer(msgspec.Struct, array_like=True):
     entry_id: str
     asked_at: float
-    config_offset: int
+    config_position: _Position
     config_age_s: _Age
     config_read_again_s: _Age
-    runner_offset: int
+    runner_position: _Position
     runner_age_s: _Age
     runners_read_again_s: _Age
     removal_delay_s: _Age
     changes: list[_Change] | None
-    quarantine_offset: int
+    quarantine_position: _Position | None
 
 
+_POSITIONS = ("config_position", "runner_position", "quarantine_position")
 _ENCODER = msgspec.msgpack.Encoder()
 _QUESTION_DECODER = msgspec.msgpack.Decoder(_Question)
 _ANSWER_DECODER = msgspec.msgpack.Decoder(_Answer)
@@ -58,7 +65,12 @@
 def encode_question(question: StoreQuestion) -> bytes:
     """Encode a question."""
     return _ENCODER.encode(
-        _Question(*(getattr(question, name) for name in _Question.__struct_fields__))
+        _Question(
+            question.entry_id,
+            question.asked_at,
+            _encode_position(question.runner_position),
+            question.others_failed,
+        )
     )
 
 
@@ -68,7 +80,14 @@
         question = _QUESTION_DECODER.decode(datagram)
     except msgspec.DecodeError as error:
         return Err(str(error))
-    return Ok(StoreQuestion(*msgspec.structs.astuple(question)))
+    return Ok(
+        StoreQuestion(
+            question.entry_id,
+            question.asked_at,
+            _decode_position(question.runner_position),
+            question.others_failed,
+        )
+    )
 
 
 def encode_answer(answer: StoreAnswer) -> bytes:
@@ -76,6 +95,8 @@
     fields: dict[str, Any] = {
         name: getattr(answer, name) for name in _Answer.__struct_fields__
     }
+    for name in _POSITIONS:
+        fields[name] = _encode_position(fields[name])
     if answer.changes is not None:
         fields["changes"] = [
             _Change(change.runner_id, _encode_runner(change.runner))
@@ -93,6 +114,8 @@
     fields: dict[str, Any] = {
         name: getattr(answer, name) for name in _Answer.__struct_fields__
     }
+    for name in _POSITIONS:
+        fields[name] = _decode_position(fields[name])
     if answer.changes is not None:
         fields["changes"] = tuple(
             RunnerChange(change.runner_id, _decode_runner(change.runner))
@@ -101,6 +124,14 @@
     return Ok(StoreAnswer(**fields))
 
 
+def _encode_position(position: LogPosition | None) -> _Position | None:
+    return None if position is None else _Position(position.era, position.offset)
+
+
+def _decode_position(position: _Position | None) -> LogPosition | None:
+    return None if position is None else LogPosition(position.era, position.offset)
+
+
 def _encode_runner(runner: RegisteredRunner | None) -> _Runner | None:
     if runner is None:
         return None
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/entry_peers.py
@@ -47,6 +47,7 @@
     :param leaving_runners: ids and start times of runners that state that they leave.
     :param limits: limits that runners state, and this entry's requests under them.
     :param zone: availability zone of the entry; empty if it does not state it.
+    :param config_version: the version of the active configuration; 0 without one.
     """
 
     entry_id: str
@@ -64,6 +65,7 @@
     limits: tuple[SharedLimit, ...] = ()
     leaving_runners: tuple[tuple[str, int], ...] = ()
     zone: str = ""
+    config_version: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/log_position.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/log_position.py
@@ -20,5 +20,9 @@
     era: int
     offset: int
 
+    def is_at_or_after(self, other: LogPosition) -> bool:
+        """Return whether nothing before the other position is still to be read."""
+        return self.era == other.era and self.offset >= other.offset
+
 
 __all__ = ["LogPosition"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/runner_list.py
@@ -3,16 +3,20 @@
 Records can expire during an outage of the log although their runners are alive. A
 removal that is read shortly after an outage is therefore delayed, so that a live runner
 can register again first.
+
+A log that was restored from an older copy lists runners as they were before. What this
+entry knows of those that have left meanwhile stays valid until they write again.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_MAX_REMOVED = 1024  # the runners that leave within the age of a copy
 _MAX_LEAVING = 1024  # bounds memory; a runner is gone seconds after it said so
 _REMOVAL_DELAY_S = 2.2  # live runners re-register about 2 s after an outage
 
@@ -45,6 +49,7 @@
         "_delay_removals_until",
         "_log_unavailable",
         "_leaving_lives",
+        "_removed_lives",
         "_usable_by_service",
     )
 
@@ -55,6 +60,7 @@
         self._log_unavailable = False
         # In the order in which they were learned; the values have no meaning.
         self._leaving_lives: dict[tuple[str, int], None] = {}
+        self._removed_lives: dict[tuple[str, int], None] = {}
         self._usable_by_service: dict[str, list[RegisteredRunner]] = {}
 
     def __len__(self) -> int:
@@ -84,6 +90,10 @@
             self._log_unavailable = False
             self._delay_removals_until = now + _REMOVAL_DELAY_S
 
+    def on_log_restored(self, now: float) -> None:
+        """Record that the log was restored from an older copy."""
+        self.delay_removals(now + _REMOVAL_DELAY_S)
+
     @property
     def removals_pending(self) -> bool:
         """Whether records have expired that may still be renewed."""
@@ -103,6 +113,7 @@
         self._runners_by_id[runner.runner_id] = runner
         self._usable_by_service.clear()
         self._removal_due_by_id.pop(runner.runner_id, None)
+        self._removed_lives.pop((runner.runner_id, runner.started_ms), None)
         return previous
 
     def remove(self, runner_id: str, now: float) -> None:
@@ -115,16 +126,22 @@
             self._delete(runner_id)
 
     def replace(
-        self, runners_by_id: Mapping[str, RegisteredRunner | None], now: float
+        self,
+        runners_by_id: Mapping[str, RegisteredRunner | None],
+        now: float,
+        *,
+        restored: bool = False,
     ) -> None:
         """Replace all records by a snapshot, after the log dropped unread history.
 
         :param runners_by_id: ``None`` for a record that cannot be decoded; the previous
             record of that runner is kept.
+        :param restored: whether the log was restored from an older copy.
         """
         for runner in runners_by_id.values():
-            if runner is not None:
-                self.put(runner)
+            newest = self._undo_restore(runner) if restored and runner else runner
+            if newest is not None:
+                self.put(newest)
         missing = [each for each in self._runners_by_id if each not in runners_by_id]
         for runner_id in missing:
             self.remove(runner_id, now)
@@ -181,12 +198,25 @@
         """Return all registered runners."""
         return list(self._runners_by_id.values())
 
+    def _undo_restore(self, runner: RegisteredRunner) -> RegisteredRunner | None:
+        """Return a restored record as it was last known; ``None`` if it was removed."""
+        if (runner.runner_id, runner.started_ms) in self._removed_lives:
+            return None
+        known = self._runners_by_id.get(runner.runner_id)
+        if known is None or known.started_ms != runner.started_ms or not known.leaving:
+            return runner
+        return replace(runner, leaving=True)
+
     def _is_leaving(self, runner: RegisteredRunner) -> bool:
         life = (runner.runner_id, runner.started_ms)
         return runner.leaving or life in self._leaving_lives
 
     def _delete(self, runner_id: str) -> None:
-        self._runners_by_id.pop(runner_id, None)
+        removed = self._runners_by_id.pop(runner_id, None)
+        if removed is not None:
+            if len(self._removed_lives) >= _MAX_REMOVED:
+                del self._removed_lives[next(iter(self._removed_lives))]
+            self._removed_lives[(runner_id, removed.started_ms)] = None
         self._usable_by_service.clear()
         self._removal_due_by_id.pop(runner_id, None)
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/store_news.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from .log_position import LogPosition
     from .runner_list import RegisteredRunner
 
 _MAX_CHANGES = 512  # bounds memory; an entry that misses more reads all runners again
@@ -29,14 +30,15 @@
 
     :param asked_at: the asking entry's clock in seconds, including suspended time; the
         answer repeats it.
-    :param runner_offset: the offset up to which the asking entry knows the runners.
+    :param runner_position: the position up to which the asking entry knows the
+        runners; ``None`` if it knows none.
     :param others_failed: whether entries before this one in line did not answer, or
         could not read the log.
     """
 
     entry_id: str
     asked_at: float
-    runner_offset: int
+    runner_position: LogPosition | None
     others_failed: bool
 
 
@@ -52,57 +54,65 @@
 class StoreAnswer:
     """What an entry knows of the log; ages are in seconds before the answer.
 
-    :param config_offset: offset after the configuration that the entry has read.
-    :param config_age_s: age of the confirmation that nothing follows this offset.
+    :param config_position: position after the configuration that the entry has read.
+    :param config_age_s: age of the confirmation that nothing follows this position.
     :param config_read_again_s: how long ago the entry had to read the newest
         configuration anew, as the log had lost records.
-    :param runner_offset: offset up to which it has read the runners' records.
+    :param runner_position: position up to which it has read the runners' records.
     :param runners_read_again_s: the same for the runners' records.
     :param removal_delay_s: seconds for which removals are delayed after an outage.
-    :param changes: runners that changed since the offset of the question; ``None`` if
-        the entry does not know them all.
-    :param quarantine_offset: offset up to which it has read the quarantines.
+    :param changes: runners that changed since the position of the question; ``None``
+        if the entry does not know them all.
+    :param quarantine_position: position up to which it has read the quarantines;
+        ``None`` if it has not.
     """
 
     entry_id: str
     asked_at: float
-    config_offset: int
+    config_position: LogPosition
     config_age_s: float
     config_read_again_s: float
-    runner_offset: int
+    runner_position: LogPosition
     runner_age_s: float
     runners_read_again_s: float
     removal_delay_s: float
     changes: tuple[RunnerChange, ...] | None
-    quarantine_offset: int
+    quarantine_position: LogPosition | None
 
 
 class RunnerChangeLog:
-    """The latest changes of runners, by the offset up to which they were read."""
+    """The latest changes of runners, by the position up to which they were read."""
 
     __slots__ = ("_changes", "_known_from")
 
     def __init__(self) -> None:
-        self._changes: deque[tuple[int, RunnerChange]] = deque()
-        self._known_from: int | None = None
+        self._changes: deque[tuple[LogPosition, RunnerChange]] = deque()
+        self._known_from: LogPosition | None = None
 
-    def restart(self, offset: int) -> None:
-        """Start over after all records up to an offset were read at once."""
+    def restart(self, position: LogPosition) -> None:
+        """Start over after all records up to a position were read at once."""
         self._changes.clear()
-        self._known_from = offset
+        self._known_from = position
 
-    def add(self, changes: Mapping[str, RegisteredRunner | None], offset: int) -> None:
-        """Add changes that were read up to an offset."""
+    def add(
+        self, changes: Mapping[str, RegisteredRunner | None], position: LogPosition
+    ) -> None:
+        """Add changes that were read up to a position."""
         for runner_id, runner in changes.items():
-            self._changes.append((offset, RunnerChange(runner_id, runner)))
+            self._changes.append((position, RunnerChange(runner_id, runner)))
         while len(self._changes) > _MAX_CHANGES:
             self._known_from, _ = self._changes.popleft()
 
-    def since(self, offset: int) -> tuple[RunnerChange, ...] | None:
-        """Return the changes after an offset; ``None`` if some are not known."""
-        if self._known_from is None or offset < self._known_from:
+    def since(self, position: LogPosition | None) -> tuple[RunnerChange, ...] | None:
+        """Return the changes after a position; ``None`` if some are not known."""
+        known_from = self._known_from
+        if position is None or known_from is None:
             return None
-        changes = tuple(change for end, change in self._changes if end > offset)
+        if not position.is_at_or_after(known_from):
+            return None
+        changes = tuple(
+            change for end, change in self._changes if not position.is_at_or_after(end)
+        )
         return changes if len(changes) <= _MAX_CHANGES_PER_ANSWER else None
 
 
--- a/tests/features/steps/log_restored_steps.py
+++ b/tests/features/steps/log_restored_steps.py
@@ -55,7 +55,7 @@
 
 
 def _publish(system: PlatformSystem, change: str = "") -> None:
-    added = {"added": {"Kind": "safe", "Attempts": 1}}
+    added: dict[str, Any] = {"added": {"Kind": "safe", "Attempts": 1}}
     if change == "removes a route":
         system.publish_configuration()
     elif change == "moves a route":
--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -219,6 +219,7 @@
     reader, old_end = world.reader(), len(context.world.store.runner_records)
     store.runner_records = list(dict(store.runner_records).items())
     store.first_runner_offset = len(store.runner_records)
+    store.era += 1
     for _ in world.run(3.0):
         position = reader.runner_watch.position
         if position is not None and position.offset < old_end:
@@ -238,3 +239,80 @@
         if entry.runners.get(context.runner_id) is not None
     ]
     assert not knowing, knowing
+
+
+_AWAY_S = 0.4
+_LOST_VERSIONS = 3
+_FROZEN_S = 3.0
+
+
+@when(
+    "the log is restored {when}, and a configuration and a leaving runner are written"
+)
+def step_restored(context: Any, when: str) -> None:
+    world, store = context.world, context.world.store
+    copied = len(store.versions), len(store.runner_records)
+    for _ in range(_LOST_VERSIONS):
+        world.publish()
+    context.version = store.versions[-1] + 1
+    _run(context, 2.0)
+    context.disturbed = []
+    if when == "while the reader is frozen":
+        context.disturbed = [world.reader()]
+        context.disturbed[0].clock.suspend(_FROZEN_S)
+    elif when == "while a third is refused":
+        context.disturbed = world.entries[::3]
+        refused = {entry.host for entry in context.disturbed}
+        store.refused_hosts |= refused
+        world.clock.callLater(_FROZEN_S, store.refused_hosts.difference_update, refused)
+    if when == "twice":
+        _restore(context, copied)
+        _run(context, 1.5)
+    _restore(context, copied)
+
+
+def _restore(context: Any, copied: tuple[int, int]) -> None:
+    """Restore a copy; the records behind it reach over the ends of the lost history."""
+    world, store = context.world, context.world.store
+    old_ends = len(store.versions), len(store.runner_records)
+    store.down = True
+    _run(context, _AWAY_S)
+    store.restore(*copied)
+    context.runner_id = world.runner_ids[0]
+    world.put_runner(context.runner_id, leaving=True)
+    while len(store.runner_records) <= old_ends[1]:
+        world.put_runner(world.runner_ids[-1])
+    store.versions += [context.version] * (old_ends[0] + 1 - len(store.versions))
+    store.down = False
+    context.restored_at = world.clock.seconds()
+
+
+def _undisturbed(context: Any) -> list[NewsEntry]:
+    return [each for each in context.world.entries if each not in context.disturbed]
+
+
+@then("within {seconds:d} s all that were not disturbed have the configuration")
+def step_have_version(context: Any, seconds: int) -> None:
+    _run(context, seconds)
+    versions = {entry.config.version for entry in _undisturbed(context)}
+    assert versions == {context.version}, versions
+
+
+@then("within {seconds:d} s all that were not disturbed know that the runner leaves")
+def step_know_leaving(context: Any, seconds: int) -> None:
+    assert context.world.clock.seconds() - context.restored_at <= seconds + 0.1
+    assert _not_knowing(context, _undisturbed(context)) == []
+
+
+def _not_knowing(context: Any, entries: list[NewsEntry]) -> list[str]:
+    records = {each.entry_id: each.runners.get(context.runner_id) for each in entries}
+    return [
+        each for each, record in records.items() if not record or not record.leaving
+    ]
+
+
+@then("within {seconds:d} s all others do")
+def step_others_know(context: Any, seconds: int) -> None:
+    _run(context, context.restored_at + seconds - context.world.clock.seconds())
+    assert {entry.config.version for entry in context.disturbed} <= {context.version}
+    assert _not_knowing(context, context.disturbed) == []
