Read records of other programs one by one and within bounds

One record that is nested 100,000 deep among those of runners made each read fail at the same place: runners that came later were never used, and leaving ones kept getting requests. The decoder raises RecursionError, which is no decode error. A port of 99999, or of 2^63 in an address of another entry, passed as valid; the latter ended the sending of updates. An id with a line end could not be sent in a header.

Datagrams of entries have the same bounds.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
 from twisted.web.client import ResponseDone
 
+from corianderrelay.protocol.foreign_record import MalformedRecordError, decode_record
 from corianderrelay.state.errors import (
     EndpointFailedError,
     FencedError,
@@ -44,6 +45,7 @@
 _RETRY_AFTER_S = 1.0
 _LIMIT_HEADER = b"x-max-requests-per-second"
 _MAX_LOGGED_BYTES = 24
+_MAX_REPORT_BYTES = 65_536
 _OK = 200
 _UNAVAILABLE = 503
 _CONFLICT = 409
@@ -58,6 +60,9 @@
     age_s: float = 0.0
 
 
+_LOAD_DECODER = msgspec.json.Decoder(_LoadReport, strict=False)
+
+
 class HttpEngine:
     """Implements :class:`~..coordination.engine.Engine`.
 
@@ -242,8 +247,8 @@
 
 def _parse_load(answer: HttpResponse) -> EngineLoad:
     try:
-        report = msgspec.json.decode(answer.body, type=_LoadReport, strict=False)
-    except ValueError as error:
+        report = decode_record(_LOAD_DECODER, answer.body, _MAX_REPORT_BYTES)
+    except MalformedRecordError as error:
         raise _unavailable(f"the load report is malformed: {error}") from error
     return EngineLoad(
         report.running,
--- a/packages/corianderrelay-core/src/corianderrelay/transport/instance_list_http.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/instance_list_http.py
@@ -7,6 +7,13 @@
 import msgspec
 
 from ..coordination.instance_list import Instance, InstanceRole, InstanceState
+from ..protocol.foreign_record import (
+    MalformedRecordError,
+    Port,
+    decode_record,
+    is_host,
+    split_list,
+)
 from ..state.errors import UnavailableError
 from .http_client import HttpClient, HttpResponse
 
@@ -18,6 +25,7 @@
 _TIMEOUT_S = 5.0
 _RETRY_AFTER_S = 1.0
 _OK = 200
+_MAX_RECORD_BYTES = 65_536
 
 
 class _ListedInstance(msgspec.Struct):
@@ -25,7 +33,7 @@
     role: InstanceRole
     zone: str
     host: str
-    port: int
+    port: Port
     state: InstanceState
 
 
@@ -33,6 +41,9 @@
     instances: list[msgspec.Raw]
 
 
+_DECODER = msgspec.json.Decoder(_ListedInstance)
+
+
 class HttpInstanceList:
     """Implements :class:`~..coordination.instance_list.InstanceList`.
 
@@ -67,17 +78,22 @@
             f"status {response.status}", response.retry_after_s(_RETRY_AFTER_S)
         )
     try:
-        instance_list = msgspec.json.decode(response.body, type=_InstanceListBody)
+        body = msgspec.json.decode(response.body, type=_InstanceListBody)
+        raw_instances = list(map(bytes, body.instances))
+    except RecursionError:
+        raw_instances = split_list(response.body, b"instances")
     except ValueError as error:
         raise _unavailable(f"malformed response: {error}") from error
-    listed = filter(None, map(_decode_instance, instance_list.instances))
+    listed = filter(None, map(_decode_instance, raw_instances))
     return {instance.instance_id: instance for instance in listed}
 
 
-def _decode_instance(raw: msgspec.Raw) -> Instance | None:
+def _decode_instance(raw: bytes) -> Instance | None:
     try:
-        listed = msgspec.json.decode(raw, type=_ListedInstance)
-    except ValueError:
+        listed = decode_record(_DECODER, raw, _MAX_RECORD_BYTES)
+    except MalformedRecordError:
+        return None
+    if not is_host(listed.host):
         return None
     return Instance(
         listed.instance_id,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/peer_update_codec.py
@@ -11,6 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from corianderrelay.protocol.foreign_record import Number, Port
+
 from ...state.direct.crash_ledger import LostAttempt, Verdict
 from ...state.direct.entry_peers import PeerUpdate
 from ...state.direct.limit_shares import SharedLimit
@@ -23,6 +25,9 @@
 _MAX_BUNDLE_BYTES = 1_048_576  # decompressed; many times the updates of a large zone
 
 
+_Int64 = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _LostAttempt(msgspec.Struct, array_like=True):
     fingerprint: str
     runner_life: str
@@ -49,11 +54,11 @@
 
 class _Message(msgspec.Struct, array_like=True):
     entry_id: str
-    incarnation: int
-    sequence: int
+    incarnation: _Int64
+    sequence: Number
     callers_address: str
     peer_host: str
-    peer_port: int
+    peer_port: Port
     ready: bool
     running_by_runner: dict[str, int]
     waiting_by_service: dict[str, int]
@@ -63,7 +68,7 @@
     limits: list[_SharedLimit] = []
     leaving_runners: list[tuple[str, int]] = []
     zone: str = ""
-    config_version: int = 0
+    config_version: Number = 0
 
 
 class _AgedMessage(msgspec.Struct, array_like=True):
@@ -85,7 +90,7 @@
     """Decode an entry's update; the error states why the datagram is malformed."""
     try:
         message = _DECODER.decode(datagram)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(str(error))
     return Ok(_build_update(message))
 
@@ -107,7 +112,7 @@
         if unpacker.unconsumed_tail:
             return Err(f"the bundle is longer than {_MAX_BUNDLE_BYTES} bytes")
         aged = _BUNDLE_DECODER.decode(content)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         return Err(str(error))
     return Ok([(_build_update(each.message), each.age_s) for each in aged])
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/protocol/direct/store_news_codec.py
@@ -7,6 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from corianderrelay.protocol.foreign_record import Number, Port
+
 from ...state.direct.log_position import LogPosition
 from ...state.direct.runner_list import RegisteredRunner
 from ...state.direct.store_news import RunnerChange, StoreAnswer, StoreQuestion
@@ -15,8 +17,8 @@
 
 
 class _Position(msgspec.Struct, array_like=True):
-    era: int
-    offset: int
+    era: Number
+    offset: Number
 
 
 class _Question(msgspec.Struct, array_like=True):
@@ -30,7 +32,7 @@
     runner_id: str
     service: str
     host: str
-    port: int
+    port: Port
     zone: str
     slots: int
     leaving: bool
@@ -78,7 +80,7 @@
     """Decode a question; the error states what is malformed."""
     try:
         question = _QUESTION_DECODER.decode(datagram)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(str(error))
     return Ok(
         StoreQuestion(
@@ -109,7 +111,7 @@
     """Decode an answer; the error states what is malformed."""
     try:
         answer = _ANSWER_DECODER.decode(datagram)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(str(error))
     fields: dict[str, Any] = {
         name: getattr(answer, name) for name in _Answer.__struct_fields__
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/peer_socket.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/direct/peer_socket.py
@@ -128,7 +128,7 @@
         for target in targets:
             try:
                 cast("Any", self.transport).write(datagram, target)
-            except OSError as error:
+            except (OSError, ValueError, OverflowError) as error:
                 self._listener.on_fault(f"{target[0]}:{target[1]}", str(error))
 
 
