Answer all requests that an entry has read before it exits

With a grace time of 2 s an entry took requests for 3 s after SIGTERM, passed them on and exited after 1.5 s: in a stop in calm all 10 callers of an order that ran longer were cut off without an answer, with 8 s all 6 that came early. Callers of orders could not know whether they had run.

The time in which requests are taken follows from the caching time of the directory only; nothing bounded it by the grace time, and the exit closed the connections. Now requests are taken for at most half of the grace time, those that still wait for a slot after three quarters are refused as not run, and the exit answers the rest: 504 if they may have run, 503 if not.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -38,6 +38,7 @@
     from .service_scheduler import ServiceScheduler
     from .statement_watch import StatementWatch
 
+_STOPPING = "this entry stops"
 _STUCK_STREAM_S = 0.8  # far above the time of a pass; callers time out after 2 s
 _STUCK_START_S = 1.2  # longer, as prompts queue at a runner before the first event
 # A stream counts as stuck only if others of its service had events within this time;
@@ -91,6 +92,21 @@
         """Reject new requests, which might not end before this process exits."""
         self._validator.reject_all()
 
+    def refuse_waiting(self) -> None:
+        """Refuse the requests that wait for a slot; they might not end in time."""
+        now = self._clock.seconds()
+        for opened in list(self._open_by_number.values()):
+            if not opened.attempts.sends:
+                self._scheduler.dequeue(opened)
+                self._refuse_overloaded(opened, _STOPPING, now)
+
+    def end_all(self) -> None:
+        """Answer all open requests, as this process exits."""
+        now = self._clock.seconds()
+        for opened in list(self._open_by_number.values()):
+            self._scheduler.dequeue(opened)
+            self._execute(opened, opened.attempts.end_now(_STOPPING, now), now)
+
     def submit(self, call: DirectCall, sink: AnswerSink) -> OpenDirectCall | None:
         """Accept or reject a request; return it if it is accepted."""
         checked = self._validator.validate(call)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve_direct.py
@@ -34,7 +34,10 @@
 _DIRECTORY_TTL_FACTOR = 3.0  # some callers cache an answer for three times its TTL
 # Share of the grace period in which requests are accepted; the rest is for open ones.
 _ARRIVALS_SHARE = 0.5
+# Share after which no waiting request is sent to a runner any more.
+_SENDS_SHARE = 0.75
 _EXIT_MARGIN_S = 0.5  # time left to exit before the process is killed
+_ANSWERS_S = 0.25  # part of it in which the last answers are sent
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -66,8 +69,9 @@
         self._entry = DirectEntry(settings, sources, reactor)
         self._callers = CallerFactory(self._entry, reactor)
         grace_s = settings.bounds.grace_s
-        self._accept_while_draining_s = _DIRECTORY_TTL_FACTOR * directory_ttl_s(
-            settings
+        self._accept_while_draining_s = min(
+            _DIRECTORY_TTL_FACTOR * directory_ttl_s(settings),
+            _ARRIVALS_SHARE * grace_s,
         )
         self._drain = Drain(self._accept_while_draining_s, grace_s - _EXIT_MARGIN_S)
 
@@ -157,7 +161,7 @@
         now = self._reactor.seconds()
         order = self._drain.on_signal(name, self._entry.relay.open_requests, now)
         if isinstance(order, StopProcess):
-            self._stop(order)
+            self._answer_and_stop(order)
             return
         self._entry.log.note(
             Decision.PROCESS_LEAVING,
@@ -168,6 +172,8 @@
         self._reactor.callLater(
             self._accept_while_draining_s, self._entry.relay.stop_accepting
         )
+        send_until_s = _SENDS_SHARE * self._settings.bounds.grace_s
+        self._reactor.callLater(send_until_s, self._entry.relay.refuse_waiting)
         self._check_drained()
 
     def _check_drained(self) -> None:
@@ -176,7 +182,15 @@
         if order is None:
             self._reactor.callLater(_DRAIN_POLL_S, self._check_drained)
         else:
+            self._answer_and_stop(order)
+
+    def _answer_and_stop(self, order: StopProcess) -> None:
+        """Stop, after each open request has got an answer that says if it can run."""
+        if not order.cut_off:
             self._stop(order)
+            return
+        self._entry.relay.end_all()
+        self._reactor.callLater(_ANSWERS_S, self._stop, order)
 
     def _stop(self, order: StopProcess) -> None:
         self._entry.log.note(
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
@@ -272,7 +272,13 @@
 
     def deadline_passed(self, now: float) -> list[AttemptAction]:
         """End the request if its deadline has passed."""
-        if self.finished or now < self.deadline_s:
+        if now < self.deadline_s:
+            return []
+        return self.end_now("no complete response before the deadline", now)
+
+    def end_now(self, reason: str, now: float) -> list[AttemptAction]:
+        """End the request, and say whether it can have run."""
+        if self.finished:
             return []
         cancel: list[AttemptAction] = []
         if self.runner_id:
@@ -281,19 +287,12 @@
         if self.started:
             return [
                 *cancel,
-                *self._finish(
-                    [AbortResponse("the deadline passed before the stream ended")]
-                ),
+                *self._finish([AbortResponse(reason)]),
             ]
         if self.may_have_run:
-            timeout = RefuseRequest(
-                _GATEWAY_TIMEOUT, "no complete response before the deadline"
-            )
+            timeout = RefuseRequest(_GATEWAY_TIMEOUT, reason)
             return [*cancel, *self._finish([timeout])]
-        return [
-            *cancel,
-            *self._fail("no runner accepted the request before the deadline", now),
-        ]
+        return [*cancel, *self._fail(reason, now)]
 
     def client_disconnected(self) -> list[AttemptAction]:
         """Cancel the current attempt after the caller disconnected."""
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -43,9 +43,11 @@
     connections for that long, and serves again at its address under a new id.
 
     :param entries: the number of entries.
+    :param grace_s: seconds from SIGTERM until an entry would be killed.
     """
 
-    def __init__(self, folder: Path, entries: int = 2) -> None:
+    def __init__(self, folder: Path, entries: int = 2, grace_s: int = 8) -> None:
+        self._grace_s = grace_s
         self.restart_in_place = False
         self.down_s: float | None = None
         self._lock = threading.Lock()
@@ -116,7 +118,8 @@
         return (
             f"Node=entry-{host}\nIp={host}\nZone=oslo-a\n{listen}PortRange=7340,7355\n"
             f"Platform.Addr={self.store.address}\nA.field.that.is.new=1\n"
-            "Bounds.GraceS=8\nBounds.DrainMs=2000\nBounds.ttl_max_s=5\n"
+            f"Bounds.GraceS={self._grace_s}\n"
+            "Bounds.DrainMs=2000\nBounds.ttl_max_s=5\n"
             "Bounds.StrictRevoke=true\nBounds.RevokeMs=2500\nBounds.BudgetSlack=88\n"
             "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"
         )
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -55,6 +55,7 @@
     ``arrivals_by_runner`` the monotonic times of the requests that reached it.
     ``rejecting`` has the ids of runners that reject all requests. ``sent`` and
     ``answered`` list the runner's id, request id and time of requests and answers.
+    ``hang_s`` is how long a runner hangs before it closes the connection.
     """
 
     def __init__(self) -> None:
@@ -73,6 +74,7 @@
         self.rejecting: set[str] = set()
         self.sent: list[tuple[str, str, float]] = []
         self.answered: list[tuple[str, str, float]] = []
+        self.hang_s = _HANG_S
 
     def run_count(self, request_id: str) -> int:
         """Return how many times a request was executed."""
@@ -261,7 +263,7 @@
             "lost": lambda: False,
             "reset": lambda: _reset(connection),
             "garbage": lambda: _send(connection, b"\x00\x01 no answer\r\n\r\n", False),
-            "hang": lambda: _hang(connection),
+            "hang": lambda: _hang(self._fleet.hang_s),
             "error": lambda: _send(
                 connection,
                 self._answer_head(500, request_id, signed=True)
@@ -489,8 +491,8 @@
     return False
 
 
-def _hang(connection: socket.socket) -> bool:
-    time.sleep(_HANG_S)
+def _hang(hang_s: float) -> bool:
+    time.sleep(hang_s)
     return False
 
 
