--- a/tests/features/platform/platform_path.feature
+++ b/tests/features/platform/platform_path.feature
@@ -17,6 +17,7 @@
       | /orders/unsigned       | 502                  | nothing        | 1    |
       | /orders/encoded        | 502                  | nothing        | 1    |
       | /orders/cut            | 502                  | nothing        | 1    |
+      | /orders/cut-head       | 502                  | nothing        | 1    |
       | /orders/extra          | 200                  | the whole body | 1    |
       | /orders/stray-first    | 200                  | the whole body | 1    |
       | /orders/unframed       | 200                  | the whole body | 1    |
@@ -35,11 +36,13 @@
       | /stock/reject-once       | 200       | the whole body | 1    |
       | /stock/misdirected-once  | 200       | the whole body | 1    |
       | /stock/cut-once          | 200       | the whole body | 2    |
+      | /stock/cut-head-once     | 200       | the whole body | 2    |
 
     Examples: a stream
       | path                     | status    | body           | runs |
       | /stream/whole            | 200       | all events     | 1    |
       | /stream/torn-once        | 200       | all events     | 2    |
+      | /stream/cut-head-once    | 200       | all events     | 2    |
 
     # Guards against streams without a length or chunks that are cut off, or that are
     # passed on as complete although they ended inside an event.
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -287,6 +287,11 @@
                 + _body_with_length(b"bytes"),
                 True,
             ),
+            "cut-head": lambda: _send(
+                connection,
+                self._answer_head(200, request_id, signed=True) + b"Content-Le",
+                False,
+            ),
             "cut": lambda: _send(
                 connection,
                 self._answer_head(200, request_id, signed=True)
@@ -394,6 +399,8 @@
         start = int(headers.get("last-event-id") or 0) + 1
         head = self._answer_head(200, request_id, signed=True)
         head += b"Content-Type: text/event-stream\r\n"
+        if behaviour == "cut-head":
+            return _send(connection, head + b"Transfer-Enc", False)
         if behaviour.startswith("unframed"):
             return self._stream_unframed(behaviour, start, head, connection)
         connection.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
