Answer the requests of a stopping entry with agents, and take no late ones

A caller that asked 4 s after SIGTERM with a deadline of 6 s, and one that had waited before, got no answer. Now requests are taken for at most half of the deadline, later ones get 503 with ran: no, and the exit answers open ones (502, ran: unknown). Requests with an idempotency key are still cut at the deadline; their outcome can be asked for at another entry.

processes/stopping_entry.feature failed before.

--- a/demo/system.py
+++ b/demo/system.py
@@ -37,6 +37,10 @@
         self.entry_count = 2
         self.engine_options: list[str] = []
         self.agent_slots = 8
+        self.entry_timing: dict[str, float] = {
+            "instance_list_s": 0.5,
+            "entries_ttl_s": 3.0,
+        }
         self.agent_tls: dict[str, str] | None = None
         self.entry_stream_tls: dict[str, str] | None = None
         self.caller_tls: dict[str, str] | None = None
@@ -187,7 +191,7 @@
                     "token_file": str(token_file),
                 },
                 "platform": self._platform_settings(),
-                "timing": {"instance_list_s": 0.5, "entries_ttl_s": 3.0},
+                "timing": self.entry_timing,
             }
             command = ["-m", "corianderrelay_entry.run", "serve", "--settings"]
             process = self._start(
--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -25,6 +25,7 @@
 from .errors import (
     DeadlineExceededError,
     EndpointFailedError,
+    OutcomeUnknownError,
     OverloadedError,
     Ran,
     RelayError,
@@ -223,10 +224,30 @@
         """Cancel the attempt and fail the request if its deadline has passed."""
         if self.is_finished or now < self._deadline_s:
             return []
-        cancel = CancelAttempt(self.attempt_id, self.runner_id)
-        error = DeadlineExceededError(
+        return self._cancel_and_fail(
+            DeadlineExceededError,
             "the deadline passed before the answer was complete",
             "send the request again, or ask the operator for a longer timeout",
+        )
+
+    def fail_as_stopping(self) -> list[AttemptOrder]:
+        """Cancel the attempt and fail the request, as this process exits."""
+        if self.is_finished:
+            return []
+        not_run = self._execution_status() is Ran.NO
+        return self._cancel_and_fail(
+            UnavailableError if not_run else OutcomeUnknownError,
+            "the entry stops before the answer is complete",
+            "send the request to another entry",
+        )
+
+    def _cancel_and_fail(
+        self, error_type: type[RelayError], reason: str, remedy: str
+    ) -> list[AttemptOrder]:
+        cancel = CancelAttempt(self.attempt_id, self.runner_id)
+        error = error_type(
+            reason,
+            remedy,
             ran=self._execution_status(),
             retry_after_s=self._retry_after_s,
         )
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -113,6 +113,11 @@
         self._execute(opened, opened.attempts.on_client_disconnected())
         self._close(opened)
 
+    def end_all(self) -> None:
+        """Fail all open requests, as this process exits."""
+        for opened in list(self._open_by_id.values()):
+            self._execute(opened, opened.attempts.fail_as_stopping())
+
     def on_refused(self, attempt_id: str, retry_after_s: float) -> None:
         """Process an agent's report that it refused the attempt or no longer has it."""
         opened = self._open_by_attempt.get(attempt_id)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/entry.py
@@ -106,6 +106,7 @@
         self.metrics = Metrics(self.request_metrics.collectors())
         self.directory = EntryDirectory()
         self.draining = False
+        self.accepting = True
         self.address = settings.callers.address
         self.config_follower = ConfigFollower(
             log,
@@ -198,6 +199,10 @@
         """
         return self.config_follower.publish(base, document, author, self.new_id())
 
+    def stop_accepting(self) -> None:
+        """Refuse new requests, which might not end before this process exits."""
+        self.accepting = False
+
     def drain(self, reason: str) -> None:
         """Stop advertising this entry to callers and agents.
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/serve.py
@@ -29,6 +29,9 @@
 _EXIT_OK = 0
 _EXIT_REQUESTS_CUT_OFF = 1
 _DRAIN_POLL_S = 0.1
+# Share of the drain deadline in which requests are accepted.
+_ARRIVALS_SHARE = 0.5
+_ANSWERS_S = 0.25  # in which the last answers are sent
 
 
 def serve_entry(settings: EntrySettings, operators_token: str, tls: EntryTls) -> int:
@@ -63,6 +66,9 @@
         # Callers may keep using a cached list that contains this entry for this long.
         min_drain_s = timing.entries_ttl_s + timing.silent_after_s
         self._drain = Drain(min_drain_s, timing.drain_deadline_s)
+        self._accept_while_draining_s = min(
+            min_drain_s, _ARRIVALS_SHARE * timing.drain_deadline_s
+        )
         self.exit_code = _EXIT_OK
 
     def start(self) -> None:
@@ -123,6 +129,9 @@
             self._stop(order)
             return
         self._entry.drain(name)
+        self._reactor.callLater(
+            self._accept_while_draining_s, self._entry.stop_accepting
+        )
         self._stop_when_drained()
 
     def _stop_when_drained(self) -> None:
@@ -134,6 +143,13 @@
             self._stop(order)
 
     def _stop(self, order: StopProcess) -> None:
+        if order.cut_off:
+            self._entry.relay.end_all()
+            self._reactor.callLater(_ANSWERS_S, self._exit, order)
+        else:
+            self._exit(order)
+
+    def _exit(self, order: StopProcess) -> None:
         self.exit_code = _EXIT_REQUESTS_CUT_OFF if order.cut_off else _EXIT_OK
         eliot.log_message(
             message_type="entry:stopped",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/transport/callers_site.py
@@ -17,6 +17,7 @@
     MethodNotAllowedError,
     NotFoundError,
     OverloadedError,
+    Ran,
     RelayError,
     UnauthorizedError,
     UnavailableError,
@@ -114,6 +115,13 @@
             raise result.err_value
         entry = self._entry
         call = result.ok_value
+        if not entry.accepting:
+            raise UnavailableError(
+                "this entry is stopping",
+                "use another entry, see GET /v1/entries",
+                ran=Ran.NO,
+                retry_after_s=_NOT_READY_RETRY_AFTER_S,
+            )
         if entry.open_requests >= entry.settings.limits.waiting_requests:
             raise OverloadedError(
                 "this entry has reached its limit of open requests",
