Model how soon configurations are in force while a reader fails

Suspected by the users: the age of a configuration is bounded by the use of revoked keys only, not by the time in which it must be in force.

--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -85,10 +85,48 @@
         assert context.absent.entry_id not in {each.entry_id for each in alive}
 
 
+@when("the reader {fails}, and a configuration is published {seconds:g} s later")
+def step_reader_fails_and_published(context: Any, fails: str, seconds: float) -> None:
+    _fail_and_publish(context, context.world.reader(), fails, seconds)
+
+
+@when("a zone's first {fails}, and a configuration is published {seconds:g} s later")
+def step_first_fails_and_published(context: Any, fails: str, seconds: float) -> None:
+    world = context.world
+    reader = world.reader()
+    first = min(
+        (each for each in world.entries if each.zone != reader.zone),
+        key=lambda each: each.sharing.position,
+    )
+    _fail_and_publish(context, first, fails, seconds)
+
+
+def _fail_and_publish(
+    context: Any, entry: NewsEntry, fails: str, seconds: float
+) -> None:
+    _fail(context, entry, fails)
+    _run(context, seconds)
+    context.version = context.world.publish()
+    context.published_at = context.world.clock.seconds()
+
+
+@then("it is active at all others within {seconds:d} s")
+def step_active_in_time(context: Any, seconds: int) -> None:
+    others = _others(context)
+    for now in context.world.run(2.0 * seconds):
+        if all(entry.config.version == context.version for entry in others):
+            break
+    assert now - context.published_at <= seconds, now - context.published_at
+
+
 @when("the reader {fails}")
 def step_reader_fails(context: Any, fails: str) -> None:
+    _fail(context, context.world.reader(), fails)
+
+
+def _fail(context: Any, reader: NewsEntry, fails: str) -> None:
     world = context.world
-    context.absent = reader = world.reader()
+    context.absent = reader
     if fails == "is killed":
         world.kill(reader)
     elif fails == "freezes for 6 s":
