Bound the reads for a version that the log lacks, and register lost addresses

Entries that know of a version which the log lacks read for it at every tick once their confirmation was old: 6.4 reads a second and entry in the model. An entry whose address the log lost before the entry had read anything registers again when it reads the registry.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -76,7 +76,7 @@
         self._others_heard = others_heard
         self._on_restored = on_restored
         self._version_known_by_others = 0
-        self._looked_for_version_at = float("-inf")
+        self._polled_at = float("-inf")
         self._source = source
         self._clock = clock
         self._boottime_seconds = boottime_seconds
@@ -162,13 +162,11 @@
 
     def learn_version(self, version: int) -> None:
         """Record a version that is active at another entry, and look for it."""
-        if version > self._version_known_by_others:
+        is_news = version > self._version_known_by_others
+        if is_news:
             self._version_known_by_others = version
-        now = self._clock.seconds()
-        looked_s_ago = now - self._looked_for_version_at
-        if not self.behind or self._polling or looked_s_ago < _BEHIND_RETRY_S:
+        if not self.behind or self._polling or not (is_news or self._may_look_again()):
             return
-        self._looked_for_version_at = now
         if self._next_poll is not None and self._next_poll.active():
             self._next_poll.cancel()
         self._poll()
@@ -193,12 +191,19 @@
                 self._reading.start_over("another entry tells that records were lost")
             self._poll()
 
+    def _may_look_again(self) -> bool:
+        """Whether the log may be asked again for a version that it did not have."""
+        return self._clock.seconds() - self._polled_at >= _BEHIND_RETRY_S
+
     def _poll_is_due(self) -> bool:
+        if self.behind and not self._may_look_again():
+            return False
         old = self.confirmation.is_old(self._boottime_seconds())
         return old or self.position is None or self._duty.reads(self._clock.seconds())
 
     def _poll(self) -> None:
         self._polling = True
+        self._polled_at = self._clock.seconds()
         requested_at = self._boottime_seconds()
         position = self._reading.position
         if position is None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/peer_exchange.py
@@ -198,6 +198,8 @@
             self.discovered = True
             self._discovered_at = now
         self._dependency.mark_available()
+        if self._settings.entry_id not in known:
+            self.register_again()
         for entry_id, (host, port) in known.items():
             self.peers.add_peer(entry_id, host, port, now)
         pollers = max((1 + len(known)) / _REGISTRY_POLLERS, 1.0)
--- a/tests/features/bench/news_restored.feature
+++ b/tests/features/bench/news_restored.feature
@@ -22,3 +22,16 @@
       | 21      | 3     | while a third is refused       | 3       |
       | 98      | 5     | once                           | 4       |
       | 98      | 5     | while the reader is frozen     | 4       |
+
+  # Guards against a burst of reads by entries that know of a version which the log lacks.
+  Scenario: Entries know of a version that the log lacks
+    Given 21 entries in 3 zones that know each other
+    When all learn of a version that the log lacks, and run for 8 s
+    Then each has called the log at most 3 times a second, and confirmed nothing
+
+  # Guards against an entry that later ones do not find, since the log lost its address
+  # before the entry had read anything else.
+  Scenario: The log loses the address of an entry
+    Given 6 entries in 3 zones that know each other
+    When the log loses the address of an entry
+    Then it has the address again within 20 s
--- a/tests/features/steps/news_steps.py
+++ b/tests/features/steps/news_steps.py
@@ -354,3 +354,37 @@
     _run(context, context.restored_at + seconds - context.world.clock.seconds())
     assert {entry.config.version for entry in context.disturbed} <= {context.version}
     assert _not_knowing(context, context.disturbed) == []
+
+
+@when("all learn of a version that the log lacks, and run for {seconds:d} s")
+def step_learn_missing(context: Any, seconds: int) -> None:
+    world = context.world
+    world.store.calls_by_kind.clear()
+    context.seconds = seconds
+    context.learned_at = world.clock.seconds()
+    missing = world.store.versions[-1] + 1
+    for _ in world.run(seconds):
+        for entry in world.entries:
+            entry.config.learn_version(missing)
+
+
+@then("each has called the log at most {calls:d} times a second, and confirmed nothing")
+def step_few_calls(context: Any, calls: int) -> None:
+    entries = context.world.entries
+    made = context.world.store.calls_by_kind["configuration"]
+    assert made <= calls * context.seconds * len(entries), made
+    for entry in entries:
+        confirmed_at = entry.clock.boottime() - entry.config.age_s
+        assert confirmed_at <= context.learned_at, entry.entry_id
+
+
+@when("the log loses the address of an entry")
+def step_lose_address(context: Any) -> None:
+    context.lost_id = context.world.entries[0].entry_id
+    del context.world.store.addresses_by_id[context.lost_id]
+
+
+@then("it has the address again within {seconds:d} s")
+def step_address_again(context: Any, seconds: int) -> None:
+    _run(context, seconds)
+    assert context.lost_id in context.world.store.addresses_by_id
