--- a/tests/features/platform/log_restored.feature
+++ b/tests/features/platform/log_restored.feature
@@ -20,6 +20,8 @@
       | takes a key away | twice within 3 s        |
       | adds a route     | while entry 2 is frozen |
       | takes a key away | while entry 2 is frozen |
+      | adds a route     | by a silent store       |
+      | takes a key away | by a silent store       |
 
   # Guards against a runner that is used again because the older copy still lists it, until
   # its own report is written again.
--- a/tests/features/steps/log_restored_steps.py
+++ b/tests/features/steps/log_restored_steps.py
@@ -17,6 +17,7 @@
 from tests.waiting import wait_until
 
 _AWAY_S = 0.4
+_REVOKE_MS = 5000  # as on the users' installations; polls of the log are longer then
 _SECOND_RESTORE_AFTER_S = 1.5
 _ASK_PERIOD_S = 0.05
 _PATH = "/added/whole"
@@ -27,6 +28,7 @@
 _FINGERPRINT = "f" * 32
 _NEW_KEY = "another-key"
 _OTHER_SERVICE = "empty"
+_POLL_S = 1.6  # longer than an entry's poll of the log
 _RECORDS_BEHIND = 8  # more than the versions that the copy lacks
 _START_S = 4.0
 _CALLERS = 12  # as many as two runners serve at once
@@ -34,7 +36,7 @@
 
 def _start(context: Any) -> PlatformSystem:
     folder = context.cleanup.enter_context(temporary_folder())
-    context.system = PlatformSystem(Path(folder), entries=3)
+    context.system = PlatformSystem(Path(folder), entries=3, revoke_ms=_REVOKE_MS)
     context.cleanup.callback(context.system.close)
     context.system.start()
     system: PlatformSystem = context.system
@@ -77,10 +79,15 @@
     }[change]
 
 
-def _restore(context: Any, write: Callable[[], None] = lambda: None) -> None:
+def _restore(
+    context: Any, write: Callable[[], None] = lambda: None, mode: str = "reset"
+) -> None:
     """Restore the copy; ``write`` adds records before any entry can read."""
     store = context.system.store
-    store.mode = "reset"
+    store.mode = mode
+    if mode == "silent":
+        # Calls in flight end, so that new ones are sent and stay without an answer.
+        time.sleep(_POLL_S)
     store.restore(context.copy)
     write()
     time.sleep(_AWAY_S)
@@ -121,7 +128,7 @@
             store.put(_OP_TOPIC, "note", b"{}")
 
     context.change = change
-    _restore(context, write)
+    _restore(context, write, "silent" if "silent" in when else "reset")
     if frozen is not None:
         frozen.signal(signal.SIGCONT)
 
--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -43,11 +43,15 @@
     connections for that long, and serves again at its address under a new id.
 
     :param entries: the number of entries.
+    :param revoke_ms: bound on the use of revoked keys, in ms.
     :param grace_s: seconds from SIGTERM until an entry would be killed.
     """
 
-    def __init__(self, folder: Path, entries: int = 2, grace_s: int = 8) -> None:
+    def __init__(
+        self, folder: Path, entries: int = 2, grace_s: int = 8, revoke_ms: int = 2500
+    ) -> None:
         self._grace_s = grace_s
+        self._revoke_ms = revoke_ms
         self.restart_in_place = False
         self.down_s: float | None = None
         self._lock = threading.Lock()
@@ -120,7 +124,8 @@
             f"Platform.Addr={self.store.address}\nA.field.that.is.new=1\n"
             f"Bounds.GraceS={self._grace_s}\n"
             "Bounds.DrainMs=2000\nBounds.ttl_max_s=5\n"
-            "Bounds.StrictRevoke=true\nBounds.RevokeMs=2500\nBounds.BudgetSlack=88\n"
+            f"Bounds.StrictRevoke=true\nBounds.RevokeMs={self._revoke_ms}\n"
+            "Bounds.BudgetSlack=88\n"
             "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\n"
         )
 
