--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/crash_watch.py
@@ -28,7 +28,7 @@
     from ...state.direct.part_ledger import PartLoss
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from .decision_log import DecisionLog
-    from .open_direct_call import OpenDirectCall
+    from .open_direct_call import OpenAttempt, OpenDirectCall
     from .ports import RunnerProbe
 
 _PROBING = float("inf")  # no other probe is due while one is open
@@ -80,37 +80,36 @@
         """Return a picker that finds no runner while the request is held."""
         return GuardedPicker(picker, self, opened)
 
-    def on_sent(self, opened: OpenDirectCall, runner: RegisteredRunner) -> None:
-        """Record what is known of the request and the runner of a new attempt."""
-        opened.crash_round = self.ledger.rounds(opened.fingerprint) + 1
-        opened.sent_to = runner
-        self.parts.on_sent(opened)
+    def on_sent(self, attempt: OpenAttempt) -> None:
+        """Record what is known of the request of a new attempt."""
+        rounds = self.ledger.rounds(attempt.opened.fingerprint)
+        attempt.crash_round = rounds + 1
+        self.parts.on_sent(attempt.opened)
 
-    def on_attempt_lost(self, opened: OpenDirectCall) -> None:
+    def on_attempt_lost(self, attempt: OpenAttempt) -> None:
         """Record an attempt that ended, or may never end, without an answer."""
-        runner = opened.sent_to
-        assert runner is not None, "an attempt must be sent before it can be lost"
+        runner = attempt.runner
         life = runner_life(runner.runner_id, runner.started_ms)
-        lost = LostAttempt(opened.fingerprint, life, opened.crash_round)
+        lost = LostAttempt(attempt.opened.fingerprint, life, attempt.crash_round)
         if not self.ledger.merge(lost, self._clock.seconds()):
             return
         self._log_lost(lost)
-        self.parts.on_lost(opened, life)
+        self.parts.on_lost(attempt, life)
         self._on_changed()
         self._own_runners_by_life[life] = runner
         if life not in self._probed_at_by_life:
             self._start_probe(life)
 
-    def after_probe(self, opened: OpenDirectCall, resume: Callable[[], None]) -> None:
+    def after_probe(self, attempt: OpenAttempt, resume: Callable[[], None]) -> None:
         """Call ``resume`` once it is known whether a lost attempt ended its runner.
 
         Only a request whose parts are suspected waits, so that it is retried if its
         runner lives; the probe takes less than half a second.
         """
-        runner = opened.sent_to
-        life = runner_life(runner.runner_id, runner.started_ms) if runner else ""
+        runner = attempt.runner
+        life = runner_life(runner.runner_id, runner.started_ms)
         probing = self._probed_at_by_life.get(life) == _PROBING
-        if probing and self.parts.hold(opened) is not None:
+        if probing and self.parts.hold(attempt.opened) is not None:
             self._waiting_by_life.setdefault(life, []).append(resume)
         else:
             resume()
@@ -221,6 +220,12 @@
             return None
         return self._picker.pick(excluded, now)
 
+    def pick_for_takeover(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a runner that may take over a silent attempt, ``None`` if held."""
+        if self._crashes.held_s(self._opened) is not None:
+            return None
+        return self._picker.pick_for_takeover(excluded, now)
+
     def spend_retry(self, now: float) -> bool:
         """Charge a retry; return false if there is no budget or it is held."""
         if self._crashes.held_s(self._opened) is not None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -51,6 +51,16 @@
         "an attempt failed or was abandoned; the reason, whether it had run, and the "
         "retries spent of this entry's limit",
     )
+    TAKEOVER_STARTED = (
+        "takeover:started",
+        "an attempt is silent, and a second one was sent to another runner beside it; "
+        "how long it has been silent, and the retries spent of this entry's limit",
+    )
+    TAKEOVER_ENDED = (
+        "takeover:ended",
+        "one of the two attempts has sent events or answered, and goes on; the other "
+        "one was cancelled",
+    )
     ATTEMPT_LOST = (
         "attempt:lost",
         "an attempt here or at another entry ended without an answer; the verdict on "
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -8,21 +8,21 @@
 
 from typing import TYPE_CHECKING
 
-from ...state.direct.attempts import (
+from ...state.direct.attempt_actions import (
     AbortResponse,
     AttemptAction,
     CancelAttempt,
-    DirectAttempts,
     FinishResponse,
     RefuseRequest,
     StartAttempt,
     StartResponse,
     WriteResponse,
 )
-from ...state.direct.catalog import RequestKind
+from ...state.direct.attempts import DirectAttempts
+from ...state.direct.silence import MAX_STREAM_SILENCE_S, Silence
 from .call_validation import NOT_READY_RETRY_S, CallValidator, RejectedCall
 from .decision_log import Decision
-from .open_direct_call import AttemptEvents, OpenDirectCall
+from .open_direct_call import OpenAttempt, OpenDirectCall
 from .ports import RunnerRequest
 
 if TYPE_CHECKING:
@@ -39,13 +39,6 @@
     from .statement_watch import StatementWatch
 
 _STOPPING = "this entry stops"
-_STUCK_STREAM_S = 0.8  # far above the time of a pass; callers time out after 2 s
-_STUCK_START_S = 1.2  # longer, as prompts queue at a runner before the first event
-# A stream counts as stuck only if others of its service had events within this time;
-# otherwise the whole group is stalled.
-_GROUP_PROGRESS_S = 0.25
-# Share of the latency objective after which an unstreamed request counts as stuck.
-_UNSTREAMED_STUCK_SHARE = 0.6
 
 
 class DirectRelay:
@@ -80,7 +73,9 @@
         self._metrics = metrics
         self._open_by_number: dict[int, OpenDirectCall] = {}
         self._next_number = 0
-        self._progress_at_by_service: dict[str, float] = {}
+        # Requests whose silent attempt has not got a takeover yet, as of the last tick.
+        self._silent_by_number: dict[int, OpenDirectCall] = {}
+        self._silence = Silence()
         self._validator = CallValidator(config)
 
     @property
@@ -120,9 +115,10 @@
         if opened.number not in self._open_by_number:
             return
         now = self._clock.seconds()
-        silent_s = now - opened.attempts.last_received_at
-        if opened.attempts.in_flight and silent_s > _STUCK_STREAM_S:
-            self._crashes.on_attempt_lost(opened)
+        for attempt in opened.attempts.attempts:
+            silent = opened.attempts_by_runner.get(attempt.runner_id)
+            if silent and now - attempt.last_received_at > MAX_STREAM_SILENCE_S:
+                self._crashes.on_attempt_lost(silent)
         self._metrics.abandoned.inc({"service": opened.service})
         self._log.note(
             Decision.REQUEST_CANCELLED,
@@ -144,17 +140,18 @@
             self._dispatch(opened, now)
 
     def tick(self) -> None:
-        """Admit queued requests; end overdue requests and stuck attempts."""
+        """Admit queued requests; end overdue ones; start takeovers of silent ones."""
         self.admit_waiting()
         now = self._clock.seconds()
+        self._silent_by_number.clear()
         for opened in list(self._open_by_number.values()):
             if now >= opened.attempts.deadline_s:
                 self._scheduler.dequeue(opened)
-                if opened.attempts.in_flight:
-                    self._crashes.on_attempt_lost(opened)
+                for attempt in opened.attempts_by_runner.values():
+                    self._crashes.on_attempt_lost(attempt)
                 self._execute(opened, opened.attempts.deadline_passed(now), now)
-            elif opened.attempts.in_flight and self._is_stuck(opened, now):
-                self._abandon_stuck_attempt(opened, now)
+            else:
+                self._take_over_if_silent(opened, now)
 
     def _accept(
         self, call: DirectCall, sink: AnswerSink, accepted: AcceptedCall, now: float
@@ -263,37 +260,39 @@
         headers = self._dialect.encode_refusal(call, rejected.retry_after_s)
         sink.answer(rejected.status, headers, b"")
 
-    def _is_stuck(self, opened: OpenDirectCall, now: float) -> bool:
-        attempts = opened.attempts
-        if opened.route.kind is not RequestKind.STREAM:
-            max_wait_s = _UNSTREAMED_STUCK_SHARE * opened.route.objective_s
-            return now - attempts.sent_at > max_wait_s
-        progress_at = self._progress_at_by_service.get(opened.service, float("-inf"))
-        if now - progress_at > _GROUP_PROGRESS_S:
-            return False
-        limit_s = _STUCK_STREAM_S if attempts.started else _STUCK_START_S
-        return now - attempts.last_received_at > limit_s
-
-    def _abandon_stuck_attempt(self, opened: OpenDirectCall, now: float) -> None:
-        runner_id = opened.attempts.runner_id
-        last_received_at = opened.attempts.last_received_at
-        if opened.route.retryable:
-            self._crashes.on_attempt_lost(opened)
-        actions = opened.attempts.stalled(now)
+    def _take_over_if_silent(self, opened: OpenDirectCall, now: float) -> None:
+        """Start a takeover of a silent attempt, which stays in flight."""
+        attempts, current = opened.attempts, opened.attempts.current
+        if current is None or not self._silence.is_too_long(
+            current, opened.route, opened.service, attempts.started, now
+        ):
+            return
+        silent = opened.attempts_by_runner.get(current.runner_id)
+        if silent is not None and opened.route.retryable:
+            self._crashes.on_attempt_lost(silent)
+        actions = attempts.stalled(now)
         if not actions:
+            if len(attempts.attempts) == 1:
+                self._silent_by_number[opened.number] = opened
             return
-        self._scheduler.on_failed(runner_id, now)
+        self._scheduler.on_failed(current.runner_id, now)
         self._log.note(
-            Decision.REQUEST_LEFT_RUNNER,
+            Decision.TAKEOVER_STARTED,
             request=opened.call.request_id,
             fingerprint=opened.fingerprint,
-            runner=runner_id,
-            reason="the runner has stopped sending",
-            silent_s=round(now - last_received_at, 3),
+            runner=current.runner_id,
+            silent_s=round(now - current.last_received_at, 3),
             **self._scheduler.retry_log_fields(opened.service, now),
         )
         self._execute(opened, actions, now)
 
+    def _take_over_silent(self, now: float) -> None:
+        """Start takeovers before queued requests take the slots that became free."""
+        for number, opened in list(self._silent_by_number.items()):
+            del self._silent_by_number[number]
+            if number in self._open_by_number:
+                self._take_over_if_silent(opened, now)
+
     def _execute(
         self, opened: OpenDirectCall, actions: list[AttemptAction], now: float
     ) -> None:
@@ -302,7 +301,7 @@
                 case StartAttempt():
                     self._start_attempt(opened, action, now)
                 case CancelAttempt():
-                    self._end_attempt(opened, now, cancel=True)
+                    self._end_attempt(opened, action.runner_id, now, cancel=True)
                 case StartResponse():
                     self._start_answer(opened, action, now)
                 case WriteResponse():
@@ -323,10 +322,10 @@
         self, opened: OpenDirectCall, action: StartAttempt, now: float
     ) -> None:
         runner = self._scheduler.runner(action.runner_id)
-        events = AttemptEvents(self, opened)
-        opened.attempt_events = events
-        self._scheduler.on_sent(opened, action.runner_id, now)
-        self._crashes.on_sent(opened, runner)
+        attempt = OpenAttempt(self, opened, runner, now)
+        opened.attempts_by_runner[action.runner_id] = attempt
+        self._scheduler.on_sent(attempt, now)
+        self._crashes.on_sent(attempt)
         first = opened.attempts.sends == 1
         self._metrics.runner_attempts.inc({"kind": "first" if first else "again"})
         self._log.note(
@@ -353,17 +352,18 @@
             # A kept connection may have caused the failure of the first attempt.
             may_reuse_connection=opened.route.retryable and first,
         )
-        opened.runner_attempt = self._connections.send(runner, request, events)
-
-    def _end_attempt(self, opened: OpenDirectCall, now: float, *, cancel: bool) -> None:
-        runner_attempt, opened.runner_attempt = opened.runner_attempt, None
-        if opened.attempt_events is not None:
-            opened.attempt_events.detach()
-            opened.attempt_events = None
-        if opened.runner_id:
-            self._scheduler.on_attempt_ended(opened, now)
-        if cancel and runner_attempt is not None:
-            runner_attempt.cancel()
+        attempt.connection = self._connections.send(runner, request, attempt)
+
+    def _end_attempt(
+        self, opened: OpenDirectCall, runner_id: str, now: float, *, cancel: bool
+    ) -> None:
+        attempt = opened.attempts_by_runner.pop(runner_id, None)
+        if attempt is None:
+            return
+        attempt.detach()
+        self._scheduler.on_attempt_ended(attempt, now)
+        if cancel and attempt.connection is not None:
+            attempt.connection.cancel()
 
     def _start_answer(
         self, opened: OpenDirectCall, action: StartResponse, now: float
@@ -422,90 +422,109 @@
     def _close(self, opened: OpenDirectCall, now: float) -> None:
         if self._open_by_number.pop(opened.number, None) is None:
             return
-        self._end_attempt(opened, now, cancel=False)
+        for runner_id in list(opened.attempts_by_runner):
+            self._end_attempt(opened, runner_id, now, cancel=False)
+        self._take_over_silent(now)
         self.admit_waiting()
 
-    def on_not_sent(self, opened: OpenDirectCall, reason: str) -> None:
-        """The current attempt ended before any byte of it reached the runner."""
+    def on_not_sent(self, attempt: OpenAttempt, reason: str) -> None:
+        """An attempt ended before any byte of it reached the runner."""
         now = self._clock.seconds()
-        self._fail_attempt(opened, reason, True, now)
-        self._execute(opened, opened.attempts.connect_failed(now, reason), now)
+        opened = attempt.opened
+        self._fail_attempt(attempt, reason, True, now)
+        actions = opened.attempts.connect_failed(attempt.runner_id, now, reason)
+        self._execute(opened, actions, now)
 
-    def on_head(self, opened: OpenDirectCall, head: RunnerHead) -> None:
-        """The head of the current attempt's answer was received."""
+    def on_head(self, attempt: OpenAttempt, head: RunnerHead) -> None:
+        """The head of an attempt's answer was received."""
         now = self._clock.seconds()
-        runner_id = opened.runner_id
-        self._statements.on_head(opened, head, now)
+        opened = attempt.opened
+        self._statements.on_head(attempt, head, now)
         if head.not_run:
             # The runner at fault may differ from the one that sent the rejection.
             self._scheduler.on_failed(head.faulty_runner_id, now)
-        actions = opened.attempts.head(head, now)
+        is_takeover = attempt.runner_id != opened.attempts.runner_id
+        actions = opened.attempts.head(attempt.runner_id, head, now)
         if actions:
-            self._log_failed_attempt(
-                opened, runner_id, f"status {head.status}", head.not_run
-            )
+            self._log_failed_attempt(attempt, f"status {head.status}", head.not_run)
         self._execute(opened, actions, now)
+        if is_takeover and head.not_run:
+            self._scheduler.on_takeover_rejected(attempt.runner_id, now)
 
-    def on_data(self, opened: OpenDirectCall, data: bytes) -> None:
-        """Body data of the current attempt's answer was received."""
+    def on_data(self, attempt: OpenAttempt, data: bytes) -> None:
+        """Body data of an attempt's answer was received."""
         now = self._clock.seconds()
-        runner_id = opened.runner_id
+        opened = attempt.opened
         events_before = opened.attempts.events
-        actions = opened.attempts.data(data, now)
+        actions = opened.attempts.data(attempt.runner_id, data, now)
         if opened.attempts.events != events_before:
             received = opened.attempts.events - events_before
-            self._crashes.parts.on_events(opened, received)
-            self._progress_at_by_service[opened.service] = now
-            self._scheduler.on_progress(opened, now)
-        if any(isinstance(action, CancelAttempt) for action in actions):
-            self._scheduler.on_failed(runner_id, now)
-            self._log_failed_attempt(opened, runner_id, "its answer is too long", False)
+            self._crashes.parts.on_events(attempt, received)
+            self._silence.on_progress(opened.service, now)
+            self._scheduler.on_progress(attempt, now)
+        if CancelAttempt(attempt.runner_id) in actions:
+            self._scheduler.on_failed(attempt.runner_id, now)
+            self._log_failed_attempt(attempt, "its answer is too long", False)
+        self._log_ended_takeover(attempt, actions)
         self._execute(opened, actions, now)
 
-    def on_end(self, opened: OpenDirectCall) -> None:
-        """The current attempt's answer is complete by its framing."""
+    def on_end(self, attempt: OpenAttempt) -> None:
+        """An attempt's answer is complete by its framing."""
         now = self._clock.seconds()
-        opened.runner_attempt = None
-        runner_id = opened.runner_id
-        sends = opened.attempts.sends
-        actions = opened.attempts.response_ended(now)
+        opened = attempt.opened
+        attempt.connection = None
+        actions = opened.attempts.response_ended(attempt.runner_id, now)
         if opened.attempts.finished:
-            self._scheduler.on_answered(opened, opened.status, now)
-        if opened.attempts.sends > sends:
-            self._scheduler.on_failed(runner_id, now)
-            self._log_failed_attempt(
-                opened, runner_id, "the runner's answer was a failure", False
-            )
-            self._end_attempt(opened, now, cancel=False)
+            self._scheduler.on_answered(attempt, opened.status, now)
+        else:
+            self._fail_attempt(attempt, "the runner's answer was a failure", False, now)
+        self._log_ended_takeover(attempt, actions)
         self._execute(opened, actions, now)
 
-    def on_incomplete(self, opened: OpenDirectCall, reason: str) -> None:
-        """The current attempt failed without a complete answer; it may have run."""
+    def on_incomplete(self, attempt: OpenAttempt, reason: str) -> None:
+        """An attempt failed without a complete answer; it may have run."""
         now = self._clock.seconds()
-        self._crashes.on_attempt_lost(opened)
-        self._fail_attempt(opened, reason, False, now)
-        self._crashes.after_probe(opened, lambda: self._retry_lost(opened, reason))
+        self._crashes.on_attempt_lost(attempt)
+        self._fail_attempt(attempt, reason, False, now)
+        self._crashes.after_probe(attempt, lambda: self._retry_lost(attempt, reason))
 
-    def _retry_lost(self, opened: OpenDirectCall, reason: str) -> None:
+    def _retry_lost(self, attempt: OpenAttempt, reason: str) -> None:
         now = self._clock.seconds()
-        self._execute(opened, opened.attempts.connection_lost(now, reason), now)
+        opened = attempt.opened
+        actions = opened.attempts.connection_lost(attempt.runner_id, now, reason)
+        self._execute(opened, actions, now)
 
     def _fail_attempt(
-        self, opened: OpenDirectCall, reason: str, not_run: bool, now: float
+        self, attempt: OpenAttempt, reason: str, not_run: bool, now: float
     ) -> None:
-        runner_id = opened.runner_id
-        self._scheduler.on_failed(runner_id, now)
-        self._end_attempt(opened, now, cancel=False)
-        self._log_failed_attempt(opened, runner_id, reason, not_run)
+        self._scheduler.on_failed(attempt.runner_id, now)
+        self._end_attempt(attempt.opened, attempt.runner_id, now, cancel=False)
+        self._log_failed_attempt(attempt, reason, not_run)
+
+    def _log_ended_takeover(
+        self, attempt: OpenAttempt, actions: list[AttemptAction]
+    ) -> None:
+        for action in actions:
+            if (
+                isinstance(action, CancelAttempt)
+                and action.runner_id != attempt.runner_id
+            ):
+                self._log.note(
+                    Decision.TAKEOVER_ENDED,
+                    request=attempt.opened.call.request_id,
+                    runner=attempt.runner_id,
+                    cancelled=action.runner_id,
+                )
 
     def _log_failed_attempt(
-        self, opened: OpenDirectCall, runner_id: str, reason: str, not_run: bool
+        self, attempt: OpenAttempt, reason: str, not_run: bool
     ) -> None:
+        opened = attempt.opened
         self._log.note(
             Decision.REQUEST_LEFT_RUNNER,
             request=opened.call.request_id,
             fingerprint=opened.fingerprint,
-            runner=runner_id,
+            runner=attempt.runner_id,
             reason=reason,
             not_run=not_run,
             events=opened.attempts.events,
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/open_direct_call.py
@@ -1,4 +1,4 @@
-"""The state of an open request, and the listener for its attempts' events."""
+"""The state of an open request, and of its attempts in flight."""
 
 from __future__ import annotations
 
@@ -23,9 +23,8 @@
     :param accepted: the result of the request's validation.
     :param service: the service that was chosen for the request.
     :ivar fingerprint: the same for all requests of a caller that ask for the same.
-    :ivar crash_round: round of the current attempt, see ``CrashLedger``.
-    :ivar sent_to: the runner of the current attempt, as registered when it was sent.
-    :ivar attempt_events_count: number of events that the current attempt received.
+    :ivar attempts_by_runner: the attempts in flight: one, and a takeover of it.
+    :ivar last_event_at: when events of the answer last arrived, from any runner.
     """
 
     __slots__ = (
@@ -33,18 +32,13 @@
         "call",
         "sink",
         "fingerprint",
-        "crash_round",
-        "sent_to",
-        "attempt_events_count",
         "route",
         "service",
         "workspace",
         "requires_valid_key",
         "priority",
         "attempts",
-        "attempt_events",
-        "runner_attempt",
-        "runner_id",
+        "attempts_by_runner",
         "last_runner_id",
         "status",
         "first_byte_at",
@@ -70,12 +64,7 @@
         self.fingerprint = request_fingerprint(call, accepted.workspace)
         self.requires_valid_key = accepted.requires_valid_key
         self.priority = accepted.priority
-        self.crash_round = 0
-        self.sent_to: RegisteredRunner | None = None
-        self.attempt_events_count = 0
-        self.attempt_events: AttemptEvents | None = None
-        self.runner_attempt: RunnerAttempt | None = None
-        self.runner_id = ""
+        self.attempts_by_runner: dict[str, OpenAttempt] = {}
         self.last_runner_id = ""
         self.status = 0
         self.first_byte_at = 0.0
@@ -95,43 +84,74 @@
         return max_wait_s < self.route.timeout_s
 
 
-class AttemptEvents:
-    """Forwards the events of one attempt to the relay until it is detached."""
+class OpenAttempt:
+    """One attempt in flight; forwards its events to the relay until it is detached.
+
+    :param runner: the runner, as registered when the attempt was sent.
+    :ivar crash_round: round of the attempt, see ``CrashLedger``.
+    :ivar events_count: number of events that the attempt has received.
+    """
 
-    __slots__ = ("_relay", "_opened")
+    __slots__ = (
+        "opened",
+        "runner",
+        "sent_at",
+        "crash_round",
+        "events_count",
+        "connection",
+        "_relay",
+        "_detached",
+    )
 
-    def __init__(self, relay: DirectRelay, opened: OpenDirectCall) -> None:
+    def __init__(
+        self,
+        relay: DirectRelay,
+        opened: OpenDirectCall,
+        runner: RegisteredRunner,
+        sent_at: float,
+    ) -> None:
+        self.opened = opened
+        self.runner = runner
+        self.sent_at = sent_at
+        self.crash_round = 0
+        self.events_count = 0
+        self.connection: RunnerAttempt | None = None
         self._relay = relay
-        self._opened: OpenDirectCall | None = opened
+        self._detached = False
+
+    @property
+    def runner_id(self) -> str:
+        """The id of the attempt's runner."""
+        return self.runner.runner_id
 
     def detach(self) -> None:
         """Ignore all further events of this attempt."""
-        self._opened = None
+        self._detached = True
 
     def on_not_sent(self, reason: str) -> None:
         """No byte of the request reached the runner."""
-        if self._opened is not None:
-            self._relay.on_not_sent(self._opened, reason)
+        if not self._detached:
+            self._relay.on_not_sent(self, reason)
 
     def on_head(self, head: RunnerHead) -> None:
         """The head of the answer was received."""
-        if self._opened is not None:
-            self._relay.on_head(self._opened, head)
+        if not self._detached:
+            self._relay.on_head(self, head)
 
     def on_data(self, data: bytes) -> None:
         """Body data of the answer was received."""
-        if self._opened is not None:
-            self._relay.on_data(self._opened, data)
+        if not self._detached:
+            self._relay.on_data(self, data)
 
     def on_end(self) -> None:
         """The answer is complete by its framing."""
-        if self._opened is not None:
-            self._relay.on_end(self._opened)
+        if not self._detached:
+            self._relay.on_end(self)
 
     def on_incomplete(self, reason: str) -> None:
         """The attempt failed without a complete answer; the runner may have run it."""
-        if self._opened is not None:
-            self._relay.on_incomplete(self._opened, reason)
+        if not self._detached:
+            self._relay.on_incomplete(self, reason)
 
 
-__all__ = ["OpenDirectCall", "AttemptEvents"]
+__all__ = ["OpenDirectCall", "OpenAttempt"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/part_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/part_watch.py
@@ -15,7 +15,7 @@
 
     from ...state.direct.crash_ledger import Verdict
     from .decision_log import DecisionLog
-    from .open_direct_call import OpenDirectCall
+    from .open_direct_call import OpenAttempt, OpenDirectCall
 
 _TRIAL_SPREAD_S = 1.0  # many times an update between entries
 _BEGINNING_EVENTS = 3  # with as many events, a runner is well past the beginning
@@ -47,7 +47,6 @@
 
     def on_sent(self, opened: OpenDirectCall) -> None:
         """Start a trial if the request that was sent has suspects."""
-        opened.attempt_events_count = 0
         tried = self.ledger.start_trial(opened.shared_parts, self._clock.seconds())
         if not tried:
             return
@@ -59,10 +58,11 @@
         )
         self._on_changed()
 
-    def on_lost(self, opened: OpenDirectCall, life: str) -> None:
+    def on_lost(self, attempt: OpenAttempt, life: str) -> None:
         """Record an attempt that was lost, perhaps before its runner had begun."""
-        if opened.attempt_events_count >= _BEGINNING_EVENTS:
+        if attempt.events_count >= _BEGINNING_EVENTS:
             return
+        opened = attempt.opened
         now = self._clock.seconds()
         losses = [
             PartLoss(part, life, opened.fingerprint) for part in opened.shared_parts
@@ -71,12 +71,12 @@
         for loss in changed:
             self._log_lost(loss)
 
-    def on_events(self, opened: OpenDirectCall, count: int) -> None:
+    def on_events(self, attempt: OpenAttempt, count: int) -> None:
         """Record that a runner has sent events; clear the parts if it is well ahead."""
-        before = opened.attempt_events_count
-        opened.attempt_events_count += count
-        if before < _BEGINNING_EVENTS <= opened.attempt_events_count:
-            self.on_answered(opened, "a runner answers a request with it")
+        before = attempt.events_count
+        attempt.events_count += count
+        if before < _BEGINNING_EVENTS <= attempt.events_count:
+            self.on_answered(attempt.opened, "a runner answers a request with it")
 
     def on_answered(self, opened: OpenDirectCall, reason: str) -> None:
         """Clear the parts of a request that a runner answers."""
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/service_scheduler.py
@@ -10,6 +10,7 @@
 from ...state.direct.catalog import RequestKind
 from ...state.direct.retry_budget import RetryBudget
 from ...state.direct.runner_placement import RunnerPlacement
+from ...state.direct.takeover_limits import TakeoverLimits
 from .runner_capacity import RunnerCapacity
 from .stream_pacing import StreamPacing
 
@@ -20,7 +21,7 @@
     from ...state.direct.entry_peers import EntryPeers
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from ...state.direct.settings import DirectBounds
-    from .open_direct_call import OpenDirectCall
+    from .open_direct_call import OpenAttempt, OpenDirectCall
     from .statement_watch import StatementWatch
     from .stream_pacing import EngineConfigs
 
@@ -54,6 +55,7 @@
         self.pacing = StreamPacing(runners, self._placement, engines)
         self._capacity = RunnerCapacity(runners, self._placement, statements)
         self._statements = statements
+        self._takeover_limits = TakeoverLimits()
         self._admission_by_service: defaultdict[str, AdmissionQueue[OpenDirectCall]] = (
             defaultdict(AdmissionQueue)
         )
@@ -85,6 +87,25 @@
     ) -> str | None:
         """Return the best usable runner of the request's service, or ``None``."""
         candidates = self._capacity.candidates(opened.service, excluded, now)
+        return self._pick_among(candidates, opened, now)
+
+    def pick_for_takeover(
+        self, opened: OpenDirectCall, excluded: frozenset[str], now: float
+    ) -> str | None:
+        """Return the best runner that may have a place for a takeover, or ``None``."""
+        candidates = self._capacity.candidates(opened.service, excluded, now)
+        may_have_place = [
+            each
+            for each in candidates
+            if self._takeover_limits.may_have_place(
+                each.runner_id, each.slots, self._placement.running(each.runner_id), now
+            )
+        ]
+        return self._pick_among(may_have_place, opened, now)
+
+    def _pick_among(
+        self, candidates: list[RegisteredRunner], opened: OpenDirectCall, now: float
+    ) -> str | None:
         lockstep = opened.route.kind is RequestKind.STREAM
         if lockstep:
             self._share_slots(opened.service, now)
@@ -213,23 +234,28 @@
             peer_load, runner_wait_s
         )
 
-    def on_sent(self, opened: OpenDirectCall, runner_id: str, now: float) -> None:
+    def on_sent(self, attempt: OpenAttempt, now: float) -> None:
         """Record an attempt that was sent to a runner."""
-        opened.runner_id = opened.last_runner_id = runner_id
-        self._placement.health(runner_id).running += 1
-        self._statements.on_sent(self.runner(runner_id), now)
+        attempt.opened.last_runner_id = attempt.runner_id
+        self._placement.health(attempt.runner_id).running += 1
+        self._statements.on_sent(attempt.runner, now)
 
-    def on_attempt_ended(self, opened: OpenDirectCall, now: float) -> None:
-        """Record that the current attempt at the runner has ended."""
-        self._placement.health(opened.runner_id).running -= 1
-        opened.runner_id = ""
-        self._admission_by_service[opened.service].record_completion(now)
+    def on_attempt_ended(self, attempt: OpenAttempt, now: float) -> None:
+        """Record that an attempt at a runner has ended."""
+        self._placement.health(attempt.runner_id).running -= 1
+        self._admission_by_service[attempt.opened.service].record_completion(now)
 
-    def on_progress(self, opened: OpenDirectCall, now: float) -> None:
+    def on_takeover_rejected(self, runner_id: str, now: float) -> None:
+        """Record that a runner has rejected a takeover, which has ended."""
+        running = self._placement.running(runner_id)
+        self._takeover_limits.on_rejected(runner_id, running, now)
+
+    def on_progress(self, attempt: OpenAttempt, now: float) -> None:
         """Record that complete events of a stream arrived."""
+        opened = attempt.opened
         if not opened.last_event_at:
-            health = self._placement.health(opened.runner_id)
-            first_s = now - opened.attempts.sent_at
+            health = self._placement.health(attempt.runner_id)
+            first_s = now - attempt.sent_at
             health.record_success(first_s, now)
             self.pacing.record_first_event(opened.service, first_s)
         else:
@@ -237,15 +263,15 @@
             self.pacing.record_pause(opened.service, pause_s, now)
         opened.last_event_at = now
 
-    def on_answered(self, opened: OpenDirectCall, status: int, now: float) -> None:
+    def on_answered(self, attempt: OpenAttempt, status: int, now: float) -> None:
         """Record a complete answer that is not a stream."""
-        if opened.route.kind is RequestKind.STREAM or not opened.runner_id:
+        if attempt.opened.route.kind is RequestKind.STREAM:
             return
-        health = self._placement.health(opened.runner_id)
+        health = self._placement.health(attempt.runner_id)
         if status >= _SERVER_ERROR:
             health.record_failure(now)
         else:
-            health.record_success(now - opened.attempts.sent_at, now)
+            health.record_success(now - attempt.sent_at, now)
 
     def on_failed(self, runner_id: str, now: float) -> None:
         """Record a failure of a runner."""
@@ -255,6 +281,7 @@
     def remove_runner(self, runner_id: str) -> None:
         """Discard the state of a removed runner."""
         self._placement.evict_runner(runner_id)
+        self._takeover_limits.evict_runner(runner_id)
 
     def admission_log_fields(self, service: str, now: float) -> dict[str, object]:
         """Return the inputs of the admission decision as log fields."""
@@ -320,6 +347,10 @@
         """Return a usable runner that is not excluded, or ``None``."""
         return self._scheduler.pick(self._opened, excluded, now)
 
+    def pick_for_takeover(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a runner that may have a place for a takeover, or ``None``."""
+        return self._scheduler.pick_for_takeover(self._opened, excluded, now)
+
     def spend_retry(self, now: float) -> bool:
         """Charge a retry to the service's budget; return false if it is exhausted."""
         return self._scheduler.spend_retry(self._opened, now)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/statement_watch.py
@@ -17,7 +17,7 @@
     from ...state.direct.entry_peers import EntryPeers, PeerUpdate
     from ...state.direct.runner_list import RegisteredRunner, RunnerList
     from .decision_log import DecisionLog
-    from .open_direct_call import OpenDirectCall
+    from .open_direct_call import OpenAttempt
 
 _MAX_SHARED_LEAVING = 16  # bounds an update; more do not leave within seconds
 
@@ -81,21 +81,19 @@
         self.limits.on_sent(_life(runner), now)
         self._share_news()
 
-    def on_head(self, opened: OpenDirectCall, head: RunnerHead, now: float) -> None:
-        """Record what the head of the current attempt's answer states."""
-        runner = opened.sent_to
-        if runner is None:
-            return
+    def on_head(self, attempt: OpenAttempt, head: RunnerHead, now: float) -> None:
+        """Record what the head of an attempt's answer states."""
+        runner = attempt.runner
         life = _life(runner)
-        self._on_limit(opened, life, head, now)
-        self._on_rest(opened, life, head, now)
+        self._on_limit(attempt, life, head, now)
+        self._on_rest(attempt, life, head, now)
         if head.leaving and self._mark_leaving(
-            runner.runner_id, runner.started_ms, request=opened.call.request_id
+            runner.runner_id, runner.started_ms, request=attempt.opened.call.request_id
         ):
             self._on_changed()
 
     def _on_rest(
-        self, opened: OpenDirectCall, life: str, head: RunnerHead, now: float
+        self, attempt: OpenAttempt, life: str, head: RunnerHead, now: float
     ) -> None:
         if head.unreadable_rest:
             self._log.note(
@@ -107,11 +105,11 @@
                 runner=life,
                 asked_s=head.rest_s,
                 rest_s=round(self._rests.on_rejected(life, head.rest_s, now), 3),
-                request=opened.call.request_id,
+                request=attempt.opened.call.request_id,
             )
-        elif self._rests.on_accepted(life, opened.attempts.sent_at):
+        elif self._rests.on_accepted(life, attempt.sent_at):
             self._log.note(
-                Decision.REST_ENDED, runner=life, request=opened.call.request_id
+                Decision.REST_ENDED, runner=life, request=attempt.opened.call.request_id
             )
 
     def _mark_leaving(
@@ -124,7 +122,7 @@
         return True
 
     def _on_limit(
-        self, opened: OpenDirectCall, life: str, head: RunnerHead, now: float
+        self, attempt: OpenAttempt, life: str, head: RunnerHead, now: float
     ) -> None:
         if head.unreadable_limit:
             self._log.note(
@@ -132,7 +130,7 @@
             )
             return
         before = self.limits.stated.limit_per_s(life)
-        sent_at = opened.attempts.sent_at
+        sent_at = attempt.sent_at
         if self.limits.stated.on_answer(life, head.limit_per_s, sent_at, now):
             self._on_changed()
             self._log.note(
@@ -140,7 +138,7 @@
                 runner=life,
                 per_s=head.limit_per_s,
                 per_s_before=before,
-                request=opened.call.request_id,
+                request=attempt.opened.call.request_id,
                 sent_s_ago=round(now - sent_at, 4),
             )
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
@@ -5,109 +5,57 @@
 run": it is sent only if no attempt was sent or every attempted runner proved that it
 did not run the request. A stream resumes at another runner after its last complete
 event.
+
+A retryable request whose runner has stopped sending gets a second attempt, the
+takeover, beside the one in flight. The first of the two to send an event or a complete
+answer continues, and the other is cancelled. A silent runner may be sound, and the
+runner of the takeover may reject it.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from .call import RunnerHead
+from .attempt import Attempt
+from .attempt_actions import (
+    AbortResponse,
+    AttemptAction,
+    CancelAttempt,
+    FinishResponse,
+    RefuseRequest,
+    StartAttempt,
+    StartResponse,
+    WriteResponse,
+)
 from .catalog import RequestKind
-from .event_buffer import MAX_EVENT_BYTES, EventBuffer
+from .event_buffer import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
-    from .call import DirectCall
+    from .call import DirectCall, RunnerHead
     from .catalog import Route
 
 # Bodies that are not streamed are kept in memory until they are complete.
 _MAX_BODY_BYTES = 4_194_304
 _MAX_CONNECT_FAILURES = 3  # failed connections after which the request fails
+_MAX_FAILED_TAKEOVERS = 4  # rejected or unreachable ones, which count as no attempt
+_TAKEOVER_PAUSE_S = 0.25  # after a failed one; callers wait for 2 s
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # callers read them as "not run"
+_BUSY_STATUSES = frozenset({429, 503})  # the runner may have a place soon
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 _SERVER_ERROR = 500
 
 
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
-    """Action: start an attempt at exactly this runner; no other may accept it.
-
-    :param resume_after: id of the last complete event; empty to start from the first.
-    """
-
-    runner_id: str
-    resume_after: str
-
-
-@dataclass(frozen=True, slots=True)
-class CancelAttempt:
-    """Action: close the connection of the current attempt."""
-
-    runner_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class StartResponse:
-    """Action: send the runner's response head to the caller.
-
-    :param body: the complete body; ``None`` if events follow.
-    """
-
-    head: RunnerHead
-    body: bytes | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class WriteResponse:
-    """Action: send complete events to the caller."""
-
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class FinishResponse:
-    """Action: end the response; the stream is complete."""
-
-
-@dataclass(frozen=True, slots=True)
-class RefuseRequest:
-    """Action: respond with a status that the entry generates.
-
-    :param retry_after_s: delay after which the caller may retry, in seconds; ``None``
-        if the request may have run.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class AbortResponse:
-    """Action: close the caller's connection, which marks the response truncated."""
-
-    reason: str
-
-
-AttemptAction = (
-    StartAttempt
-    | CancelAttempt
-    | StartResponse
-    | WriteResponse
-    | FinishResponse
-    | RefuseRequest
-    | AbortResponse
-)
-
-
 class RunnerPicker(Protocol):
     """Picks runners for one request and spends its retries from the retry budget."""
 
     def pick(self, excluded: frozenset[str], now: float) -> str | None:
         """Return a usable runner that is not excluded, or ``None``."""
 
+    def pick_for_takeover(self, excluded: frozenset[str], now: float) -> str | None:
+        """Return a runner that may take over a silent attempt, or ``None``."""
+
     def spend_retry(self, now: float) -> bool:
         """Spend one retry; return false if the budget is exhausted."""
 
@@ -116,9 +64,10 @@
 
 
 class DirectAttempts:
-    """The attempts of one request.
+    """The attempts of one request; at most two are in flight, at different runners.
 
-    ``sends`` counts the attempts that were sent, without failed connections.
+    ``sends`` counts the attempts that were sent, without failed connections and
+    takeovers that were rejected, or cancelled before an answer began.
 
     :param deadline_s: monotonic time at which the request fails if it is unfinished.
     """
@@ -127,19 +76,19 @@
         "_call",
         "_route",
         "_picker",
-        "_buffer",
-        "_head",
-        "_body",
+        "_current",
+        "_takeover",
+        "_last_event_id",
         "_excluded",
         "_connect_failures",
+        "_failed_takeovers",
+        "_takeover_failed_at",
         "deadline_s",
         "sends",
-        "runner_id",
+        "events",
         "may_have_run",
         "started",
         "finished",
-        "sent_at",
-        "last_received_at",
     )
 
     def __init__(
@@ -148,29 +97,34 @@
         self._call = call
         self._route = route
         self._picker = picker
-        self._buffer = EventBuffer(call.resume_after)
-        self._head: RunnerHead | None = None
-        self._body = bytearray()
+        self._current: Attempt | None = None
+        self._takeover: Attempt | None = None
+        self._last_event_id = call.resume_after
         self._excluded: frozenset[str] = frozenset()
         self._connect_failures = 0
+        self._failed_takeovers = 0
+        self._takeover_failed_at = float("-inf")
         self.deadline_s = deadline_s
         self.sends = 0
-        self.runner_id = ""
+        self.events = 0  # complete events received
         self.may_have_run = False
         self.started = False
         self.finished = False
-        self.sent_at = 0.0
-        self.last_received_at = 0.0
 
     @property
-    def events(self) -> int:
-        """Number of complete events received."""
-        return self._buffer.events
+    def current(self) -> Attempt | None:
+        """The attempt in flight; while it is silent, a takeover may run beside it."""
+        return self._current
+
+    @property
+    def attempts(self) -> list[Attempt]:
+        """The attempts in flight: the current one and its takeover."""
+        return [each for each in (self._current, self._takeover) if each is not None]
 
     @property
-    def in_flight(self) -> bool:
-        """Whether an attempt is in flight."""
-        return not self.finished and self.runner_id != ""
+    def runner_id(self) -> str:
+        """The runner of the current attempt; empty if none is in flight."""
+        return "" if self._current is None else self._current.runner_id
 
     def start(self, now: float) -> list[AttemptAction]:
         """Start the first attempt."""
@@ -183,92 +137,111 @@
         refusal = RefuseRequest(_UNAVAILABLE, reason, retry_after_s)
         return self._finish([refusal])
 
-    def connect_failed(self, now: float, reason: str) -> list[AttemptAction]:
+    def connect_failed(
+        self, runner_id: str, now: float, reason: str
+    ) -> list[AttemptAction]:
         """Try another runner after a failed connection; this uses no retry budget."""
-        if self.finished:
+        attempt = self._find(runner_id)
+        if attempt is None:
             return []
         self.sends -= 1
+        if attempt is self._takeover:
+            self._record_failed_takeover(now)
+        if self._end_beside_other(attempt):
+            return []
         self._connect_failures += 1
-        self._release_runner()
         if self._connect_failures >= _MAX_CONNECT_FAILURES:
             return self._fail(reason, now)
         return self._start_attempt(now, reason)
 
-    def head(self, head: RunnerHead, now: float) -> list[AttemptAction]:
+    def head(self, runner_id: str, head: RunnerHead, now: float) -> list[AttemptAction]:
         """Handle the head of the runner's response."""
-        if self.finished:
+        attempt = self._find(runner_id)
+        if attempt is None:
             return []
-        self.last_received_at = now
-        self._head = head
+        attempt.last_received_at = now
+        attempt.head = head
         if head.not_run:
-            return self._on_rejection(head, now)
+            return self._on_rejection(attempt, head, now)
         self.may_have_run = True
         if head.success and (head.encoded or not head.signed):
             return self._retry_or_fail(
-                now, "the runner's response is unsigned or encoded"
+                attempt, now, "the runner's response is unsigned or encoded"
             )
         if self.started and not head.success:
-            return self._retry_or_fail(
-                now, f"the runner responded to a resume with status {head.status}"
-            )
+            reason = f"the runner responded to a resume with status {head.status}"
+            return self._retry_or_fail(attempt, now, reason)
         return []
 
-    def data(self, data: bytes, now: float) -> list[AttemptAction]:
+    def data(self, runner_id: str, data: bytes, now: float) -> list[AttemptAction]:
         """Handle bytes of the response body."""
-        if self.finished or self._head is None:
+        attempt = self._find(runner_id)
+        if attempt is None or attempt.head is None:
             return []
-        if not self._is_stream(self._head):
-            return self._on_body_data(data, now)
+        if not self._is_stream(attempt.head):
+            return self._on_body_data(attempt, data, now)
         actions: list[AttemptAction] = []
-        if complete_events := self._buffer.add(data):
-            self.last_received_at = now
+        events_before = attempt.buffer.events
+        if complete_events := attempt.buffer.add(data):
+            attempt.last_received_at = now
+            actions += self._keep_only(attempt)
+            self.events += attempt.buffer.events - events_before
+            self._last_event_id = attempt.buffer.last_event_id
             if not self.started:
                 self.started = True
-                actions.append(StartResponse(self._head))
+                actions.append(StartResponse(attempt.head))
             actions.append(WriteResponse(complete_events))
-        if self._buffer.too_long:
+        if attempt.buffer.too_long:
             reason = f"the runner's event is longer than {MAX_EVENT_BYTES} bytes"
-            actions += self._retry_or_fail(now, reason)
+            actions += self._retry_or_fail(attempt, now, reason)
         return actions
 
-    def _on_body_data(self, data: bytes, now: float) -> list[AttemptAction]:
-        self.last_received_at = now
-        self._body += data
-        if len(self._body) <= _MAX_BODY_BYTES:
+    def _on_body_data(
+        self, attempt: Attempt, data: bytes, now: float
+    ) -> list[AttemptAction]:
+        attempt.last_received_at = now
+        attempt.body += data
+        if len(attempt.body) <= _MAX_BODY_BYTES:
             return []
-        return self._retry_or_fail(
-            now, f"the runner's body is longer than {_MAX_BODY_BYTES} bytes"
-        )
+        reason = f"the runner's body is longer than {_MAX_BODY_BYTES} bytes"
+        return self._retry_or_fail(attempt, now, reason)
 
-    def response_ended(self, now: float) -> list[AttemptAction]:
+    def response_ended(self, runner_id: str, now: float) -> list[AttemptAction]:
         """Handle the end of a response that is complete by its HTTP framing."""
-        if self.finished or self._head is None:
+        attempt = self._find(runner_id)
+        if attempt is None or attempt.head is None:
             return []
-        head = self._head
+        head = attempt.head
         if self._is_stream(head):
-            return self._on_stream_end(head, now)
-        if head.success:
-            return self._finish([StartResponse(head, bytes(self._body))])
-        return self._on_error_response(head, now)
-
-    def connection_lost(self, now: float, reason: str) -> list[AttemptAction]:
+            return self._on_stream_end(attempt, head, now)
+        if not head.success:
+            return self._on_error_response(attempt, head, now)
+        whole = StartResponse(head, bytes(attempt.body))
+        return [*self._keep_only(attempt), *self._finish([whole])]
+
+    def connection_lost(
+        self, runner_id: str, now: float, reason: str
+    ) -> list[AttemptAction]:
         """Handle a connection lost after at least part of the request was sent."""
-        if self.finished:
+        attempt = self._find(runner_id)
+        if attempt is None:
             return []
         self.may_have_run = True
-        return self._retry_or_fail(now, reason)
+        return self._retry_or_fail(attempt, now, reason)
 
     def stalled(self, now: float) -> list[AttemptAction]:
-        """Move a stalled attempt to another runner if the request may be retried."""
-        if not self.in_flight or not self._may_retry():
+        """Start a takeover of the silent current attempt, which stays in flight."""
+        if self._current is None or self._takeover is not None:
+            return []
+        if not self._may_retry() or not self._may_take_over(now):
             return []
-        other = self._picker.pick(self._excluded | {self.runner_id}, now)
+        excluded = self._excluded | {self._current.runner_id}
+        other = self._picker.pick_for_takeover(excluded, now)
         if other is None or not self._picker.spend_retry(now):
             return []
-        self.may_have_run = True
-        cancel = CancelAttempt(self.runner_id)
-        self._release_runner()
-        return [cancel, self._start_attempt_at(other, now)]
+        self.sends += 1
+        self._takeover = Attempt(other, self._last_event_id, now)
+        return [StartAttempt(other, self._last_event_id)]
 
     def deadline_passed(self, now: float) -> list[AttemptAction]:
         """End the request if its deadline has passed."""
@@ -280,66 +253,86 @@
         """End the request, and say whether it can have run."""
         if self.finished:
             return []
-        cancel: list[AttemptAction] = []
-        if self.runner_id:
-            cancel = [CancelAttempt(self.runner_id)]
+        cancel = self._cancel_all()
+        if cancel:
             self.may_have_run = True
         if self.started:
-            return [
-                *cancel,
-                *self._finish([AbortResponse(reason)]),
-            ]
+            return [*cancel, *self._finish([AbortResponse(reason)])]
         if self.may_have_run:
             timeout = RefuseRequest(_GATEWAY_TIMEOUT, reason)
             return [*cancel, *self._finish([timeout])]
         return [*cancel, *self._fail(reason, now)]
 
     def client_disconnected(self) -> list[AttemptAction]:
-        """Cancel the current attempt after the caller disconnected."""
+        """Cancel the attempts in flight after the caller disconnected."""
         if self.finished:
             return []
-        self.finished = True
-        return [CancelAttempt(self.runner_id)] if self.runner_id else []
+        return self._finish(self._cancel_all())
+
+    def _find(self, runner_id: str) -> Attempt | None:
+        """Return the attempt in flight at a runner; ``None`` if it has ended."""
+        return next(
+            (each for each in self.attempts if each.runner_id == runner_id), None
+        )
 
     def _is_stream(self, head: RunnerHead) -> bool:
         return head.success and self._route.kind is RequestKind.STREAM
 
-    def _on_stream_end(self, head: RunnerHead, now: float) -> list[AttemptAction]:
-        if self._buffer.pending:
-            return self._retry_or_fail(now, "the runner's stream ended inside an event")
-        if not self.started:
-            return self._finish([StartResponse(head), FinishResponse()])
-        return self._finish([FinishResponse()])
-
-    def _on_rejection(self, head: RunnerHead, now: float) -> list[AttemptAction]:
-        cancel = CancelAttempt(self.runner_id)
+    def _on_stream_end(
+        self, attempt: Attempt, head: RunnerHead, now: float
+    ) -> list[AttemptAction]:
+        if attempt.buffer.pending:
+            reason = "the runner's stream ended inside an event"
+            return self._retry_or_fail(attempt, now, reason)
+        start = [] if self.started else [StartResponse(head)]
+        return [*self._keep_only(attempt), *self._finish([*start, FinishResponse()])]
+
+    def _on_rejection(
+        self, attempt: Attempt, head: RunnerHead, now: float
+    ) -> list[AttemptAction]:
+        cancel = CancelAttempt(attempt.runner_id)
         reason = f"the runner rejected the request with status {head.status}"
         if head.faulty_runner_id:
             self._excluded |= {head.faulty_runner_id}
-        self._release_runner()
+        if attempt is self._takeover:
+            self._takeover = None
+            self._record_failed_takeover(now)
+            self.sends -= 1
+            if head.status not in _BUSY_STATUSES:
+                self._excluded |= {attempt.runner_id}
+            return [cancel]
+        if self._end_beside_other(attempt):
+            return [cancel]
         if self._has_attempts_left() and self._picker.spend_retry(now):
             return [cancel, *self._start_attempt(now, reason)]
         return [cancel, *self._fail(reason, now)]
 
-    def _on_error_response(self, head: RunnerHead, now: float) -> list[AttemptAction]:
-        if head.status >= _SERVER_ERROR and self._may_retry():
-            other = self._picker.pick(self._excluded | {self.runner_id}, now)
-            if other is not None and self._picker.spend_retry(now):
-                self._release_runner()
-                return [self._start_attempt_at(other, now)]
+    def _on_error_response(
+        self, attempt: Attempt, head: RunnerHead, now: float
+    ) -> list[AttemptAction]:
+        if head.status >= _SERVER_ERROR:
+            if self._end_beside_other(attempt):
+                return []
+            if self._may_retry():
+                other = self._picker.pick(self._excluded, now)
+                if other is not None and self._picker.spend_retry(now):
+                    return [self._start_attempt_at(other, now)]
+        cancel = self._keep_only(attempt)
         if head.status in _NOT_RUN_STATUSES:
             reason = f"the runner failed with status {head.status}"
-            return self._finish([RefuseRequest(_BAD_GATEWAY, reason)])
-        return self._finish([StartResponse(head, bytes(self._body))])
-
-    def _retry_or_fail(self, now: float, reason: str) -> list[AttemptAction]:
-        cancel: list[AttemptAction] = (
-            [CancelAttempt(self.runner_id)] if self.runner_id else []
-        )
-        self._release_runner()
+            return [*cancel, *self._finish([RefuseRequest(_BAD_GATEWAY, reason)])]
+        whole = StartResponse(head, bytes(attempt.body))
+        return [*cancel, *self._finish([whole])]
+
+    def _retry_or_fail(
+        self, attempt: Attempt, now: float, reason: str
+    ) -> list[AttemptAction]:
+        cancel = CancelAttempt(attempt.runner_id)
+        if self._end_beside_other(attempt):
+            return [cancel]
         if self._may_retry() and self._picker.spend_retry(now):
-            return [*cancel, *self._start_attempt(now, reason)]
-        return [*cancel, *self._fail(reason, now)]
+            return [cancel, *self._start_attempt(now, reason)]
+        return [cancel, *self._fail(reason, now)]
 
     def _has_attempts_left(self) -> bool:
         return self.sends < self._route.attempts
@@ -347,12 +340,41 @@
     def _may_retry(self) -> bool:
         return self._route.retryable and self._has_attempts_left()
 
-    def _release_runner(self) -> None:
-        self._excluded |= {self.runner_id}
-        self.runner_id = ""
-        self._head = None
-        self._body.clear()
-        self._buffer.drop_partial()
+    def _may_take_over(self, now: float) -> bool:
+        return (
+            self._failed_takeovers < _MAX_FAILED_TAKEOVERS
+            and now - self._takeover_failed_at >= _TAKEOVER_PAUSE_S
+        )
+
+    def _record_failed_takeover(self, now: float) -> None:
+        self._failed_takeovers += 1
+        self._takeover_failed_at = now
+
+    def _end_beside_other(self, attempt: Attempt) -> bool:
+        """Remove a failed attempt; return whether another one continues."""
+        self._excluded |= {attempt.runner_id}
+        if attempt is self._current:
+            self._current = self._takeover
+        self._takeover = None
+        return self._current is not None
+
+    def _keep_only(self, attempt: Attempt) -> list[AttemptAction]:
+        """Make this attempt the current one, and cancel the other."""
+        other = self._current if attempt is self._takeover else self._takeover
+        if other is None:
+            return []
+        if other is self._takeover and other.head is None:
+            self.sends -= 1  # its runner has not begun to answer
+        self._current, self._takeover = attempt, None
+        self._excluded |= {other.runner_id}
+        return [CancelAttempt(other.runner_id)]
+
+    def _cancel_all(self) -> list[AttemptAction]:
+        cancel: list[AttemptAction] = [
+            CancelAttempt(each.runner_id) for each in self.attempts
+        ]
+        self._current = self._takeover = None
+        return cancel
 
     def _start_attempt(self, now: float, reason: str) -> list[AttemptAction]:
         if now >= self.deadline_s:
@@ -364,9 +386,8 @@
 
     def _start_attempt_at(self, runner_id: str, now: float) -> StartAttempt:
         self.sends += 1
-        self.runner_id = runner_id
-        self.sent_at = self.last_received_at = now
-        return StartAttempt(runner_id, self._buffer.last_event_id)
+        self._current = Attempt(runner_id, self._last_event_id, now)
+        return StartAttempt(runner_id, self._last_event_id)
 
     def _fail(self, reason: str, now: float) -> list[AttemptAction]:
         if self.started:
@@ -378,19 +399,8 @@
 
     def _finish(self, actions: list[AttemptAction]) -> list[AttemptAction]:
         self.finished = True
-        self.runner_id = ""
+        self._current = self._takeover = None
         return actions
 
 
-__all__ = [
-    "AbortResponse",
-    "CancelAttempt",
-    "DirectAttempts",
-    "AttemptAction",
-    "FinishResponse",
-    "RefuseRequest",
-    "RunnerPicker",
-    "StartAttempt",
-    "StartResponse",
-    "WriteResponse",
-]
+__all__ = ["DirectAttempts", "RunnerPicker"]
--- a/tests/features/entry/state/direct/direct_attempts.feature
+++ b/tests/features/entry/state/direct/direct_attempts.feature
@@ -88,3 +88,80 @@
       | unsigned 200   |
       | encoded 200    |
       | disconnected   |
+
+  # Guards against a stream that is cut because it was cancelled at its silent but sound
+  # runner before another runner had accepted it.
+  Scenario Outline: A takeover fails while its stream's runner is silent
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and is silent
+    And its runner sends nothing, and <count> takeovers are <outcome>
+    Then the attempt at the silent runner is still in flight
+    When the silent runner sends the rest of event 4 to 6 and ends the stream
+    Then the caller has events 1 to 6, once each, and a complete response
+
+    Examples:
+      | count | outcome      |
+      | 1     | rejected 503 |
+      | 4     | rejected 503 |
+      | 2     | rejected 429 |
+      | 1     | rejected 421 |
+      | 1     | unreachable  |
+      | 1     | disconnected |
+      | 1     | unsigned 200 |
+      | 1     | complete 500 |
+      | 1     | complete 404 |
+
+  # Guards against a stream that ends because its first takeover was rejected.
+  Scenario: A takeover is rejected, and the next one is accepted
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and is silent
+    And its runner sends nothing, and 2 takeovers are rejected 503
+    And its runner sends nothing, and a takeover waits at another runner
+    And the takeover's runner sends events 4 to 5
+    Then only the attempt at the other runner is in flight
+    When a runner sends events 6 to 6 and ends the stream
+    Then the caller has events 1 to 6, once each, and a complete response
+
+  # Guards against takeovers without end at runners that are full.
+  Scenario: A stream gets a limited number of takeovers
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and is silent
+    And its runner sends nothing, and 4 takeovers are rejected 503
+    Then the attempt at the silent runner is still in flight
+    And no further takeover is started
+
+  Scenario: A silent runner goes on while the takeover of its stream waits
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and is silent
+    And its runner sends nothing, and a takeover waits at another runner
+    And the silent runner sends the rest of event 4 to 5
+    Then only the attempt at the silent runner is in flight
+    When the silent runner sends events 6 to 6 and ends the stream
+    Then the caller has events 1 to 6, once each, and a complete response
+
+  Scenario: The connection to a silent runner is lost while a takeover waits
+    Given a direct request of kind stream with at most 2 attempts
+    When a runner sends events 1 to 3 and half of event 4, and is silent
+    And its runner sends nothing, and a takeover waits at another runner
+    And the connection to the silent runner is lost
+    Then only the attempt at the other runner is in flight
+    When a runner sends events 4 to 6 and ends the stream
+    Then the caller has events 1 to 6, once each, and a complete response
+
+  # Guards against a 502 for an answer that its runner was about to send.
+  Scenario Outline: A slow answer outlasts a takeover that fails
+    Given a direct request of kind idempotent with at most 2 attempts
+    When its runner sends nothing, and 1 takeovers are <outcome>
+    Then the attempt at the silent runner is still in flight
+    When the silent runner answers with 200
+    Then the caller receives 200 after <sent> sent attempts
+
+    Examples:
+      | outcome      | sent |
+      | rejected 503 | 1    |
+      | unreachable  | 1    |
+      | disconnected | 2    |
+      | complete 500 | 2    |
+
+  Scenario: Random silences, rejections and failures of a stream's runners
+    Then 4000 random streams with silent runners are never cut while a runner is left
--- a/tests/features/steps/crash_watch_steps.py
+++ b/tests/features/steps/crash_watch_steps.py
@@ -11,6 +11,7 @@
 
 from corianderrelay_entry.coordination.direct.crash_watch import CrashWatch
 from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
+from corianderrelay_entry.coordination.direct.open_direct_call import OpenAttempt
 from corianderrelay_entry.coordination.direct.ports import ProbeResult
 from corianderrelay_entry.state.direct.crash_ledger import LostAttempt, runner_life
 from corianderrelay_entry.state.direct.runner_list import RegisteredRunner, RunnerList
@@ -29,12 +30,9 @@
 
 
 class _Opened:
-    """The parts of an open request that the watch uses."""
+    """The fields of an open request that the watch uses."""
 
-    crash_round = 0
     shared_parts = ()
-    attempt_events_count = 0
-    sent_to: RegisteredRunner | None = None
 
     def __init__(self, fingerprint: str) -> None:
         self.fingerprint = fingerprint
@@ -60,9 +58,11 @@
 )
 def step_lost(context: Any, request: str, result: str) -> None:
     context.probe.result = ProbeResult(result)
+    relay: Any = None
     opened: Any = _Opened(request)
-    context.watch.on_sent(opened, _RUNNER_A)
-    context.watch.on_attempt_lost(opened)
+    attempt = OpenAttempt(relay, opened, _RUNNER_A, context.clock.seconds())
+    context.watch.on_sent(attempt)
+    context.watch.on_attempt_lost(attempt)
     assert context.shared, "the other entries were not told"
     context.request, context.life = request, runner_life("A", 1)
 
--- a/tests/standins/platform_runner.py
+++ b/tests/standins/platform_runner.py
@@ -22,6 +22,9 @@
 EVENT_COUNT = 8
 _EVENT_INTERVAL_S = 0.02
 _HANG_S = 3.0
+_PREEMPTED_S = 1.2
+_SLUGGISH_S = 1.0  # above the objective, below the time limit
+_STEADY_EVENT_COUNT = 24  # outlasts a preempted or silent stream
 _MAX_DRIBBLED = 400  # outlasts the time limit of a request
 _BLOCK_BYTES = 65_536
 _REPORT_PATH = "/api/report"
@@ -264,6 +267,8 @@
             "reset": lambda: _reset(connection),
             "garbage": lambda: _send(connection, b"\x00\x01 no answer\r\n\r\n", False),
             "hang": lambda: _hang(self._fleet.hang_s),
+            "sluggish": lambda: _wait(_SLUGGISH_S)
+            and _send(connection, self._signed_answer(request_id, b"body"), True),
             "error": lambda: _send(
                 connection,
                 self._answer_head(500, request_id, signed=True)
@@ -406,7 +411,8 @@
         connection.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
         if self._fleet.deadly_parts & _shared_parts(headers):
             return self._crash(path, silent=False)
-        for number in range(start, EVENT_COUNT + 1):
+        last = _STEADY_EVENT_COUNT if behaviour == "steady" else EVENT_COUNT
+        for number in range(start, last + 1):
             event = b"id: %d\ndata: event-%d\n\n" % (number, number)
             if behaviour == "torn" and number == 4:
                 connection.sendall(_chunk(event[:9]))
@@ -415,8 +421,15 @@
                 return self._crash(path, silent=behaviour == "crash-silent")
             if behaviour == "dribble" and number == 4:
                 return _dribble(connection)
+            if behaviour == "preempted" and number == 5:
+                time.sleep(_PREEMPTED_S)
+            if behaviour == "silent" and number == 5:
+                connection.recv(1)  # until the entry closes the connection
+                return False
             if behaviour == "slow":
                 time.sleep(0.2)
+            if behaviour == "steady":
+                time.sleep(0.1)
             try:
                 connection.sendall(_chunk(event))
             except OSError:
@@ -498,6 +511,11 @@
     return False
 
 
+def _wait(seconds: float) -> bool:
+    time.sleep(seconds)
+    return True
+
+
 def _hang(hang_s: float) -> bool:
     time.sleep(hang_s)
     return False
