Return a runner's error if no other runner answers

What callers saw: a 502 or 504 of the entry in place of the runner's own 5xx answer, when the attempt that followed it was rejected, lost or timed out.

Change: the error is kept until the request ends, and is the answer unless another runner gives one. A 408, 421, 429 or 503 without proof still becomes a 502, as callers take these for "not run".

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/attempts.py
@@ -79,6 +79,7 @@
         "_current",
         "_takeover",
         "_last_event_id",
+        "_error_answer",
         "_excluded",
         "_connect_failures",
         "_failed_takeovers",
@@ -100,6 +101,8 @@
         self._current: Attempt | None = None
         self._takeover: Attempt | None = None
         self._last_event_id = call.resume_after
+        # A runner's error: the answer, unless another runner gives a better one.
+        self._error_answer: StartResponse | None = None
         self._excluded: frozenset[str] = frozenset()
         self._connect_failures = 0
         self._failed_takeovers = 0
@@ -256,8 +259,8 @@
         cancel = self._cancel_all()
         if cancel:
             self.may_have_run = True
-        if self.started:
-            return [*cancel, *self._finish([AbortResponse(reason)])]
+        if self.started or self._error_answer is not None:
+            return [*cancel, *self._fail(reason, now)]
         if self.may_have_run:
             timeout = RefuseRequest(_GATEWAY_TIMEOUT, reason)
             return [*cancel, *self._finish([timeout])]
@@ -310,19 +313,24 @@
     def _on_error_response(
         self, attempt: Attempt, head: RunnerHead, now: float
     ) -> list[AttemptAction]:
-        if head.status >= _SERVER_ERROR:
-            if self._end_beside_other(attempt):
-                return []
-            if self._may_retry():
-                other = self._picker.pick(self._excluded, now)
-                if other is not None and self._picker.spend_retry(now):
-                    return [self._start_attempt_at(other, now)]
-        cancel = self._keep_only(attempt)
-        if head.status in _NOT_RUN_STATUSES:
-            reason = f"the runner failed with status {head.status}"
-            return [*cancel, *self._finish([RefuseRequest(_BAD_GATEWAY, reason)])]
         whole = StartResponse(head, bytes(attempt.body))
-        return [*cancel, *self._finish([whole])]
+        if head.status < _SERVER_ERROR:
+            return [*self._keep_only(attempt), *self._finish_with_error(whole)]
+        self._error_answer = whole
+        if self._end_beside_other(attempt):
+            return []
+        if self._may_retry():
+            other = self._picker.pick(self._excluded, now)
+            if other is not None and self._picker.spend_retry(now):
+                return [self._start_attempt_at(other, now)]
+        return self._finish_with_error(whole)
+
+    def _finish_with_error(self, whole: StartResponse) -> list[AttemptAction]:
+        status = whole.head.status
+        if status not in _NOT_RUN_STATUSES:
+            return self._finish([whole])
+        reason = f"the runner failed with status {status}"
+        return self._finish([RefuseRequest(_BAD_GATEWAY, reason)])
 
     def _retry_or_fail(
         self, attempt: Attempt, now: float, reason: str
@@ -392,6 +400,8 @@
     def _fail(self, reason: str, now: float) -> list[AttemptAction]:
         if self.started:
             return self._finish([AbortResponse(reason)])
+        if self._error_answer is not None:
+            return self._finish_with_error(self._error_answer)
         if self.may_have_run:
             return self._finish([RefuseRequest(_BAD_GATEWAY, reason)])
         retry_after_s = self._picker.retry_after_s(now)
--- a/tests/features/entry/state/direct/direct_attempts.feature
+++ b/tests/features/entry/state/direct/direct_attempts.feature
@@ -33,6 +33,19 @@
       | idempotent | 2        | rejected 503, disconnected | 502      | 2       |
       | idempotent | 2        | stalled, complete 200      | 200      | 2       |
 
+    # Guards against a runner's error answer that is discarded for an attempt elsewhere
+    # and replaced by a 502 when that attempt fails, too.
+    Examples: errors of a runner when the next runner gives no answer
+      | kind       | attempts | outcomes                            | response | sent |
+      | idempotent | 2        | complete 500, rejected 503          | 500      | 2    |
+      | idempotent | 2        | complete 500, disconnected          | 500      | 2    |
+      | idempotent | 2        | complete 500, unsigned 200          | 500      | 2    |
+      | idempotent | 2        | complete 500, timeout               | 500      | 2    |
+      | idempotent | 2        | complete 503, rejected 503          | 502      | 2    |
+      | idempotent | 2        | complete 500, complete 404          | 404      | 2    |
+      | idempotent | 3        | disconnected, complete 500, timeout | 500      | 3    |
+      | stream     | 2        | complete 500, rejected 503          | 500      | 2    |
+
   Scenario: A stream resumes at another runner after its last complete event
     Given a direct request of kind stream with at most 2 attempts
     When a runner sends events 1 to 3 and half of event 4, and disconnects
