Keep attempts at stalled agents until a takeover answers

What callers saw: with agents, a started answer at a runner that was silent for 5 s ended with an error if the other runners refused it, also when the first one went on.

Evidence: three runners, three tokens received, two refusals after the stall: orders CancelAttempt and then FailAnswer("overloaded"), and drops the next token of the first runner; now no order but BeginAttempt, and that token is written.

Change: a takeover runs beside the stalled attempt until either sends a chunk or an end. A refused takeover counts as no attempt, and the next one goes to another runner after a second. The relay reports each attempt to the router by its id.

The steps that expected the cancellation together with the new attempt now expect it with the first chunk of the takeover, and check that the first runner's later chunks are dropped: as strict, and one event later.

--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -4,6 +4,10 @@
 are dropped. The answer is complete only when the chunk count and digest of the current
 attempt's end frame match the chunks received. After a failure, a new attempt on another
 runner resumes after the last token that the caller has received.
+
+A request whose runner is stalled gets a second attempt, the takeover, beside the
+current one. The first of the two that sends a chunk or an end continues, and the other
+one is cancelled: a stalled runner may go on, and the other one may refuse.
 """
 
 from __future__ import annotations
@@ -42,6 +46,22 @@
 _MAX_STALLS = 2
 _CHUNKS_PER_ACKNOWLEDGEMENT = 32
 _DEFAULT_RETRY_AFTER_S = 1.0
+_TAKEOVER_PAUSE_S = 1.0  # after a refused takeover; small against the time to a stall
+
+
+class _Takeover:
+    """An attempt that runs beside the current one and has sent nothing yet.
+
+    :ivar attach_requested: whether frames were requested again; if so, a refusal does
+        not prove that the runner did not run the attempt.
+    """
+
+    __slots__ = ("attempt_id", "runner_id", "attach_requested")
+
+    def __init__(self, attempt_id: str, runner_id: str) -> None:
+        self.attempt_id = attempt_id
+        self.runner_id = runner_id
+        self.attach_requested = False
 
 
 class RunnerChooser(Protocol):
@@ -72,6 +92,9 @@
         "_retry_after_s",
         "_may_have_run",
         "_requested_sequence",
+        "_takeover",
+        "_takeover_refused_at",
+        "_refused_takeovers_at",
         "attempts",
         "attempt_id",
         "runner_id",
@@ -96,6 +119,9 @@
         self._retry_after_s = _DEFAULT_RETRY_AFTER_S
         self._may_have_run = False
         self._requested_sequence = -1
+        self._takeover: _Takeover | None = None
+        self._takeover_refused_at = float("-inf")
+        self._refused_takeovers_at: frozenset[str] = frozenset()
         self.attempts = 0
         self.attempt_id = ""
         self.runner_id = ""
@@ -116,6 +142,11 @@
         """Whether a chunk of the current attempt has arrived; false once finished."""
         return not self.is_finished and self._answer.next_sequence > 0
 
+    @property
+    def takeover_runner_id(self) -> str:
+        """The runner of the takeover that waits for a first frame; empty if none."""
+        return "" if self._takeover is None else self._takeover.runner_id
+
     def start(self, now: float) -> list[AttemptOrder]:
         """Add the request to the retry budget and begin its first attempt."""
         self._budget.on_request_started()
@@ -129,6 +160,8 @@
         A refusal after an :class:`AttachAttempt` or a chunk means that the runner no
         longer has the attempt; this counts as a failure.
         """
+        if self._is_takeover(attempt_id):
+            return self._on_takeover_refused(now)
         if not self._is_current(attempt_id):
             return []
         if self._requested_sequence >= 0 or self._answer.next_sequence:
@@ -136,6 +169,8 @@
         self._refusals += 1
         self._retry_after_s = max(self._retry_after_s, retry_after_s)
         self._exclude_runner()
+        if self._continue_with_takeover():
+            return []
         if self._refusals >= _MAX_REFUSALS:
             return self._fail(self._overloaded_error())
         return self._begin_attempt(now)
@@ -144,6 +179,11 @@
         self, attempt_id: str, sequence: int, data: bytes, tokens: int, head: AnswerHead
     ) -> list[AttemptOrder]:
         """Handle a chunk of the answer; request any missing chunks before it."""
+        if self._is_takeover(attempt_id):
+            cancel = self._cancel_current()
+            self._continue_with_takeover()
+            rest = self.on_attempt_chunk(attempt_id, sequence, data, tokens, head)
+            return [cancel, *rest]
         if not self._is_current(attempt_id):
             return []
         position = self._answer.position_of(sequence)
@@ -155,6 +195,7 @@
         was_released = self._answer.released
         released_data = self._answer.add(data, tokens, head)
         return [
+            *self._cancel_takeover(),
             *self._write_answer(released_data, was_released),
             *self._acknowledge(sequence),
         ]
@@ -163,6 +204,10 @@
         self, attempt_id: str, chunks: int, digest: int, now: float
     ) -> list[AttemptOrder]:
         """Handle an end frame; finish the answer if its chunks match the frame."""
+        if self._is_takeover(attempt_id):
+            cancel = self._cancel_current()
+            self._continue_with_takeover()
+            return [cancel, *self.on_attempt_ended(attempt_id, chunks, digest, now)]
         if not self._is_current(attempt_id):
             return []
         end = self._answer.check_end(chunks, digest)
@@ -173,6 +218,7 @@
         self.is_finished = True
         was_released = self._answer.released
         return [
+            *self._cancel_takeover(),
             *self._write_answer(self._answer.release(), was_released),
             AcknowledgeAttempt(self.attempt_id, self.runner_id, chunks),
             FinishAnswer(),
@@ -182,40 +228,95 @@
         self, attempt_id: str, detail: str, now: float
     ) -> list[AttemptOrder]:
         """Handle the failure of a started attempt; retry if the limits allow it."""
+        if self._is_takeover(attempt_id):
+            return self._on_takeover_lost()
         if not self._is_current(attempt_id):
             return []
         return self._retry(detail, now)
 
     def on_runner_unavailable(self, runner_id: str, now: float) -> list[AttemptOrder]:
         """Cancel the attempt because its runner is dead or unreachable, and retry."""
+        if not self.is_finished and runner_id == self.takeover_runner_id:
+            return [*self._cancel_takeover(), *self._on_takeover_lost()]
         if self.is_finished or runner_id != self.runner_id:
             return []
         cancel = CancelAttempt(self.attempt_id, runner_id)
         return [cancel, *self._retry("its instance is unavailable", now)]
 
     def on_runner_stalled(self, runner_id: str, now: float) -> list[AttemptOrder]:
-        """Resume on another runner because this one is alive but sends no chunks.
+        """Begin a takeover because this runner is alive but sends no chunks.
 
-        Without another runner or retry budget the attempt continues at this runner,
-        which may still send chunks, until the next call.
+        The attempt at this runner continues beside it. Without another runner or retry
+        budget there is no takeover until a later call.
         """
-        if (
-            self.is_finished
-            or runner_id != self.runner_id
-            or not self._may_move_from_stalled()
-        ):
+        if self.is_finished or runner_id != self.runner_id or not self._may_take_over():
             return []
-        other = self._chooser.choose(self._excluded | {runner_id}, now)
+        if now - self._takeover_refused_at < _TAKEOVER_PAUSE_S:
+            return []
+        other = self._choose_for_takeover(now)
         if other is None or not self._budget.take_for_stalled(now):
             return []
-        cancel = CancelAttempt(self.attempt_id, runner_id)
         self._stalls += 1
+        self.attempts += 1
+        self._takeover = _Takeover(self._new_id(), other)
+        return [BeginAttempt(self._takeover.attempt_id, other, self._answer.tokens)]
+
+    def _choose_for_takeover(self, now: float) -> str | None:
+        excluded = self._excluded | {self.runner_id}
+        other = self._chooser.choose(excluded | self._refused_takeovers_at, now)
+        if other is None and self._refused_takeovers_at:
+            self._refused_takeovers_at = frozenset()
+            other = self._chooser.choose(excluded, now)
+        return other
+
+    def _on_takeover_refused(self, now: float) -> list[AttemptOrder]:
+        takeover = self._takeover
+        assert takeover is not None, "only a takeover in flight can be refused"
+        if takeover.attach_requested:
+            return self._on_takeover_lost()
+        self._takeover = None
+        self._takeover_refused_at = now
+        self._refused_takeovers_at |= {takeover.runner_id}
+        self._stalls -= 1
+        self.attempts -= 1
+        return []
+
+    def _on_takeover_lost(self) -> list[AttemptOrder]:
+        """Drop a takeover that may have run; the current attempt continues."""
+        if self._takeover is not None:
+            self._excluded |= {self._takeover.runner_id}
+            self._takeover = None
         self._may_have_run = True
+        return []
+
+    def _continue_with_takeover(self) -> bool:
+        """Make the takeover the current attempt; return whether there was one."""
+        takeover, self._takeover = self._takeover, None
+        if takeover is None:
+            return False
         self._exclude_runner()
-        return [cancel, *self._begin_attempt_at(other)]
+        self.attempt_id = takeover.attempt_id
+        self.runner_id = takeover.runner_id
+        self._requested_sequence = -1
+        self._answer.begin_attempt()
+        return True
+
+    def _cancel_current(self) -> CancelAttempt:
+        self._may_have_run = True
+        return CancelAttempt(self.attempt_id, self.runner_id)
+
+    def _cancel_takeover(self) -> list[AttemptOrder]:
+        takeover, self._takeover = self._takeover, None
+        if takeover is None:
+            return []
+        self._may_have_run = True
+        self._excluded |= {takeover.runner_id}
+        return [CancelAttempt(takeover.attempt_id, takeover.runner_id)]
 
     def on_stream_replaced(self, runner_id: str) -> list[AttemptOrder]:
         """Request the frames that were lost with a stream that has been replaced."""
+        if not self.is_finished and runner_id == self.takeover_runner_id:
+            return self._attach_takeover()
         if self.is_finished or runner_id != self.runner_id:
             return []
         return [self._attach()]
@@ -245,20 +346,26 @@
         self, error_type: type[RelayError], reason: str, remedy: str
     ) -> list[AttemptOrder]:
         cancel = CancelAttempt(self.attempt_id, self.runner_id)
+        cancel_takeover = self._cancel_takeover()
         error = error_type(
             reason,
             remedy,
             ran=self._execution_status(),
             retry_after_s=self._retry_after_s,
         )
-        return [cancel, *self._fail(error)]
+        return [cancel, *cancel_takeover, *self._fail(error)]
 
     def on_client_disconnected(self) -> list[AttemptOrder]:
         """Cancel the attempt because the caller has disconnected."""
         if self.is_finished:
             return []
         self.is_finished = True
-        return [CancelAttempt(self.attempt_id, self.runner_id)]
+        cancel = CancelAttempt(self.attempt_id, self.runner_id)
+        return [cancel, *self._cancel_takeover()]
+
+    def _is_takeover(self, attempt_id: str) -> bool:
+        takeover = self._takeover
+        return takeover is not None and attempt_id == takeover.attempt_id
 
     def _is_current(self, attempt_id: str) -> bool:
         return not self.is_finished and attempt_id == self.attempt_id
@@ -280,6 +387,8 @@
     def _retry(self, detail: str, now: float) -> list[AttemptOrder]:
         self._may_have_run = True
         self._exclude_runner()
+        if self._continue_with_takeover():
+            return []
         if not self._may_retry() or not self._budget.take():
             return self._fail(self._endpoint_failed_error(detail))
         return self._begin_attempt(now)
@@ -290,8 +399,12 @@
         failures = self.attempts - self._refusals - self._stalls
         return failures < _MAX_FAILED_ATTEMPTS and self._answer.resumable
 
-    def _may_move_from_stalled(self) -> bool:
-        return self._stalls < _MAX_STALLS and self._answer.resumable
+    def _may_take_over(self) -> bool:
+        return (
+            self._takeover is None
+            and self._stalls < _MAX_STALLS
+            and self._answer.resumable
+        )
 
     def _on_corrupt_answer(self, now: float) -> list[AttemptOrder]:
         if self._answer.released:
@@ -318,6 +431,13 @@
             return []
         return [self._attach()]
 
+    def _attach_takeover(self) -> list[AttemptOrder]:
+        takeover = self._takeover
+        if takeover is None:
+            return []
+        takeover.attach_requested = True
+        return [AttachAttempt(takeover.attempt_id, takeover.runner_id, -1)]
+
     def _attach(self) -> AttachAttempt:
         self._requested_sequence = self._answer.next_sequence
         after = self._answer.next_sequence - 1
@@ -328,6 +448,7 @@
 
     def _fail(self, error: RelayError) -> list[AttemptOrder]:
         self.is_finished = True
+        self._takeover = None
         return [FailAnswer(error)]
 
     def _execution_status(self) -> Ran:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -42,9 +42,12 @@
 
 
 class _OpenCall:
-    """An open request with its sink, runner choice and attempts."""
+    """An open request with its sink, runner choice and attempts.
 
-    __slots__ = ("request", "sink", "choice", "attempts")
+    :ivar attempt_ids: all attempts that were dispatched.
+    """
+
+    __slots__ = ("request", "sink", "choice", "attempts", "attempt_ids")
 
     def __init__(
         self,
@@ -57,6 +60,12 @@
         self.sink = sink
         self.choice = choice
         self.attempts = attempts
+        self.attempt_ids: list[str] = []
+
+    @property
+    def runner_ids(self) -> tuple[str, str]:
+        """The runners of the current attempt and of its takeover; empty if none."""
+        return self.attempts.runner_id, self.attempts.takeover_runner_id
 
 
 class Relay:
@@ -122,7 +131,7 @@
         """Process an agent's report that it refused the attempt or no longer has it."""
         opened = self._open_by_attempt.get(attempt_id)
         if opened is not None:
-            opened.choice.record_end(self._seconds(), failed=False)
+            opened.choice.record_end(attempt_id, self._seconds(), failed=False)
             orders = opened.attempts.on_attempt_refused(
                 attempt_id, retry_after_s, self._seconds()
             )
@@ -139,8 +148,9 @@
             attempt_id, sequence, data, tokens, head
         )
         now = self._seconds()
-        self._progress.record_chunk(opened.attempts.runner_id, now)
-        opened.choice.record_progress(tokens, now)
+        if opened.attempts.attempt_id == attempt_id:
+            self._progress.record_chunk(opened.attempts.runner_id, now)
+        opened.choice.record_progress(attempt_id, tokens, now)
         opened.request.tokens = opened.attempts.tokens
         self._execute(opened, orders)
 
@@ -159,7 +169,7 @@
         """Process the failure of an attempt that was started."""
         opened = self._open_by_attempt.get(attempt_id)
         if opened is not None:
-            opened.choice.record_end(self._seconds(), failed=True)
+            opened.choice.record_end(attempt_id, self._seconds(), failed=True)
             orders = opened.attempts.on_attempt_failed(
                 attempt_id, detail, self._seconds()
             )
@@ -197,10 +207,8 @@
         for agent_id in disconnected:
             del self._disconnected_since_by_agent[agent_id]
             for opened in self._calls_at(agent_id):
-                opened.choice.record_end(now, failed=True)
-                self._execute(
-                    opened, opened.attempts.on_runner_unavailable(agent_id, now)
-                )
+                orders = opened.attempts.on_runner_unavailable(agent_id, now)
+                self._execute(opened, orders, cancelled_failed=True)
         for opened in list(self._open_by_id.values()):
             self._execute(opened, opened.attempts.fail_if_deadline_passed(now))
         self._metrics.open_requests.set({}, self.open_requests)
@@ -214,24 +222,39 @@
             for opened in self._open_by_id.values()
             if opened.attempts.has_current_chunks
         )
-        occupied = (opened.attempts.runner_id for opened in self._open_by_id.values())
+        occupied = (
+            runner_id
+            for opened in self._open_by_id.values()
+            for runner_id in opened.runner_ids
+        )
         blocked = self.routers.blocked_runners()
         stalled = self._progress.find_stalled(answering, occupied, blocked, now)
         for runner_id in stalled:
             for opened in self._calls_at(runner_id):
                 orders = opened.attempts.on_runner_stalled(runner_id, now)
                 if orders:
-                    opened.choice.record_end(now, failed=True)
+                    silent_attempt = opened.attempts.attempt_id
+                    opened.choice.record_end(silent_attempt, now, failed=True)
                 self._execute(opened, orders)
 
     def _calls_at(self, runner_id: str) -> list[_OpenCall]:
         return [
             opened
             for opened in self._open_by_id.values()
-            if opened.attempts.runner_id == runner_id
+            if runner_id in opened.runner_ids
         ]
 
-    def _execute(self, opened: _OpenCall, orders: list[AttemptOrder]) -> None:
+    def _execute(
+        self,
+        opened: _OpenCall,
+        orders: list[AttemptOrder],
+        *,
+        cancelled_failed: bool = False,
+    ) -> None:
+        """Execute orders.
+
+        :param cancelled_failed: whether attempts are cancelled as their runner failed.
+        """
         for order in orders:
             match order:
                 case StartAnswer():
@@ -247,6 +270,8 @@
                     opened.request.end(RequestPhase.FAILED)
                     self._close(opened)
                     opened.sink.fail(order.error)
+                case CancelAttempt():
+                    self._cancel_attempt(opened, order, failed=cancelled_failed)
                 case _:
                     self._send_to_agent(opened, order)
 
@@ -263,19 +288,24 @@
                 agent = self.agents_by_id.get(order.runner_id)
                 if agent is not None:
                     agent.acknowledge(order.attempt_id, order.sequence)
-            case CancelAttempt():
-                agent = self.agents_by_id.get(order.runner_id)
-                if agent is not None:
-                    agent.cancel(order.attempt_id)
+
+    def _cancel_attempt(
+        self, opened: _OpenCall, order: CancelAttempt, *, failed: bool
+    ) -> None:
+        opened.choice.record_end(order.attempt_id, self._seconds(), failed=failed)
+        self._open_by_attempt.pop(order.attempt_id, None)
+        agent = self.agents_by_id.get(order.runner_id)
+        if agent is not None:
+            agent.cancel(order.attempt_id)
 
     def _begin_attempt(self, opened: _OpenCall, order: BeginAttempt) -> None:
         request = opened.request
-        self._open_by_attempt.pop(request.attempt_id, None)
         kind = "first" if opened.attempts.attempts == 1 else "further"
         labels = {"service": request.call.service, "kind": kind}
         self._metrics.attempts.inc(labels)
         request.begin_attempt(order.attempt_id, order.runner_id)
         self._open_by_attempt[order.attempt_id] = opened
+        opened.attempt_ids.append(order.attempt_id)
         opened.choice.record_dispatch(
             order.attempt_id, order.runner_id, self._seconds()
         )
@@ -284,8 +314,9 @@
         agent.dispatch(order.attempt_id, request.call, order.resume_from)
 
     def _close(self, opened: _OpenCall) -> None:
-        opened.choice.record_end(self._seconds(), failed=False)
-        self._open_by_attempt.pop(opened.request.attempt_id, None)
+        opened.choice.record_all_ended(self._seconds())
+        for attempt_id in opened.attempt_ids:
+            self._open_by_attempt.pop(attempt_id, None)
         self._open_by_id.pop(opened.request.call.request_id, None)
 
 
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/runner_choice.py
@@ -137,7 +137,7 @@
         "_router",
         "_service",
         "_route",
-        "_attempt",
+        "_runners_by_attempt",
         "_awaiting_first_token",
     )
 
@@ -146,8 +146,8 @@
         self._router = router
         self._service = call.service
         self._route = _route_request(call)
-        self._attempt: tuple[str, str] | None = None
-        self._awaiting_first_token = False
+        self._runners_by_attempt: dict[str, str] = {}
+        self._awaiting_first_token: set[str] = set()
 
     def choose(self, excluded: frozenset[str], now: float) -> str | None:
         """Return a runner for the next attempt; see ``RunnerChooser``."""
@@ -157,24 +157,31 @@
 
     def record_dispatch(self, attempt_id: str, runner_id: str, now: float) -> None:
         """Report to the router that an attempt was dispatched."""
-        self._attempt = (attempt_id, runner_id)
-        self._awaiting_first_token = True
+        self._runners_by_attempt[attempt_id] = runner_id
+        self._awaiting_first_token.add(attempt_id)
         self._router.on_dispatched(attempt_id, runner_id, self._route, now)
 
-    def record_progress(self, tokens: int, now: float) -> None:
-        """Report to the router that a chunk of the attempt's answer was received."""
-        if self._attempt is None:
+    def record_progress(self, attempt_id: str, tokens: int, now: float) -> None:
+        """Report to the router that a chunk of an attempt's answer was received."""
+        runner_id = self._runners_by_attempt.get(attempt_id)
+        if runner_id is None:
             return
-        if self._awaiting_first_token:
-            self._awaiting_first_token = False
-            self._router.on_first_token(*self._attempt, now)
-        self._router.on_progress(*self._attempt, tokens, now)
-
-    def record_end(self, now: float, *, failed: bool) -> None:
-        """Report to the router that the attempt ended."""
-        if self._attempt is not None:
-            self._router.on_ended(*self._attempt, now, failed=failed)
-            self._attempt = None
+        if attempt_id in self._awaiting_first_token:
+            self._awaiting_first_token.remove(attempt_id)
+            self._router.on_first_token(attempt_id, runner_id, now)
+        self._router.on_progress(attempt_id, runner_id, tokens, now)
+
+    def record_end(self, attempt_id: str, now: float, *, failed: bool) -> None:
+        """Report to the router that an attempt ended."""
+        runner_id = self._runners_by_attempt.pop(attempt_id, None)
+        self._awaiting_first_token.discard(attempt_id)
+        if runner_id is not None:
+            self._router.on_ended(attempt_id, runner_id, now, failed=failed)
+
+    def record_all_ended(self, now: float) -> None:
+        """Report to the router that all attempts ended."""
+        for attempt_id in list(self._runners_by_attempt):
+            self.record_end(attempt_id, now, failed=False)
 
 
 def _route_request(call: Call) -> RouteRequest:
--- a/tests/features/core/state/attempts.feature
+++ b/tests/features/core/state/attempts.feature
@@ -23,6 +23,23 @@
     Then attempts at a stalled runner resume on another runner after their last token
     And attempts at a stalled runner stay there without another runner or retry budget
 
+  # Guards against an answer that fails because its stalled runner was left before another
+  # one had accepted the request.
+  Scenario Outline: The takeover of an attempt at a stalled runner <outcome>
+    When a takeover of an attempt at a stalled runner <outcome>
+    Then the attempt at the stalled runner continues
+
+    Examples:
+      | outcome                  |
+      | is refused               |
+      | fails                    |
+      | loses its runner         |
+
+  Scenario: A refused takeover is repeated at another runner
+    When a takeover of an attempt at a stalled runner is refused
+    Then the attempt at the stalled runner continues
+    And another runner gets a takeover after a second
+
   Scenario: A chunk that is missing when the end frame arrives is requested once
     When attempts receive an end frame of 2 chunks after only the first chunk
     Then attempts request once the frames after sequence 0
--- a/tests/features/steps/attempts_steps.py
+++ b/tests/features/steps/attempts_steps.py
@@ -15,6 +15,7 @@
     CancelAttempt,
     FailAnswer,
     FinishAnswer,
+    WriteAnswer,
 )
 from corianderrelay.state.attempts import RequestAttempts, RunnerChooser
 from corianderrelay.state.errors import Ran
@@ -24,6 +25,8 @@
 from tests.machines.attempts_machine import AttemptsMachine
 from tests.machines.settings import machine_settings
 
+_HEAD = AnswerHead(200, "text/event-stream")
+
 
 class _FirstNotExcluded:
     def choose(self, excluded: frozenset[str], now: float) -> str | None:
@@ -99,19 +102,28 @@
 ) -> RequestAttempts:
     attempts = _attempts(budget, chooser)
     attempts.start(0.0)
-    head = AnswerHead(200, "text/event-stream")
     for sequence in range(3):
-        attempts.on_attempt_chunk("attempt-0", sequence, b"token", 1, head)
+        attempts.on_attempt_chunk("attempt-0", sequence, b"token", 1, _HEAD)
     return attempts
 
 
+def _only_takeover(attempts: RequestAttempts, now: float) -> BeginAttempt:
+    (begin,) = attempts.on_runner_stalled("runner-0", now)
+    assert isinstance(begin, BeginAttempt)
+    return begin
+
+
 @then("attempts at a stalled runner resume on another runner after their last token")
 def step_stalled_resumes(context: Any) -> None:
     attempts = _attempts_with_three_tokens(RetryBudget())
-    cancel, begin = attempts.on_runner_stalled("runner-0", 9.0)
-    assert cancel == CancelAttempt("attempt-0", "runner-0")
+    (begin,) = attempts.on_runner_stalled("runner-0", 9.0)
     assert begin == BeginAttempt("attempt-1", "runner-1", 3)
     assert attempts.on_runner_stalled("runner-0", 9.0) == []
+    cancel, write = attempts.on_attempt_chunk("attempt-1", 0, b"token", 1, _HEAD)
+    assert cancel == CancelAttempt("attempt-0", "runner-0")
+    assert write == WriteAnswer(b"token")
+    assert attempts.on_runner_stalled("runner-0", 9.0) == []
+    assert attempts.on_attempt_chunk("attempt-0", 3, b"token", 1, _HEAD) == []
 
 
 @then("attempts at a stalled runner stay there without another runner or retry budget")
@@ -185,15 +197,51 @@
 
 @then("at 9 s the first attempt is moved and the second stays")
 def step_first_moved(context: Any) -> None:
-    cancel, begin = context.first.on_runner_stalled("runner-0", 9.0)
-    assert isinstance(cancel, CancelAttempt) and isinstance(begin, BeginAttempt)
+    begin = _only_takeover(context.first, 9.0)
+    moved = context.first.on_attempt_chunk(begin.attempt_id, 0, b"token", 1, _HEAD)
+    assert isinstance(moved[0], CancelAttempt)
     assert context.second.on_runner_stalled("runner-0", 9.0) == []
 
 
 @then("at 9.9 s the second stays, and at 10 s it is moved")
 def step_second_moved(context: Any) -> None:
     assert context.second.on_runner_stalled("runner-0", 9.9) == []
-    assert len(context.second.on_runner_stalled("runner-0", 10.0)) == 2
+    begin = _only_takeover(context.second, 10.0)
+    moved = context.second.on_attempt_chunk(begin.attempt_id, 0, b"token", 1, _HEAD)
+    assert isinstance(moved[0], CancelAttempt)
+
+
+@when("a takeover of an attempt at a stalled runner {outcome}")
+def step_takeover_ends(context: Any, outcome: str) -> None:
+    attempts = context.attempts = _attempts_with_three_tokens(RetryBudget())
+    begin = _only_takeover(attempts, 9.0)
+    if outcome == "is refused":
+        context.orders = attempts.on_attempt_refused(begin.attempt_id, 1.0, 9.1)
+    elif outcome == "fails":
+        context.orders = attempts.on_attempt_failed(begin.attempt_id, "died", 9.1)
+    else:
+        context.orders = attempts.on_runner_unavailable(begin.runner_id, 9.1)
+
+
+@then("the attempt at the stalled runner continues")
+def step_continues(context: Any) -> None:
+    attempts = context.attempts
+    to_other = [
+        order
+        for order in context.orders
+        if getattr(order, "runner_id", "") != "runner-0"
+    ]
+    assert context.orders == to_other, context.orders
+    assert not any(isinstance(order, FailAnswer) for order in context.orders)
+    written = attempts.on_attempt_chunk("attempt-0", 3, b"token", 1, _HEAD)
+    assert written == [WriteAnswer(b"token")] and not attempts.is_finished
+
+
+@then("another runner gets a takeover after a second")
+def step_next_takeover(context: Any) -> None:
+    assert context.attempts.on_runner_stalled("runner-0", 9.9) == []
+    (begin,) = context.attempts.on_runner_stalled("runner-0", 10.2)
+    assert begin == BeginAttempt("attempt-2", "runner-2", 4)
 
 
 @then("other failures get no retry")
