Limit the bytes of answers that pass through agents

What callers saw: with agents, one body without end from an endpoint grew the entry by 128 MB until its deadline; after 60 at once a sound request was refused, and callers of endless events got no answer in time.

Change: the agent stops reading an answer of which 256 KB are not acknowledged; entries acknowledge every 64 KB besides every 32 chunks. 4 MB without a token, or 256 KB of one event, end an attempt; so does the largest if an agent keeps over 16 MB. The entry cuts the largest answer that is not streamed beyond 20 MB.

--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_answer_sink.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_answer_sink.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from ..state.answer_limits import MAX_EVENT_BYTES
 from ..state.server_sent_events import (
     EventSplitter,
     count_tokens,
@@ -32,6 +33,9 @@
     def on_data(self, attempt: Attempt, data: bytes, tokens: int) -> None:
         """Called with the next part of the answer and its number of tokens."""
 
+    def on_too_long(self, attempt: Attempt, reason: str) -> None:
+        """Called if the answer exceeds a limit; it must not go on."""
+
     def on_done(self, attempt: Attempt) -> None:
         """Called once the answer is complete."""
 
@@ -72,6 +76,9 @@
         for part in split_after_last_token(events):
             if part:
                 self._listener.on_data(self._attempt, part, count_tokens(part))
+        if self._splitter.partial_bytes > MAX_EVENT_BYTES:
+            reason = f"an event of its answer has over {MAX_EVENT_BYTES} bytes"
+            self._listener.on_too_long(self._attempt, reason)
 
     def on_end(self) -> None:
         """Pass on that the answer is complete."""
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/attempt_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -9,11 +10,18 @@
 
 from corianderrelay.state.errors import (
     DeadlineExceededError,
+    EndpointFailedError,
     OverloadedError,
     RelayError,
     UnavailableError,
 )
 
+from ..state.answer_limits import (
+    PAUSE_BYTES,
+    RESUME_BYTES,
+    largest_beyond_limit,
+    too_long_reason,
+)
 from ..state.attempt import Attempt, AttemptPhase
 from ..state.engine_pace import EnginePace
 from .attempt_answer_sink import AttemptAnswerSink
@@ -136,6 +144,10 @@
         if attempt is None:
             return
         attempt.acknowledge(sequence)
+        call = self._call_by_attempt_id.get(attempt_id)
+        if call and attempt.paused and attempt.unacknowledged_bytes <= RESUME_BYTES:
+            attempt.paused = False
+            call.resume()
         if attempt.ended_at_s is not None and sequence >= attempt.next_sequence:
             self.finished_by_id.pop(attempt_id, None)
 
@@ -213,12 +225,56 @@
 
     def on_data(self, attempt: Attempt, data: bytes, tokens: int) -> None:
         """Number the next part of the engine's answer and send it to the entry."""
+        if attempt.phase is AttemptPhase.ENDED:
+            return
         chunk = attempt.add_chunk(data, tokens)
         if attempt.order.key:
             self.keyed_attempts.on_data(attempt, data)
         entry = self.entries_by_id.get(attempt.entry_id)
         if entry is not None:
             entry.send_chunk(attempt, chunk)
+        self._check_lengths(attempt)
+
+    def _check_lengths(self, attempt: Attempt) -> None:
+        reason = too_long_reason(attempt)
+        if reason is not None:
+            self.on_too_long(attempt, reason)
+        elif attempt.unacknowledged_bytes >= PAUSE_BYTES:
+            self._pause(attempt)
+
+    def _pause(self, attempt: Attempt) -> None:
+        """Stop reading an answer; fail the largest if all together are too large."""
+        call = self._call_by_attempt_id.get(attempt.order.attempt_id)
+        # Answers with a key are acknowledged only when they are complete.
+        if call is not None and not attempt.order.key and not attempt.paused:
+            attempt.paused = True
+            call.pause()
+        kept = itertools.chain(
+            self.attempts_by_id.values(), self.finished_by_id.values()
+        )
+        largest = largest_beyond_limit(kept)
+        if largest is not None:
+            reason = "its entry does not acknowledge the bytes of its answer"
+            self.on_too_long(largest, reason)
+
+    def on_too_long(self, attempt: Attempt, reason: str) -> None:
+        """Cancel the call and fail an attempt whose answer exceeds a limit."""
+        attempt_id = attempt.order.attempt_id
+        eliot.log_message(
+            message_type="agent:answer_cut",
+            attempt=attempt_id,
+            reason=reason,
+            unacknowledged_bytes=attempt.unacknowledged_bytes,
+        )
+        if self.finished_by_id.pop(attempt_id, None) is not None:
+            return
+        call = self._call_by_attempt_id.get(attempt_id)
+        if call is not None:
+            call.cancel()
+        error = EndpointFailedError(
+            reason, "check the engine; use a streamed request for long answers"
+        )
+        self.on_failure(attempt, error)
 
     def on_done(self, attempt: Attempt) -> None:
         """Record that the engine's answer is complete and notify the entry."""
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/coordination/engine.py
@@ -63,6 +63,12 @@
     def cancel(self) -> None:
         """Cancel the call; the sink receives no further callbacks."""
 
+    def pause(self) -> None:
+        """Stop reading the answer."""
+
+    def resume(self) -> None:
+        """Read on."""
+
 
 @dataclass(slots=True, frozen=True)
 class EngineLoad:
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/attempt.py
@@ -66,6 +66,8 @@
 
     :param order: the entry's request.
     :param entry_id: instance id of the entry that sent the request.
+    :ivar paused: whether the answer is not read, as the entry lags behind.
+    :ivar tokenless_bytes: bytes of the answer since its last token.
     """
 
     __slots__ = (
@@ -77,6 +79,9 @@
         "next_sequence",
         "tokens",
         "unacknowledged",
+        "unacknowledged_bytes",
+        "tokenless_bytes",
+        "paused",
         "started_at_s",
         "ended_at_s",
         "failure",
@@ -92,6 +97,9 @@
         self.next_sequence = 0
         self.tokens = 0
         self.unacknowledged: deque[AnswerChunk] = deque()
+        self.unacknowledged_bytes = 0
+        self.tokenless_bytes = 0
+        self.paused = False
         self.started_at_s = 0.0
         self.ended_at_s: float | None = None
         self.failure: RelayError | None = None
@@ -116,12 +124,14 @@
         self.tokens += tokens
         self._digest.update(data)
         self.unacknowledged.append(chunk)
+        self.unacknowledged_bytes += len(data)
+        self.tokenless_bytes = 0 if tokens else self.tokenless_bytes + len(data)
         return chunk
 
     def acknowledge(self, sequence: int) -> None:
         """Remove the chunks up to and including ``sequence``."""
         while self.unacknowledged and self.unacknowledged[0].sequence <= sequence:
-            self.unacknowledged.popleft()
+            self.unacknowledged_bytes -= len(self.unacknowledged.popleft().data)
 
     def chunks_after(self, sequence: int) -> list[AnswerChunk]:
         """Return the unacknowledged chunks after ``sequence``, in order."""
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/state/server_sent_events.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/state/server_sent_events.py
@@ -29,6 +29,11 @@
         self._partial_event = data[end:]
         return data[:end]
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the incomplete event."""
+        return len(self._partial_event)
+
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
         return self._partial_event
--- a/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
+++ b/packages/corianderrelay-agent/src/corianderrelay_agent/transport/engine_http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from datetime import UTC, datetime
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, cast
 
 import eliot
 import msgspec
@@ -145,6 +145,16 @@
         elif self._response is not None:
             self._response.cancel()
 
+    def pause(self) -> None:
+        """Stop reading the body."""
+        if self._body is not None and not self._ended:
+            cast("Any", self._body.transport).pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._body is not None and not self._ended:
+            cast("Any", self._body.transport).resumeProducing()
+
     def on_data(self, data: bytes) -> None:
         """Pass body bytes to the sink."""
         if not self._ended:
--- a/packages/corianderrelay-core/src/corianderrelay/state/answer_assembly.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/answer_assembly.py
@@ -70,6 +70,11 @@
         self.resumable = True
         self.begin_attempt()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that wait for the next token."""
+        return self._buffered_bytes
+
     def begin_attempt(self) -> None:
         """Discard the previous attempt's buffer and expect chunk 0 of a new attempt."""
         self._buffered_chunks: list[bytes] = []
--- a/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
+++ b/packages/corianderrelay-core/src/corianderrelay/state/attempts.py
@@ -45,6 +45,8 @@
 _MAX_REFUSALS = 4
 _MAX_STALLS = 2
 _CHUNKS_PER_ACKNOWLEDGEMENT = 32
+# Below the unacknowledged bytes at which an agent stops reading from its endpoint.
+_BYTES_PER_ACKNOWLEDGEMENT = 65_536
 _DEFAULT_RETRY_AFTER_S = 1.0
 _TAKEOVER_PAUSE_S = 1.0  # after a refused takeover; small against the time to a stall
 
@@ -92,6 +94,7 @@
         "_retry_after_s",
         "_may_have_run",
         "_requested_sequence",
+        "_unacknowledged_bytes",
         "_takeover",
         "_takeover_refused_at",
         "_refused_takeovers_at",
@@ -119,6 +122,7 @@
         self._retry_after_s = _DEFAULT_RETRY_AFTER_S
         self._may_have_run = False
         self._requested_sequence = -1
+        self._unacknowledged_bytes = 0
         self._takeover: _Takeover | None = None
         self._takeover_refused_at = float("-inf")
         self._refused_takeovers_at: frozenset[str] = frozenset()
@@ -132,6 +136,11 @@
         """Number of answer tokens released to the caller."""
         return self._answer.tokens
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of the answer that are not released yet."""
+        return self._answer.buffered_bytes
+
     @property
     def started(self) -> bool:
         """Whether a part of the answer has been released to the caller."""
@@ -197,7 +206,7 @@
         return [
             *self._cancel_takeover(),
             *self._write_answer(released_data, was_released),
-            *self._acknowledge(sequence),
+            *self._acknowledge(sequence, len(data)),
         ]
 
     def on_attempt_ended(
@@ -331,6 +340,16 @@
             "send the request again, or ask the operator for a longer timeout",
         )
 
+    def fail_as_too_long(self) -> list[AttemptOrder]:
+        """Cancel the attempts, as the entry has no room for the answer."""
+        if self.is_finished:
+            return []
+        return self._cancel_and_fail(
+            EndpointFailedError,
+            "the answer has no end in sight, and the entry holds too many bytes",
+            "send the request again, streamed if its answer is long",
+        )
+
     def fail_as_stopping(self) -> list[AttemptOrder]:
         """Cancel the attempt and fail the request, as this process exits."""
         if self.is_finished:
@@ -421,9 +440,14 @@
         start = [] if was_released else [StartAnswer(head.status, head.content_type)]
         return [*start, *([WriteAnswer(data)] if data else [])]
 
-    def _acknowledge(self, sequence: int) -> list[AttemptOrder]:
-        if self._answer.next_sequence % _CHUNKS_PER_ACKNOWLEDGEMENT:
+    def _acknowledge(self, sequence: int, received_bytes: int) -> list[AttemptOrder]:
+        self._unacknowledged_bytes += received_bytes
+        if (
+            self._answer.next_sequence % _CHUNKS_PER_ACKNOWLEDGEMENT
+            and self._unacknowledged_bytes < _BYTES_PER_ACKNOWLEDGEMENT
+        ):
             return []
+        self._unacknowledged_bytes = 0
         return [AcknowledgeAttempt(self.attempt_id, self.runner_id, sequence)]
 
     def _attach_unless_requested(self) -> list[AttemptOrder]:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/relay.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+import eliot
+
 from corianderrelay.state.answer_assembly import AnswerHead
 from corianderrelay.state.attempt_orders import (
     AcknowledgeAttempt,
@@ -23,6 +25,7 @@
 from corianderrelay.state.attempts import RequestAttempts
 from corianderrelay.state.retry_budget import RetryBudget
 
+from ..state.direct.held_bytes import HeldBytes
 from ..state.open_request import OpenRequest, RequestPhase
 from ..state.runner_progress import RunnerProgress
 from .runner_choice import RunnerChoice, ServiceRouters
@@ -38,6 +41,8 @@
     from .answer_sink import AnswerSink
     from .request_metrics import RequestMetrics
 
+_MAX_HELD_BYTES = 20_971_520  # of all answers that are not passed on as they arrive
+_MIN_HELD_BYTES = 8192  # shorter answers are not worth an account
 _REATTACH_TIMEOUT_S = 1.0  # for a disconnected agent to reconnect
 
 
@@ -45,9 +50,17 @@
     """An open request with its sink, runner choice and attempts.
 
     :ivar attempt_ids: all attempts that were dispatched.
+    :ivar unsent_bytes: what the sink keeps until the answer is complete.
     """
 
-    __slots__ = ("request", "sink", "choice", "attempts", "attempt_ids")
+    __slots__ = (
+        "request",
+        "sink",
+        "choice",
+        "attempts",
+        "attempt_ids",
+        "unsent_bytes",
+    )
 
     def __init__(
         self,
@@ -61,6 +74,7 @@
         self.choice = choice
         self.attempts = attempts
         self.attempt_ids: list[str] = []
+        self.unsent_bytes = 0
 
     @property
     def runner_ids(self) -> tuple[str, str]:
@@ -97,6 +111,7 @@
         self._open_by_attempt: dict[str, _OpenCall] = {}
         self._disconnected_since_by_agent: dict[str, float] = {}
         self._progress = RunnerProgress()
+        self._held: HeldBytes[_OpenCall] = HeldBytes(_MAX_HELD_BYTES)
 
     @property
     def open_requests(self) -> int:
@@ -153,6 +168,23 @@
         opened.choice.record_progress(attempt_id, tokens, now)
         opened.request.tokens = opened.attempts.tokens
         self._execute(opened, orders)
+        self._hold_bytes(opened)
+
+    def _hold_bytes(self, opened: _OpenCall) -> None:
+        """Account for what is held of an answer; cut the largest if it is too much."""
+        held_bytes = opened.attempts.buffered_bytes + opened.unsent_bytes
+        if opened.attempts.is_finished or held_bytes < _MIN_HELD_BYTES:
+            return
+        self._held.set_growing(opened, held_bytes)
+        for largest, size in self._held.take_excess():
+            eliot.log_message(
+                message_type="answer:cut",
+                request=largest.request.call.request_id,
+                size_bytes=size,
+                held_bytes=self._held.held_bytes,
+                limit_bytes=self._held.limit_bytes,
+            )
+            self._execute(largest, largest.attempts.fail_as_too_long())
 
     def on_end(self, attempt_id: str, chunks: int, digest: int) -> None:
         """Process the end of an attempt.
@@ -261,6 +293,8 @@
                     opened.request.phase = RequestPhase.STREAMING
                     opened.sink.start(order.status, order.content_type)
                 case WriteAnswer():
+                    if not opened.request.call.streamed:
+                        opened.unsent_bytes += len(order.data)
                     opened.sink.write(order.data)
                 case FinishAnswer():
                     opened.request.end(RequestPhase.DONE)
@@ -315,6 +349,7 @@
 
     def _close(self, opened: _OpenCall) -> None:
         opened.choice.record_all_ended(self._seconds())
+        self._held.release(opened)
         for attempt_id in opened.attempt_ids:
             self._open_by_attempt.pop(attempt_id, None)
         self._open_by_id.pop(opened.request.call.request_id, None)
