Test refused uploads without a network, and the memory setting

Limits.MemoryMb of 0 and as a word are reported with their remedy. The three copies of the reader of a process's peak memory are one.

--- a/tests/features/entry/transport/caller_http.feature
+++ b/tests/features/entry/transport/caller_http.feature
@@ -36,3 +36,22 @@
     When all bytes are handed to the kernel
     And the connection lingers for 1 s
     Then the connection is closed
+
+  # Guards against uploads that are read although the entry has no room for them.
+  Scenario Outline: An upload <framing> has no room
+    Given a caller's connection of an entry that holds as many bytes as it may
+    When the caller begins an upload of 300000 bytes <framing>
+    Then it gets 503 with a time to come back, and nothing has run
+    And only the entry's direction of the connection is closed, and no byte is kept
+    When the caller has closed
+    Then no byte is held for it
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
+
+  Scenario: A small request while there is no room for uploads
+    Given a caller's connection of an entry that holds as many bytes as it may
+    When the caller sends a whole request
+    Then the request is handled
--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -5,13 +5,15 @@
     Then the settings error names <key> and a remedy
 
     Examples:
-      | fault                       | key           |
-      | no Node                     | Node          |
-      | no Listen.Front             | Listen.Front  |
-      | Listen.Front without a port | Listen.Front  |
-      | no Platform.Addr            | Platform.Addr |
-      | Bounds.GraceS as a word     | Bounds.GraceS |
-      | no PortRange                | PortRange     |
+      | fault                       | key             |
+      | no Node                     | Node            |
+      | no Listen.Front             | Listen.Front    |
+      | Listen.Front without a port | Listen.Front    |
+      | no Platform.Addr            | Platform.Addr   |
+      | Bounds.GraceS as a word     | Bounds.GraceS   |
+      | no PortRange                | PortRange       |
+      | Limits.MemoryMb of 0        | Limits.MemoryMb |
+      | Limits.MemoryMb as a word   | Limits.MemoryMb |
 
   Scenario: All faults of a settings file are reported at once
     When the platform's settings are empty
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -52,6 +52,8 @@
     "no Platform.Addr": {"Platform.Addr": None},
     "Bounds.GraceS as a word": {"Bounds.GraceS": "long"},
     "no PortRange": {"PortRange": None},
+    "Limits.MemoryMb of 0": {"Limits.MemoryMb": "0"},
+    "Limits.MemoryMb as a word": {"Limits.MemoryMb": "much"},
     "unknown keys": {"Some.New.field": "1", "Other": "a=b"},
 }
 
--- a/tests/features/steps/caller_http_steps.py
+++ b/tests/features/steps/caller_http_steps.py
@@ -8,6 +8,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from corianderrelay_entry.coordination.direct.byte_account import ByteAccount
+from corianderrelay_entry.coordination.direct.decision_log import DecisionLog
 from corianderrelay_entry.state.direct.catalog import CallerLimits
 from corianderrelay_entry.transport.direct.caller_http import (
     CallerConnection,
@@ -59,7 +61,7 @@
 
     limits = _LIMITS
     draining = False
-    account = None
+    account: ByteAccount | None = None
 
     def __init__(self) -> None:
         self.bodies: list[bytes] = []
@@ -175,3 +177,59 @@
     assert context.handler.bodies == []
     assert context.transport.value().startswith(b"HTTP/1.1 %d" % status)
     assert context.transport.disconnecting
+
+
+_ACCOUNT_BYTES = 100_000
+_UPLOAD_PIECE_BYTES = 32_768
+
+
+@given("a caller's connection of an entry that holds as many bytes as it may")
+def step_full(context: Any) -> None:
+    step_idle(context)
+    account = ByteAccount(_ACCOUNT_BYTES, DecisionLog(context.clock.seconds))
+    context.handler.account = account
+    context.connection = CallerConnection(context.handler, context.clock)
+    context.connection.makeConnection(context.transport)
+
+
+@when("the caller begins an upload of {size:d} bytes {framing}")
+def step_upload(context: Any, size: int, framing: str) -> None:
+    head = b"POST /p/x HTTP/1.1\r\nHost: shop\r\n"
+    piece = b"x" * _UPLOAD_PIECE_BYTES
+    if framing == "in chunks":
+        head += b"Transfer-Encoding: chunked\r\n\r\n"
+        piece = b"%x\r\n%s\r\n" % (len(piece), piece)
+    else:
+        head += b"Content-Length: %d\r\n\r\n" % size
+    context.connection.dataReceived(head)
+    for _ in range(size // _UPLOAD_PIECE_BYTES):
+        context.connection.dataReceived(piece)
+
+
+@when("the caller sends a whole request")
+def step_whole_request(context: Any) -> None:
+    context.connection.dataReceived(_HEAD + _BODY)
+
+
+@then("it gets 503 with a time to come back, and nothing has run")
+def step_refused_upload(context: Any) -> None:
+    answer = context.transport.value()
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"retry-after: 0.5\r\n" in answer.lower() and answer.count(b"HTTP/") == 1
+    assert not context.handler.bodies
+
+
+@then("only the entry's direction of the connection is closed, and no byte is kept")
+def step_lingers(context: Any) -> None:
+    assert context.transport.write_closed and not context.transport.disconnecting
+    assert context.handler.account.held_bytes == 0
+
+
+@when("the caller has closed")
+def step_has_closed(context: Any) -> None:
+    context.connection.connectionLost()
+
+
+@then("no byte is held for it")
+def step_nothing_held(context: Any) -> None:
+    assert context.handler.account.held_bytes == 0
--- a/tests/features/steps/endless_answers_steps.py
+++ b/tests/features/steps/endless_answers_steps.py
@@ -7,19 +7,13 @@
 
 from behave import then, when
 
+from tests.harness.memory import peak_memory_mb
 from tests.waiting import wait_until
 
-_KB = 1024
-
 
 def _peak_memory_mb(context: Any) -> int:
     """Return the largest peak of the resident memory of any entry, in MB."""
-    peaks = []
-    for process in context.system.entry_processes:
-        with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-            line = next(each for each in status if each.startswith("VmHWM"))
-        peaks.append(int(line.split()[1]) // _KB)
-    return max(peaks)
+    return max(map(peak_memory_mb, context.system.entry_processes))
 
 
 @when("a caller asks for {path:S}, beside a stream that makes progress")
--- a/tests/features/steps/held_bytes_steps.py
+++ b/tests/features/steps/held_bytes_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 
 from demo.system import temporary_folder
+from tests.harness.memory import peak_memory_mb
 from tests.harness.platform_system import API_KEY, HOST, PlatformSystem
 from tests.standins.platform_runner import PlatformRunner
 
@@ -22,14 +23,6 @@
 _SMALL_RECEIVE_BUFFER_BYTES = 8192
 _SETTLE_S = 1.0
 _TIMEOUT_S = 10.0
-_STATUS_KB = 1024
-
-
-def _peak_memory_mb(process: Any) -> int:
-    """Return the peak of the resident memory of a process, in MB."""
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        line = next(each for each in status if each.startswith("VmHWM"))
-    return int(line.split()[1]) // _STATUS_KB
 
 
 def _head(path: str, request_id: str, body_bytes: int) -> bytes:
@@ -86,7 +79,7 @@
     system.register_runner(runner, service="desk")
     for path in ("/desk/whole", "/stock/whole"):
         _wait_until_served(system, path)
-    context.memory_before_mb = _peak_memory_mb(system.entry_processes[0])
+    context.memory_before_mb = peak_memory_mb(system.entry_processes[0])
 
 
 def _wait_until_served(system: PlatformSystem, path: str) -> None:
@@ -114,7 +107,7 @@
 
 @then("the entry's memory has grown by at most {limit:d} MB")
 def step_memory(context: Any, limit: int) -> None:
-    peak_mb = _peak_memory_mb(context.system.entry_processes[0])
+    peak_mb = peak_memory_mb(context.system.entry_processes[0])
     grown_mb = peak_mb - context.memory_before_mb
     assert grown_mb <= limit, f"grown by {grown_mb} MB"
 
--- a/tests/features/steps/long_answers_steps.py
+++ b/tests/features/steps/long_answers_steps.py
@@ -8,13 +8,13 @@
 
 from behave import given, then, when
 
-from demo.processes import Process, fetch
+from demo.processes import fetch
 from demo.system import KIT_SHOP_KEY, DemoSystem, temporary_folder
+from tests.harness.memory import peak_memory_mb
 from tests.standins.endless_service import EndlessService
 from tests.waiting import wait_until
 
 _SLOTS = 64
-_STATUS_KB = 1024
 
 
 class _EndlessSystem(DemoSystem):
@@ -30,12 +30,6 @@
         self._start_agent("agent-orders", "oslo-a", orders, None)
 
 
-def _peak_memory_mb(process: Process) -> int:
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        line = next(each for each in status if each.startswith("VmHWM"))
-    return int(line.split()[1]) // _STATUS_KB
-
-
 def _ask(system: DemoSystem, path: str) -> int:
     key = f"Bearer {KIT_SHOP_KEY}"
     return int(fetch(f"{system.entries[0]}{path}", Authorization=key)[0])
@@ -51,12 +45,11 @@
     system.start()
     wait_until(lambda: system.ready(1), "the entry lists the agent")
     assert _ask(system, "/services/orders/sound") == 200
-    context.watched = [*system.processes_named("entry"), *_agents(system)]
-    context.before_mb = [_peak_memory_mb(process) for process in context.watched]
-
-
-def _agents(system: DemoSystem) -> list[Process]:
-    return system.processes_named("agent")
+    context.watched = [
+        *system.processes_named("entry"),
+        *system.processes_named("agent"),
+    ]
+    context.before_mb = [peak_memory_mb(process) for process in context.watched]
 
 
 @when("{count:d} callers ask for {path:S} at once")
@@ -78,7 +71,7 @@
 @then("the memory of the entry and of the agent has grown by at most {limit:d} MB")
 def step_memory(context: Any, limit: int) -> None:
     grown_mb = [
-        _peak_memory_mb(process) - before
+        peak_memory_mb(process) - before
         for process, before in zip(context.watched, context.before_mb)
     ]
     assert max(grown_mb) <= limit, f"grown by {grown_mb} MB"
