Log whether the log states an era, and by what a configuration was confirmed

Refused requests now show version, fingerprint, era, offset and proof; log:era is also written at the first read. No decision uses them yet.

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from corianderrelay.state.errors import LogUnavailableError
@@ -50,6 +51,15 @@
 _MAX_AGE_SHARE = 0.56
 
 
+class ConfigProof(Enum):
+    """What confirmed last that the active configuration is the newest."""
+
+    NONE = "none"
+    RECORD_READ = "its record was read"
+    EMPTY_READ = "a read found no later record"
+    OTHER_ENTRY = "another entry is at the same position"
+
+
 class ConfigWatch:
     """Long-polls the configuration log and activates newer versions.
 
@@ -96,6 +106,7 @@
         self._trusted = False
         self._usable = False
         self._dependency = Dependency("configuration log", log)
+        self._proof = ConfigProof.NONE
         self.catalog: Catalog | None = None
 
     @property
@@ -118,6 +129,18 @@
         """The era of the log at the last read; ``None`` before."""
         return None if self.position is None else self.position.era
 
+    def evidence(self) -> dict[str, object]:
+        """Return what a log line needs to show why this version was used."""
+        position = self.position
+        return {
+            "version": self.version,
+            "fingerprint": None if self.catalog is None else self.catalog.fingerprint,
+            "era": self.era,
+            "offset": None if position is None else position.offset,
+            "proof": self._proof.value,
+            "proof_age_s": round(self.age_s, 3),
+        }
+
     @property
     def version(self) -> int | None:
         """The active version; ``None`` before the first one is loaded."""
@@ -185,7 +208,7 @@
         if position is None or news.era < position.era:
             return
         if news == position and not records_lost:
-            self._confirm(confirmed_at)
+            self._confirm(confirmed_at, ConfigProof.OTHER_ENTRY)
         elif not self._polling:
             if records_lost or news.era > position.era:
                 self._reading.start_over("another entry tells that records were lost")
@@ -216,9 +239,10 @@
         answer.addCallback(self._on_answer, requested_at, position is None)
         answer.addErrback(self._on_failure)
 
-    def _confirm(self, confirmed_at: float) -> None:
+    def _confirm(self, confirmed_at: float, proof: ConfigProof) -> None:
         if self.behind:
             return  # the log has lost the newest version, or it is not read yet
+        self._proof = proof
         self.confirmation.record(confirmed_at)
         self._freshness.record_confirmation(confirmed_at)
         if confirmed_at > self._failed_at:
@@ -244,7 +268,11 @@
                 era=position.era,
                 offset=position.offset,
             )
-        self._confirm(requested_at)
+        was_read = all_read or catalog is not None
+        self._confirm(
+            requested_at,
+            ConfigProof.RECORD_READ if was_read else ConfigProof.EMPTY_READ,
+        )
         if all_read and not self.behind:
             self.confirmation.record_all_read(requested_at)
         if restored:
@@ -274,6 +302,7 @@
             Decision.CONFIG_IN_FORCE,
             version=catalog.version,
             before=before,
+            fingerprint=catalog.fingerprint,
             era=position.era,
             offset=position.offset,
             routes=sum(map(len, catalog.routes_by_host.values())),
@@ -304,4 +333,4 @@
             self._schedule(_RETRY_S if reads else _SHARED_RETRY_S)
 
 
-__all__ = ["ConfigWatch"]
+__all__ = ["ConfigProof", "ConfigWatch"]
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/decision_log.py
@@ -123,8 +123,9 @@
     )
     LOG_ERA = (
         "log:era",
-        "the log states another era, as it was restored from an older copy; who read "
-        "it, era and offset before and now",
+        "the era of the log at the first read, or another one than before, as it was "
+        "restored from an older copy; whether the log states one at all, who read it, "
+        "era and offset before and now",
     )
     LOG_READ_AGAIN = (
         "log:read_again",
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/direct_relay.py
@@ -259,9 +259,7 @@
             status=rejected.status,
             reason=rejected.reason,
             path=call.path,
-            version=self._config.version,
-            era=self._config.era,
-            proof_age_s=round(self._config.age_s, 3),
+            **self._config.evidence(),
             retry_after_s=rejected.retry_after_s,
         )
         headers = self._dialect.encode_refusal(call, rejected.retry_after_s)
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/log_reading.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/log_reading.py
@@ -35,15 +35,15 @@
         if last is not None and last.era == position.era:
             return False
         self._metrics.log_era.set({"reader": self._name}, position.era)
-        if last is not None:
-            self._log.note(
-                Decision.LOG_ERA,
-                reader=self._name,
-                era=position.era,
-                era_before=last.era,
-                offset=position.offset,
-                offset_before=last.offset,
-            )
+        self._log.note(
+            Decision.LOG_ERA,
+            reader=self._name,
+            stated=position.era > 0,
+            era=position.era,
+            era_before=None if last is None else last.era,
+            offset=position.offset,
+            offset_before=None if last is None else last.offset,
+        )
         return last is not None
 
     def start_over(self, reason: str) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/state/direct/catalog.py
@@ -142,6 +142,7 @@
 
     :param workspaces_by_key: empty if callers need no API key.
     :param needs_key: whether routes that are not public require an API key.
+    :param fingerprint: digest of the document; tells two of the same version apart.
     """
 
     version: int
@@ -150,6 +151,7 @@
     workspaces_by_key: dict[str, Workspace]
     needs_key: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
+    fingerprint: str = ""
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of ``path``.
