--- a/tests/harness/platform_system.py
+++ b/tests/harness/platform_system.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import threading
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -66,6 +67,7 @@
         self.fleet = RunnerFleet()
         self._runner_numbers = itertools.count(3)
         self._start_times_ms = itertools.count(2)
+        self._heartbeats = itertools.count(1)
         self.runners = [
             PlatformRunner(f"i-{n}", self.fleet, self._on_runner_crash)
             for n in range(3)
@@ -134,11 +136,15 @@
         )
 
     def publish_configuration(
-        self, keys: tuple[str, ...] = (API_KEY,), **route_changes: dict[str, Any]
+        self,
+        keys: tuple[str, ...] = (API_KEY,),
+        edit: Callable[[dict[str, Any]], object] = lambda document: None,
+        **route_changes: dict[str, Any],
     ) -> None:
         """Publish a new version of the configuration.
 
         :param keys: API keys of the workspace.
+        :param edit: changes the document before it is written.
         :param route_changes: changed or added fields of routes, by route name.
         """
         self._configuration_version += 7
@@ -178,6 +184,7 @@
             "Limits": self.limits,
             "Tenants": [{"Name": WORKSPACE, "ApiKeys": list(keys)}],
         }
+        edit(document)
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
     def _on_runner_crash(self, runner: PlatformRunner) -> None:
@@ -259,6 +266,7 @@
             "Slots": self.slots,
             "State": state,
             "born": born,
+            "Seq": next(self._heartbeats),
         }
         value = json.dumps(record).encode()
         self.store.put("keyed.servers", runner.runner_id, value)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -7,6 +7,7 @@
 import struct
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
@@ -29,13 +30,23 @@
     and the connection is closed after 5 s) or ``reset`` (every connection is closed).
     Calls for a topic in ``refused_topics`` get 503 in any mode. ``rewrite_value`` maps
     topic, key and value of each append to the value that is stored. ``era`` is stated
-    in all answers, unless it is ``None``.
+    in all answers, unless it is ``None``: in the header ``era_header``, and only in
+    answers to ``era_paths`` if there are any. A restore raises the era that is stated
+    ``era_delay_s`` later. ``newest_lack`` maps a topic to how many of its last records
+    are missing in answers with all newest records, although their end counts them.
+    ``calls_by_path`` counts all calls.
     """
 
     def __init__(self) -> None:
         self.mode = "ok"
         self.era: int | None = 1
+        self.era_header = "Store-Era"
+        self.era_paths: set[str] = set()
+        self.era_delay_s = 0.0
+        self.newest_lack: dict[str, int] = {}
         self.calls = 0
+        self.calls_by_path: Counter[str] = Counter()
+        self._restores = 0
         self.refused_topics: set[str] = set()
         self.rewrite_value: Callable[[str, str, bytes], bytes] | None = None
         self._lock = threading.Lock()
@@ -80,8 +91,24 @@
         """Replace all records by those of an older copy, and begin a new era."""
         with self._lock:
             self._records_by_topic = {topic: list(each) for topic, each in copy.items()}
-            if self.era is not None:
-                self.era += 1
+            self._restores += 1
+        if self.era is None:
+            return
+        if not self.era_delay_s:
+            self.era += 1
+            return
+        raised = threading.Timer(self.era_delay_s, self._raise_era)
+        raised.daemon = True
+        raised.start()
+
+    def _raise_era(self) -> None:
+        if self.era is not None:
+            self.era += 1
+
+    def end(self, topic: str) -> int:
+        """Return the offset of the next record of a topic."""
+        with self._lock:
+            return len(self._records_by_topic.get(topic, []))
 
     def drop_superseded_records(self, topic: str) -> None:
         """Expire all current offsets; the newest record of each key stays available."""
@@ -97,12 +124,13 @@
 
     def _answer(self, handler: BaseHTTPRequestHandler) -> None:
         self.calls += 1
+        url = urlsplit(handler.path)
+        self.calls_by_path[url.path] += 1
         if self.mode == "silent":
             time.sleep(_SILENCE_S)
         if self.mode in ("silent", "reset"):
             handler.close_connection = True
             return
-        url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         length = int(handler.headers.get("Content-Length") or 0)
         body = handler.rfile.read(length)
@@ -111,7 +139,13 @@
         elif url.path == "/api/log-newest":
             self._send(handler, 200, self._newest(query["Topic"]))
         elif url.path == "/api/log-read":
-            self._send(handler, *self._read(query))
+            restores = self._restores
+            status, content = self._read(query)
+            if self.mode != "ok" or restores != self._restores:
+                # A store that is away does not answer the reads that were open.
+                handler.close_connection = True
+            else:
+                self._send(handler, status, content)
         elif url.path == "/api/log-append":
             key_bytes = body[4]
             key = body[5 : 5 + key_bytes].decode()
@@ -126,8 +160,9 @@
     def _newest(self, topic: str) -> bytes:
         with self._lock:
             records = self._records_by_topic.get(topic, [])
-            newest = {key: (value, n) for n, (key, value) in enumerate(records)}
             end = len(records)
+            records = records[: end - self.newest_lack.get(topic, 0)]
+            newest = {key: (value, n) for n, (key, value) in enumerate(records)}
         items = [
             {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset}
             for key, (value, offset) in newest.items()
@@ -144,7 +179,8 @@
                 first = self._first_offset_by_topic.get(topic, 0)
             if start < first or start > len(records):
                 return 410, json.dumps({"First": first}).encode()
-            if len(records) > start or time.monotonic() >= until:
+            waits = time.monotonic() < until and self.mode == "ok"
+            if len(records) > start or not waits:
                 break
             time.sleep(_POLL_S)
         framed = b"".join(_encode_record(key, value) for key, value in records[start:])
@@ -154,8 +190,9 @@
         try:
             handler.send_response(status)
             handler.send_header("Content-Length", str(len(body)))
-            if self.era is not None:
-                handler.send_header("Store-Era", str(self.era))
+            path = urlsplit(handler.path).path
+            if self.era is not None and path in (self.era_paths or {path}):
+                handler.send_header(self.era_header, str(self.era))
             handler.end_headers()
             handler.wfile.write(body)
         except OSError:
