Close idle connections after a call that was not answered

Open connections may fall silent for good while new ones work. The client then sent one call after the other on those it had kept, each until its timeout: with three of them a configuration was read 2.4 s and twice 0.9 s later. The scenario failed before ('no complete response within 0.5 s'). An idle connection costs one handshake to replace.

--- a/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
+++ b/packages/corianderrelay-core/src/corianderrelay/transport/http_client.py
@@ -171,9 +171,18 @@
         http_response = self.request(method, path, headers or {}, body).addCallback(
             _read_body, self._max_body_bytes
         )
-        http_response.addTimeout(timeout_s, cast("Any", self._reactor), _on_timeout)
+        http_response.addTimeout(
+            timeout_s, cast("Any", self._reactor), self._on_timeout
+        )
         return http_response
 
+    def _on_timeout(self, result: object, timeout_s: float) -> None:
+        if isinstance(result, Failure) and result.check(HttpNotSentError):
+            result.raiseException()
+        # Idle connections may be as silent as this one.
+        self.close()
+        raise HttpResponseLostError(f"no complete response within {timeout_s:g} s")
+
     def close(self) -> Deferred[None]:
         """Close the idle persistent connections."""
         return cast("Deferred[None]", self._pool.closeCachedConnections())
@@ -274,12 +283,6 @@
     return failure.getErrorMessage()
 
 
-def _on_timeout(result: object, timeout_s: float) -> None:
-    if isinstance(result, Failure) and result.check(HttpNotSentError):
-        result.raiseException()
-    raise HttpResponseLostError(f"no complete response within {timeout_s:g} s")
-
-
 __all__ = [
     "BytesProducer",
     "HttpResponse",
--- a/tests/features/core/transport/http_client.feature
+++ b/tests/features/core/transport/http_client.feature
@@ -11,3 +11,10 @@
     Given a server that sends a body of 100000 bytes
     When a client that accepts 100000 bytes fetches it
     Then the fetch returns 100000 bytes
+
+  # Guards against a client that tries one silent connection after the other: open
+  # connections may fall silent for good while new ones work.
+  Scenario: The open connections fall silent
+    Given a server whose first 3 connections fall silent after an answer
+    When a client has 3 connections open and a fetch is not answered
+    Then the next fetch returns 2 bytes
--- a/tests/features/steps/http_client_steps.py
+++ b/tests/features/steps/http_client_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import threading
 from typing import Any
@@ -13,6 +14,7 @@
 from tests.harness.reactor_loop import reactor, result_of, run_until
 
 _TIMEOUT_S = 10.0
+_SILENT_S = 0.5
 _MAX_BLOCKS = 4096
 
 
@@ -73,3 +75,53 @@
 @then("the fetch returns {count:d} bytes")
 def step_returned(context: Any, count: int) -> None:
     assert context.error is None and len(context.response.body) == count
+
+
+@given("a server whose first {count:d} connections fall silent after an answer")
+def step_silent(context: Any, count: int) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.cleanup.callback(listener.close)
+    context.url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    all_open = threading.Barrier(count)
+
+    def answer(connection: socket.socket, falls_silent: bool) -> None:
+        with connection:
+            while connection.recv(4096):
+                if falls_silent:
+                    all_open.wait()  # the client needs all connections at once
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                while falls_silent and connection.recv(4096):
+                    pass
+
+    def accept() -> None:
+        for number in itertools.count():
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=answer, args=(connection, number < count), daemon=True
+            ).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+
+
+@when("a client has {count:d} connections open and a fetch is not answered")
+def step_not_answered(context: Any, count: int) -> None:
+    client = HttpClient(reactor, context.url)
+    context.client = client
+    context.cleanup.callback(lambda: result_of(client.close()))
+    fetches = [client.fetch("GET", "/", timeout_s=_TIMEOUT_S) for _ in range(count)]
+    for fetch in fetches:
+        result_of(fetch)
+    try:
+        result_of(client.fetch("GET", "/", timeout_s=_SILENT_S))
+    except HttpResponseLostError:
+        return
+    raise AssertionError("the fetch was answered")
+
+
+@then("the next fetch returns {count:d} bytes")
+def step_next_fetch(context: Any, count: int) -> None:
+    response = result_of(context.client.fetch("GET", "/", timeout_s=_SILENT_S))
+    assert len(response.body) == count, response
