--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -51,6 +51,8 @@
 # Records behind the newest ones are waited for so long: they may be deletions of other
 # keys, which are dropped and never read.
 _MAX_LAG_S = 5.0
+# Operators write versions that a restore has lost again within seconds.
+_MAX_UNCERTAIN_S = 8.0
 _MAX_LOGGED_FAULTS = 8  # bounds a log line
 
 
@@ -69,6 +71,7 @@
     NONE = "none"
     UNREADABLE = "the newest version cannot be read"
     UNREAD = "the newest records lag behind the end of the log"
+    UNCERTAIN = "the newest version may have been written later under a lower number"
 
 
 class ConfigWatch:
@@ -121,6 +124,8 @@
         self._newest_read_at: float | None = None
         self._proven = False
         self._unreadable_mark = ""
+        # The document of an uncertain version, and when it was first read.
+        self._uncertain: tuple[str, float] | None = None
         self.catalog: Catalog | None = None
 
     @property
@@ -227,7 +232,8 @@
     @property
     def overtaken(self) -> bool:
         """Whether records that were not read may have changed any route long ago."""
-        return self._doubt is _Doubt.UNREAD and self.age_s > self._periods.wait_s
+        unknown = self._doubt in (_Doubt.UNREAD, _Doubt.UNCERTAIN)
+        return unknown and self.age_s > self._periods.wait_s
 
     def learn_version(self, generation: int, version: int) -> None:
         """Record a version that is active at another entry, and look for it."""
@@ -307,10 +313,16 @@
         replaced = self._reading.is_replaced(
             answer.position, answer.end, answer.record_offset
         )
+        position = self._reading.position
+        follows = (
+            not replaced
+            and position is not None
+            and position.offset == answer.record_offset
+        )
         if not answer.whole and self._may_skip(answer):
             answer.skip_to_end()
         restored = self._advance(answer)
-        self._take(answer, in_sequence=False)
+        self._take(answer, in_sequence=follows)
         self._proven = answer.whole
         if answer.whole:
             self._lags_since = None
@@ -351,20 +363,31 @@
 
     def _take(self, answer: ConfigAnswer, *, in_sequence: bool) -> None:
         """Activate the last configuration that replaces the active one."""
-        if answer.fault:
-            self._note_unreadable(answer)
-        elif answer.record_offset is not None and self._doubt is _Doubt.UNREADABLE:
-            self._doubt = _Doubt.NONE
-        activated = None
-        for catalog in answer.catalogs:
+        activated, verdict = None, None
+        for offset, catalog in answer.catalogs_by_offset.items():
             verdict = self._history.judge(
-                catalog, self._known_by_others, in_sequence=in_sequence
+                catalog, offset, self._known_by_others, in_sequence=in_sequence
             )
+            if verdict is Verdict.UNCERTAIN and self._is_accepted(catalog):
+                self._history.accept(catalog, offset)
+                verdict = Verdict.REPLACES
             if verdict is Verdict.REPLACES:
                 activated = catalog
+        if answer.fault:
+            self._note_unreadable(answer)
+        elif verdict is not None and self._doubt is not _Doubt.UNREAD:
+            uncertain = verdict is Verdict.UNCERTAIN
+            self._doubt = _Doubt.UNCERTAIN if uncertain else _Doubt.NONE
         if activated is not None:
             self._activate(activated, answer.position)
 
+    def _is_accepted(self, catalog: Catalog) -> bool:
+        """Return whether a version is still the newest long after it was first read."""
+        now = self._clock.seconds()
+        if self._uncertain is None or self._uncertain[0] != catalog.fingerprint:
+            self._uncertain = catalog.fingerprint, now
+        return now - self._uncertain[1] > _MAX_UNCERTAIN_S
+
     def _may_skip(self, answer: ConfigAnswer) -> bool:
         """Return whether records that cannot be read are deletions of other keys."""
         seen = answer.position, answer.end
@@ -436,6 +459,7 @@
                 version=catalog.version,
                 parts=len(catalog.unreadable),
                 faults=catalog.unreadable[:_MAX_LOGGED_FAULTS],
+                remedy="publish a version in which these parts are valid",
             )
 
     def _note_unreadable(self, answer: ConfigAnswer) -> None:
@@ -451,6 +475,7 @@
             active_version=self.version,
             offset=answer.record_offset,
             faults=[answer.fault],
+            remedy="publish a valid document; keys are refused soon",
         )
 
     def _on_failure(self, failure: Failure) -> None:
--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/ports.py
@@ -178,7 +178,7 @@
 class ConfigAnswer:
     """What one read of the configuration log returned.
 
-    :param catalogs: the readable configurations, in the order of the log.
+    :param catalogs_by_offset: the readable configurations, in the order of the log.
     :param position: the position after the last record that was read; its mark is that
         of the last configuration, readable or not.
     :param end: offset of the end of the log; records are still to be read if it is
@@ -187,17 +187,17 @@
     :param fault: why the last configuration cannot be read; empty if it can.
     """
 
-    __slots__ = ("catalogs", "position", "end", "record_offset", "fault")
+    __slots__ = ("catalogs_by_offset", "position", "end", "record_offset", "fault")
 
     def __init__(
         self,
-        catalogs: tuple[Catalog, ...],
+        catalogs_by_offset: dict[int, Catalog],
         position: LogPosition,
         end: int,
         record_offset: int | None = None,
         fault: str = "",
     ) -> None:
-        self.catalogs = catalogs
+        self.catalogs_by_offset = catalogs_by_offset
         self.position = position
         self.end = end
         self.record_offset = record_offset
