--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -118,10 +118,12 @@
         self._dependency = Dependency("configuration log", log)
         self._proof = ConfigProof.NONE
         self._doubt = _Doubt.NONE
+        # Since when records behind the newest ones could not be read.
         self._lags_since: float | None = None
         self._skipped: tuple[LogPosition, int] | None = None
         # When the newest records were read, while later records are still to be read.
         self._newest_read_at: float | None = None
+        # Whether the last read was of the newest record.
         self._proven = False
         self._unreadable_mark = ""
         # The document of an uncertain version, and when it was first read.
@@ -432,6 +434,8 @@
         self._next_poll = self._clock.callLater(delay_s, self._poll_again)
 
     def _poll_again(self) -> None:
+        if self._polling:
+            return
         if self.catalog is None or self._newest_read_at is not None:
             self._poll()
         else:
