Clear the alarm on unreadable configurations when the version before is confirmed again

direct_config_unreadable stayed at 1 until another version was activated, so the alarm did not end if operators wrote the version before again. The new step of the scenario failed before ('timed out waiting for: the version is confirmed again').

--- a/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
+++ b/packages/corianderrelay-entry/src/corianderrelay_entry/coordination/direct/config_watch.py
@@ -380,6 +380,8 @@
         elif verdict is not None and self._doubt is not _Doubt.UNREAD:
             uncertain = verdict is Verdict.UNCERTAIN
             self._doubt = _Doubt.UNCERTAIN if uncertain else _Doubt.NONE
+            if self.catalog is not None:
+                self._metrics.config_unreadable.set({}, len(self.catalog.unreadable))
         if activated is not None:
             self._activate(activated, answer.position)
 
--- a/tests/features/platform/log_replaced.feature
+++ b/tests/features/platform/log_replaced.feature
@@ -47,6 +47,7 @@
     When a version is published that cannot be read at all
     Then within 2 s each entry answers 503 for unknown routes and unknown keys
     And within 5 s each entry answers 503 for all requests with a key, and says why
+    And each entry serves them again after the version before is written again
 
   # Guards against entries that tell versions apart by their numbers only.
   Scenario Outline: A new version gets <number> after the log was restored
--- a/tests/features/steps/log_replaced_steps.py
+++ b/tests/features/steps/log_replaced_steps.py
@@ -245,6 +245,19 @@
         assert "direct_config_unreadable 1" in _metrics(system, host)
 
 
+@then("each entry serves them again after the version before is written again")
+def step_served_again(context: Any) -> None:
+    system = context.system
+    documents = [value for key, value in system.store.copy()[_TOPIC] if key == "config"]
+    system.store.put(_TOPIC, "config", documents[-2])
+    for host in system.hosts:
+        wait_until(
+            lambda: system.send_request("/stock/whole", host=host)[1] == 200
+            and "direct_config_unreadable 0" in _metrics(system, host),
+            "the version is confirmed again",
+        )
+
+
 @when("the log is restored, and a new version gets {number}")
 def step_number_again(context: Any, number: str) -> None:
     system = context.system
